--- /dev/null
+++ b/arbutusyard/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Reach model engines and plain services."""
--- /dev/null
+++ b/arbutusyard/backends/models.py
@@ -0,0 +1,46 @@
+"""Define what is known of a backend server."""
+
+import enum
+
+from msgspec import Struct
+
+
+class BackendState(enum.Enum):
+    """Name whether a backend server may get new work."""
+
+    LIVE = "live"
+    LOADING = "loading"
+    LEAVING = "leaving"
+    DOWN = "down"
+
+
+class EngineReport(Struct, frozen=True):
+    """Hold an engine's own report of its load; age_s is how old it is."""
+
+    kind: str
+    leaving: bool = False
+    model: str = ""
+    weights_version: str = ""
+    incarnation: str = ""
+    queue_s: float = 0.0
+    running: int = 0
+    max_batch: int = 32
+    prefill_piece_s: float = 0.1
+    import_piece_s: float = 0.1
+    decode_step_s: float = 0.02
+    loading: bool = False
+    fence: int = 0
+    checks_fence: bool = False
+    age_s: float = 0.0
+
+
+class Backend(Struct, frozen=True):
+    """Describe a backend server as this node knows it."""
+
+    name: str
+    role: str
+    serves: str
+    address: str
+    failure_domain: str
+    state: BackendState
+    report: EngineReport
--- /dev/null
+++ b/arbutusyard/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Run non-idempotent requests at most once."""
--- /dev/null
+++ b/arbutusyard/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line."""
--- /dev/null
+++ b/arbutusyard/cli/admin.py
@@ -0,0 +1,73 @@
+"""Serve operators on a port of their own."""
+
+import hmac
+from collections.abc import Callable
+
+import bottle
+import msgspec
+from gevent.pywsgi import WSGIServer
+from msgspec import Struct
+
+from arbutusyard.app import Application
+
+OPERATOR_HEADER = "X-Operator-Key"
+
+
+class AdminServer:
+    """Show status and metrics; drain on an operator's order."""
+
+    name = "admin_server"
+
+    __slots__ = ("_drain", "_keys", "_metrics", "_server", "_status", "address")
+
+    def __init__(
+        self,
+        listen: str,
+        status: Callable[[], Struct],
+        metrics: Callable[[], bytes],
+        drain: Callable[[], None],
+        keys: tuple[bytes, ...],
+    ) -> None:
+        self._status = status
+        self._metrics = metrics
+        self._drain = drain
+        self._keys = keys
+        host, port = listen.rsplit(":", 1)
+        self._server = WSGIServer(
+            (host, int(port)), self._build(), log=None, error_log=None
+        )
+        self._server.init_socket()
+        self.address = f"{host}:{self._server.server_port}"
+
+    def setup(self, app: Application) -> None:
+        """Start accepting connections."""
+        self._server.start()
+
+    def drain(self) -> None:
+        """Do nothing; operators may look on while the daemon drains."""
+
+    def unload(self) -> None:
+        """Close the port."""
+        self._server.stop(timeout=0)
+
+    def _build(self) -> bottle.Bottle:
+        app = bottle.Bottle()
+        app.route("/status", "GET", self._serve_status)
+        app.route("/metrics", "GET", self._serve_metrics)
+        app.route("/drain", "POST", self._serve_drain)
+        return app
+
+    def _serve_status(self) -> bytes:
+        bottle.response.content_type = "application/json"
+        return msgspec.json.encode(self._status())
+
+    def _serve_metrics(self) -> bytes:
+        bottle.response.content_type = "text/plain; version=0.0.4; charset=utf-8"
+        return self._metrics()
+
+    def _serve_drain(self) -> dict[str, bool]:
+        given = bottle.request.get_header(OPERATOR_HEADER, "").encode()
+        if not any(hmac.compare_digest(given, key) for key in self._keys):
+            raise bottle.HTTPError(403, "operator key is not valid")
+        self._drain()
+        return {"draining": True}
--- /dev/null
+++ b/arbutusyard/cli/settings.py
@@ -0,0 +1,155 @@
+"""Check every setting at start and report all errors at once."""
+
+import re
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
+
+from expression import Error, Ok, Result
+from msgspec import Struct
+
+from arbutusyard.const import ENV_PREFIX
+
+MIN_KEY_BYTES: Final = 16
+NAME_PATTERN: Final = r"[a-z0-9][a-z0-9.-]{0,62}"
+ADDRESS_PATTERN: Final = r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}"
+MAX_PORT: Final = 65_535
+
+T = TypeVar("T", bound=Struct)
+
+
+class ControlSettings(Struct, frozen=True):
+    """Hold the settings of a control daemon."""
+
+    name: str
+    region: str
+    failure_domain: str
+    listen: str
+    rpc_listen: str
+    admin_listen: str
+    platform: str
+    peers: tuple[str, ...]
+    keys: tuple[bytes, ...]
+
+
+class EntrySettings(Struct, frozen=True):
+    """Hold the settings of an entry daemon."""
+
+    name: str
+    region: str
+    failure_domain: str
+    listen: str
+    advertise: str
+    admin_listen: str
+    control: str
+    platform: str
+    keys: tuple[bytes, ...]
+    keep_s: float
+    drain_timeout_s: float
+    otlp_endpoint: str
+
+
+class SettingError(Struct, frozen=True):
+    """Name a setting that cannot be used and say why."""
+
+    setting: str
+    problem: str
+
+    def __str__(self) -> str:
+        flag = "--" + self.setting.replace("_", "-")
+        return f"{flag} (or {ENV_PREFIX}{self.setting.upper()}): {self.problem}"
+
+
+def name(value: str) -> str:
+    """Check a name."""
+    if not re.fullmatch(NAME_PATTERN, value):
+        raise ValueError(f"{value!r} is not a name of letters, digits, '.' and '-'")
+    return value
+
+
+def address(value: str) -> str:
+    """Check an IP address with a port."""
+    if not re.fullmatch(ADDRESS_PATTERN, value):
+        raise ValueError(f"{value!r} is not an IP address and port such as 10.0.0.1:80")
+    host, port = value.rsplit(":", 1)
+    if int(port) > MAX_PORT or any(int(part) > 255 for part in host.split(".")):
+        raise ValueError(f"{value!r} has a part that is out of range")
+    return value
+
+
+def optional_address(value: str) -> str:
+    """Check an address that may be left out."""
+    return address(value) if value else ""
+
+
+def addresses(value: str) -> tuple[str, ...]:
+    """Check a list of addresses with commas between them."""
+    return tuple(address(part.strip()) for part in value.split(",") if part.strip())
+
+
+def keys(value: str) -> tuple[bytes, ...]:
+    """Check shared keys with commas between them; the first one signs."""
+    parts = tuple(part.strip().encode() for part in value.split(",") if part.strip())
+    if not 1 <= len(parts) <= 2:
+        raise ValueError(f"{len(parts)} keys are given, one or two are needed")
+    if any(len(part) < MIN_KEY_BYTES for part in parts):
+        raise ValueError(f"a key is shorter than {MIN_KEY_BYTES} bytes")
+    return parts
+
+
+def seconds(value: str) -> float:
+    """Check a duration in seconds."""
+    try:
+        number = float(value)
+    except ValueError:
+        raise ValueError(f"{value!r} is not a number of seconds") from None
+    if not 0 <= number <= 86_400:
+        raise ValueError(f"{value!r} is not between 0 and 86400 seconds")
+    return number
+
+
+def text(value: str) -> str:
+    """Take any text."""
+    return value
+
+
+CONTROL_CHECKS: Final[dict[str, Callable[[str], Any]]] = {
+    "name": name,
+    "region": name,
+    "failure_domain": name,
+    "listen": address,
+    "rpc_listen": address,
+    "admin_listen": address,
+    "platform": address,
+    "peers": addresses,
+    "keys": keys,
+}
+ENTRY_CHECKS: Final[dict[str, Callable[[str], Any]]] = {
+    "name": name,
+    "region": name,
+    "failure_domain": name,
+    "listen": address,
+    "advertise": optional_address,
+    "admin_listen": address,
+    "control": address,
+    "platform": address,
+    "keys": keys,
+    "keep_s": seconds,
+    "drain_timeout_s": seconds,
+    "otlp_endpoint": text,
+}
+
+
+def check(
+    kind: type[T], checks: dict[str, Callable[[str], Any]], values: dict[str, str]
+) -> Result[T, tuple[SettingError, ...]]:
+    """Return checked settings, or every error."""
+    found: dict[str, Any] = {}
+    errors = []
+    for setting, convert in checks.items():
+        try:
+            found[setting] = convert(values[setting])
+        except ValueError as exc:
+            errors.append(SettingError(setting, str(exc)))
+    if errors:
+        return Error(tuple(errors))
+    return Ok(kind(**found))
--- /dev/null
+++ b/arbutusyard/client/__init__.py
@@ -0,0 +1,20 @@
+"""Call the system as every caller has to."""
+
+from arbutusyard.client.client import Client
+from arbutusyard.client.exceptions import (
+    CallFailed,
+    ClientError,
+    StreamBroken,
+    Unreachable,
+)
+from arbutusyard.client.models import Answer, ServiceReply
+
+__all__ = [
+    "Answer",
+    "CallFailed",
+    "Client",
+    "ClientError",
+    "ServiceReply",
+    "StreamBroken",
+    "Unreachable",
+]
--- /dev/null
+++ b/arbutusyard/config/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the generated configuration and its revisions."""
--- /dev/null
+++ b/arbutusyard/config/exceptions.py
@@ -0,0 +1,33 @@
+"""Define the errors of the configuration store."""
+
+from arbutusyard.exceptions import ArbutusyardError
+
+
+class ConfigError(ArbutusyardError):
+    """Represent any error of the configuration store."""
+
+
+class RevisionConflict(ConfigError):
+    """Report that another operator's change came first."""
+
+    def __init__(self, expected: int, winner: int) -> None:
+        super().__init__(
+            f"configuration is at revision {winner}, the change was made from "
+            f"revision {expected}; run 'workload diff' and apply again"
+        )
+        self.winner = winner
+
+
+class ConfigUnavailable(ConfigError):
+    """Report that the platform did not answer; nothing was changed."""
+
+
+class ChangeUnsettled(ConfigError):
+    """Report that a change may or may not have been accepted."""
+
+    def __init__(self, change_id: str) -> None:
+        super().__init__(
+            f"the platform did not confirm change {change_id!r}; run 'workload history'"
+            " to see whether it was accepted before applying again"
+        )
+        self.change_id = change_id
--- /dev/null
+++ b/arbutusyard/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Face callers: admit, route, relay and answer."""
--- /dev/null
+++ b/arbutusyard/entry/exceptions.py
@@ -0,0 +1,26 @@
+"""Define the errors of an entry; each one is a final answer to a caller."""
+
+from arbutusyard.entry.models import OutcomeKind
+from arbutusyard.exceptions import ArbutusyardError
+
+
+class Refused(ArbutusyardError):
+    """Carry the final answer to a request that is not served."""
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        outcome: OutcomeKind = OutcomeKind.NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.outcome = outcome
+        self.retry_after_s = retry_after_s
+
+
+class AnswerBroken(ArbutusyardError):
+    """Report a stream that no engine can continue exactly."""
--- /dev/null
+++ b/arbutusyard/entry/link.py
@@ -0,0 +1,100 @@
+"""Attach to the control on this VM and keep its last word."""
+
+import asyncio
+import logging
+
+from grpclib.client import Channel, StreamStreamMethod
+
+from arbutusyard import clock
+from arbutusyard.app import Application
+from arbutusyard.control.const import ATTACH_RETRY_S, PATH_ATTACH, REPORT_INTERVAL_S
+from arbutusyard.control.messages import (
+    Attach,
+    ControlMessage,
+    EntryMessage,
+    EntryReport,
+)
+from arbutusyard.entry.state import EntryState
+from arbutusyard.membership.models import AccountDemand
+from arbutusyard.rpc.codec import SealedCodec
+from arbutusyard.rpc.loop import LoopRunner
+from arbutusyard.rpc.seal import Sealer
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ControlLink:
+    """Hold one stream to the control and renew it when it ends."""
+
+    name = "control_link"
+
+    __slots__ = ("_host", "_loop", "_port", "_sealer", "_state", "attached")
+
+    def __init__(
+        self, loop: LoopRunner, sealer: Sealer, address: str, state: EntryState
+    ) -> None:
+        self._loop = loop
+        self._sealer = sealer
+        self._state = state
+        self._host, port = address.rsplit(":", 1)
+        self._port = int(port)
+        self.attached = False
+
+    def setup(self, app: Application) -> None:
+        """Start attaching."""
+        self._loop.spawn(self._run())
+
+    def drain(self) -> None:
+        """Do nothing; reports tell the control that the entry drains."""
+
+    def unload(self) -> None:
+        """Do nothing; the loop ends with the process."""
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._attach()
+            except Exception as exc:
+                if self.attached:
+                    _LOGGER.info("Control is gone: %r", exc)
+            self.attached = False
+            await asyncio.sleep(ATTACH_RETRY_S)
+
+    async def _attach(self) -> None:
+        codec = SealedCodec(self._sealer)
+        async with Channel(self._host, self._port, codec=codec) as channel:
+            method = StreamStreamMethod(
+                channel, PATH_ATTACH, EntryMessage, ControlMessage
+            )
+            async with method.open() as stream:
+                await stream.send_message(
+                    Attach(self._state.me, self._state.config.revision)
+                )
+                reporter = asyncio.get_running_loop().create_task(self._report(stream))
+                try:
+                    await self._listen(stream)
+                finally:
+                    reporter.cancel()
+
+    async def _listen(self, stream: object) -> None:
+        while (message := await stream.recv_message()) is not None:
+            self._state.apply(message, clock.now())
+            if not self.attached:
+                self.attached = True
+                _LOGGER.info("Attached to control %s:%d", self._host, self._port)
+
+    async def _report(self, stream: object) -> None:
+        while True:
+            await stream.send_message(self._entry_report(clock.now()))
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    def _entry_report(self, now: float) -> EntryReport:
+        return EntryReport(
+            entry=self._state.me,
+            revision=self._state.config.revision,
+            in_flight=self._state.in_flight,
+            demands=tuple(
+                AccountDemand(account, rate)
+                for account, rate in self._state.limiter.demands(now).items()
+            ),
+        )
--- /dev/null
+++ b/arbutusyard/entry/relay.py
@@ -0,0 +1,372 @@
+"""Relay one answer to its caller, across the loss of engines."""
+
+from collections.abc import Callable, Iterator
+
+import gevent
+import msgspec
+
+from arbutusyard import clock
+from arbutusyard.backends.exceptions import (
+    BackendError,
+    BackendLost,
+    BackendRefused,
+    BackendUnreachable,
+)
+from arbutusyard.backends.stream import (
+    EngineStream,
+    EngineStreamClient,
+    EventKind,
+    StreamEvent,
+)
+from arbutusyard.entry.const import (
+    REROUTE_DELAY_S,
+    REROUTE_TIMEOUT_S,
+    RETRY_BUDGET_S,
+    RETRY_NO_BACKEND_S,
+    TRIES_AFTER_FIRST_TOKEN,
+    TRIES_BEFORE_FIRST_TOKEN,
+)
+from arbutusyard.entry.exceptions import AnswerBroken, Refused
+from arbutusyard.entry.models import (
+    ChatWork,
+    Chunk,
+    OutcomeKind,
+    ResumeToken,
+    Usage,
+    UsageChunk,
+)
+from arbutusyard.entry.state import EntryState
+from arbutusyard.limits.const import MIN_RETRY_AFTER_S
+from arbutusyard.limits.coordinator import RetryBudget
+from arbutusyard.routing.models import Choice, Work
+
+
+class Relay:
+    """Hold one answer: its engine of the moment and what was relayed so far."""
+
+    __slots__ = (
+        "_budget",
+        "_client",
+        "_dispatched",
+        "_excluded",
+        "_iterator",
+        "_left",
+        "_next_index",
+        "_prefix",
+        "_release",
+        "_sent",
+        "_state",
+        "_stream",
+        "_work",
+        "backend",
+        "first_token_at",
+        "last_token_at",
+        "retries",
+        "usage",
+    )
+
+    def __init__(
+        self,
+        state: EntryState,
+        client: EngineStreamClient,
+        budget: RetryBudget,
+        work: ChatWork,
+        release: Callable[["Relay"], None],
+    ) -> None:
+        self._state = state
+        self._client = client
+        self._budget = budget
+        self._work = work
+        self._release = release
+        self._excluded: set[str] = set()
+        self._stream: EngineStream | None = None
+        self._iterator: Iterator[StreamEvent] = iter(())
+        self._next_index = 0
+        self._prefix = ""
+        self._sent: list[bytes] = []
+        self._left = False
+        self._dispatched = False
+        self.backend = ""
+        self.first_token_at = 0.0
+        self.last_token_at = 0.0
+        self.retries = 0
+        self.usage = Usage()
+
+    def token(self) -> ResumeToken:
+        """Return what a caller needs to take up this answer."""
+        return ResumeToken(
+            account=self._work.caller.name,
+            request_id=self._work.request_id,
+            backend=self.backend,
+            incarnation=self._stream.incarnation,
+            stream=self._work.request_id,
+            weights_version=self._work.weights_version,
+        )
+
+    def resume(self, token: ResumeToken, next_index: int, answer: str) -> StreamEvent:
+        """Take up an answer; regenerate its rest when the stream is gone."""
+        self._next_index = next_index
+        self._prefix = answer
+        if token.weights_version != self._work.weights_version:
+            raise Refused(
+                410,
+                "answer_gone",
+                "the weights that began this answer are no longer in force",
+                OutcomeKind.UNKNOWN,
+            )
+        backend = self._state.backends.get(token.backend)
+        if backend is not None:
+            try:
+                self._take(
+                    self._client.resume(
+                        backend.name,
+                        backend.address,
+                        token.request_id,
+                        token.stream,
+                        token.incarnation,
+                        next_index,
+                    )
+                )
+                return self._first_event()
+            except BackendError:
+                self._drop_stream()
+        return self.open()
+
+    def open(self) -> StreamEvent:
+        """Return the first event; raise Refused when no engine gives one."""
+        tries = 0
+        while True:
+            try:
+                self._connect()
+                return self._first_event()
+            except BackendError:
+                self._turn_away()
+            tries += 1
+            self._check_retry(tries)
+
+    def events(self, first: StreamEvent) -> Iterator[StreamEvent]:
+        """Yield the whole answer; raise AnswerBroken when it cannot be continued."""
+        tries = 0
+        event: StreamEvent | None = first
+        while True:
+            try:
+                if event is None:
+                    event = self._continue()
+                yield event
+                if event.kind is EventKind.DONE:
+                    return
+                yield from self._rest()
+                return
+            except BackendLost as exc:
+                self._turn_away()
+                event = None
+                tries += 1
+                if tries > TRIES_AFTER_FIRST_TOKEN:
+                    raise AnswerBroken(f"gave up after {tries} engines") from exc
+
+    def close(self) -> None:
+        """Let go of the engine; the answer stays there for a while."""
+        self._drop_stream()
+        self._release(self)
+
+    def give_up(self) -> None:
+        """Stop the answer on the engine as well."""
+        backend = self._state.backends.get(self.backend)
+        if backend is not None and self._left:
+            gevent.spawn(self._client.cancel, backend.address, self._work.request_id)
+
+    def _rest(self) -> Iterator[StreamEvent]:
+        for event in self._iterator:
+            if event.kind is EventKind.KEEPALIVE:
+                continue
+            self._note(event)
+            yield event
+            if event.kind is EventKind.DONE:
+                return
+        raise BackendLost("answer ended without its closing event")
+
+    def _note(self, event: StreamEvent) -> None:
+        self._next_index = event.index + 1
+        if event.kind is EventKind.TOKEN:
+            self._sent.append(event.raw)
+            self.last_token_at = clock.now()
+        elif event.kind is EventKind.USAGE:
+            self._learn(event)
+
+    def _first_event(self) -> StreamEvent:
+        for event in self._iterator:
+            if event.kind is not EventKind.KEEPALIVE:
+                self._state.router.first_token(self.backend, self._work.request_id)
+                if not self.first_token_at:
+                    self.first_token_at = clock.now()
+                self._note(event)
+                return event
+            if clock.now() > self._work.deadline_at and not self.first_token_at:
+                self.give_up()
+                raise Refused(
+                    504,
+                    "deadline_exceeded",
+                    "the answer did not begin before its deadline",
+                    OutcomeKind.UNKNOWN,
+                    RETRY_NO_BACKEND_S,
+                )
+        raise BackendLost("answer ended before its first event")
+
+    def _connect(self) -> None:
+        now = clock.now()
+        work = self._routable()
+        targets = [
+            target
+            for target in self._state.targets(
+                self._work.serves, self._work.weights_version
+            )
+            if target.name not in self._excluded
+        ]
+        if not targets:
+            raise self._no_backend()
+        choice = self._state.router.route(work, targets, now)
+        if not self._left:
+            self._check_wait(choice, now)
+        self._send(work, choice, now)
+
+    def _send(self, work: Work, choice: Choice, now: float) -> None:
+        self.backend = choice.backend
+        self._state.router.dispatched(work, choice, now)
+        self._dispatched = True
+        self._take(
+            self._client.start(
+                choice.backend,
+                self._state.backends[choice.backend].address,
+                self._work.request_id,
+                self._body(),
+            )
+        )
+
+    def _take(self, stream: EngineStream) -> None:
+        self._left = True
+        self._stream = stream
+        self.backend = stream.backend
+        if stream.weights_version != self._work.weights_version:
+            raise BackendLost(f"answer has weights {stream.weights_version!r}")
+        self._state.router.see_incarnation(stream.backend, stream.incarnation)
+        self._iterator = stream.events(self._next_index)
+
+    def _routable(self) -> Work:
+        return Work(
+            request_id=self._work.request_id,
+            account=self._work.caller.name,
+            chain=self._work.chain,
+            priority=self._work.work_class.priority,
+            price=self._work.caller.workload.recompute_price,
+            failure_domain=self._state.me.failure_domain,
+        )
+
+    def _body(self) -> bytes:
+        extension = {
+            "request_id": self._work.request_id,
+            "weights_version": self._work.weights_version,
+            "priority": self._work.work_class.priority,
+            "pieces": [piece.hex() for piece in self._work.chain.pieces],
+            "continue_from": self._next_index,
+        }
+        if self._next_index:
+            extension["answer_so_far"] = self.text()
+        fields = dict(self._work.fields)
+        fields.pop("max_completion_tokens", None)
+        fields |= {
+            "stream": True,
+            "max_tokens": self._work.max_tokens,
+            "stream_options": {"include_usage": True},
+            "extension": extension,
+        }
+        return msgspec.json.encode(fields)
+
+    def text(self) -> str:
+        """Return the answer's text so far."""
+        return self._prefix + "".join(event_text(raw) for raw in self._sent)
+
+    def _check_wait(self, choice: Choice, now: float) -> None:
+        late_s = choice.expected_wait_s - self._work.work_class.first_token_s
+        total_s = choice.expected_wait_s + choice.work_s
+        late_s = max(late_s, now + total_s - self._work.deadline_at)
+        if late_s > 0:
+            raise Refused(
+                429,
+                "deadline_unreachable",
+                f"the answer would begin {late_s:.1f} s too late",
+                retry_after_s=max(late_s, MIN_RETRY_AFTER_S),
+            )
+
+    def _check_retry(self, tries: int) -> None:
+        outcome = OutcomeKind.UNKNOWN if self._left else OutcomeKind.NOT_RUN
+        if tries >= TRIES_BEFORE_FIRST_TOKEN:
+            raise Refused(
+                503,
+                "no_backend",
+                f"{tries} engines did not answer",
+                outcome,
+                RETRY_NO_BACKEND_S,
+            )
+        if not self._budget.spend():
+            raise Refused(
+                503,
+                "retry_budget",
+                "too many requests are being retried",
+                outcome,
+                RETRY_BUDGET_S,
+            )
+        self.retries += 1
+
+    def _no_backend(self) -> Refused:
+        outcome = OutcomeKind.UNKNOWN if self._left else OutcomeKind.NOT_RUN
+        message = f"no engine of {self._work.serves!r} takes work now"
+        return Refused(503, "no_backend", message, outcome, RETRY_NO_BACKEND_S)
+
+    def _continue(self) -> StreamEvent:
+        """Continue on another engine with the same weights; wait a little for one."""
+        give_up_at = clock.now() + REROUTE_TIMEOUT_S
+        while True:
+            try:
+                self.retries += 1
+                self._connect()
+                return self._first_event()
+            except (BackendRefused, BackendUnreachable):
+                self._turn_away()
+            except Refused as exc:
+                if clock.now() > give_up_at:
+                    raise AnswerBroken(str(exc)) from exc
+                self._excluded.clear()
+            gevent.sleep(REROUTE_DELAY_S)
+
+    def _turn_away(self) -> None:
+        self._drop_stream()
+        self._excluded.add(self.backend)
+        self._state.mark_unreachable(self.backend, clock.now())
+
+    def _drop_stream(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+        if self._dispatched:
+            self._dispatched = False
+            self._state.router.finish(self.backend, self._work.request_id)
+
+    def _learn(self, event: StreamEvent) -> None:
+        data = event.raw.partition(b"data: ")[2]
+        try:
+            self.usage = msgspec.json.decode(data, type=UsageChunk).usage
+        except msgspec.DecodeError as exc:
+            raise BackendLost(f"usage cannot be read: {exc}") from exc
+        self._state.router.learn(
+            self.backend, self._stream.incarnation, self._work.chain, clock.now()
+        )
+
+
+def event_text(raw: bytes) -> str:
+    """Return the text that one event adds to an answer."""
+    data = raw.partition(b"data: ")[2]
+    try:
+        chunk = msgspec.json.decode(data, type=Chunk)
+    except msgspec.DecodeError:
+        return ""
+    return "".join(choice.delta.content for choice in chunk.choices)
--- /dev/null
+++ b/arbutusyard/entry/services.py
@@ -0,0 +1,224 @@
+"""Serve calls of plain services; those that may not be repeated are claimed."""
+
+from hashlib import blake2b
+
+import bottle
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    MaxRetryError,
+    NewConnectionError,
+)
+
+from arbutusyard import clock
+from arbutusyard.backends.const import CONNECT_TIMEOUT_S
+from arbutusyard.backends.models import Backend
+from arbutusyard.claims.const import MAX_KEY_BYTES
+from arbutusyard.claims.coordinator import ClaimCoordinator, ClaimedCall
+from arbutusyard.claims.exceptions import DispatchNeverLeft, DispatchUnsettled
+from arbutusyard.claims.models import Done, KeyReused, NotRun, OutcomeUnknown, Reply
+from arbutusyard.config.models import Service, ServiceCall
+from arbutusyard.const import (
+    HEADER_ATTEMPT,
+    HEADER_FENCING_NUMBER,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_OUTCOME,
+    HEADER_REQUEST_ID,
+)
+from arbutusyard.entry.const import IDEMPOTENT_TRIES, RETRY_NO_BACKEND_S
+from arbutusyard.entry.exceptions import Refused
+from arbutusyard.entry.models import Caller, OutcomeKind
+from arbutusyard.entry.state import EntryState
+from arbutusyard.routing.chain import rank
+
+GATEWAY_STATUSES = frozenset({502, 503, 504})
+
+
+class ServiceCaller:
+    """Forward calls to the backend servers of plain services."""
+
+    __slots__ = ("_claims", "_pool", "_state", "_turn")
+
+    def __init__(self, state: EntryState, claims: ClaimCoordinator) -> None:
+        self._state = state
+        self._claims = claims
+        self._pool = urllib3.PoolManager(retries=False)
+        self._turn = 0
+
+    def handle(
+        self, caller: Caller, name: str, path: str, body: bytes, request_id: str
+    ) -> bottle.HTTPResponse:
+        """Answer one call; raise Refused when it is not served."""
+        service = _find_service(caller, name)
+        method = bottle.request.method
+        call = _find_call(service, method, path)
+        query = bottle.request.query_string
+        target = f"{path}?{query}" if query else path
+        self._state.in_flight += 1
+        try:
+            if call is not None and call.idempotent:
+                reply = self._repeatable(caller, service, method, target, body)
+                return _answer(reply, request_id)
+            return self._claimed(caller, service, method, target, body, request_id)
+        finally:
+            self._state.in_flight -= 1
+
+    def _repeatable(
+        self, caller: Caller, service: Service, method: str, target: str, body: bytes
+    ) -> Reply:
+        backends = self._backends(caller, service)
+        self._turn += 1
+        start = self._turn % len(backends)
+        ordered = backends[start:] + backends[:start]
+        for backend in ordered[:IDEMPOTENT_TRIES]:
+            try:
+                reply = self._send(backend, service, method, target, body, {})
+            except (DispatchNeverLeft, DispatchUnsettled):
+                self._state.mark_unreachable(backend.name, clock.now())
+                continue
+            if reply.status not in GATEWAY_STATUSES:
+                return reply
+        raise Refused(
+            503,
+            "no_backend",
+            f"no backend server of {service.name!r} answered",
+            OutcomeKind.UNKNOWN,
+            RETRY_NO_BACKEND_S,
+        )
+
+    def _claimed(
+        self,
+        caller: Caller,
+        service: Service,
+        method: str,
+        target: str,
+        body: bytes,
+        request_id: str,
+    ) -> bottle.HTTPResponse:
+        key = _idempotency_key()
+        backends = self._backends(caller, service)
+        by_name = {backend.name: backend for backend in backends}
+        backend = by_name[rank(key.encode(), by_name)[0]]
+
+        def dispatch(fence: int) -> Reply:
+            headers = {
+                HEADER_IDEMPOTENCY_KEY: f"{caller.name}/{key}",
+                HEADER_FENCING_NUMBER: str(fence),
+                HEADER_REQUEST_ID: request_id,
+            }
+            reply = self._send(backend, service, method, target, body, headers)
+            if reply.status in GATEWAY_STATUSES:
+                raise DispatchUnsettled(f"{backend.name!r} answered {reply.status}")
+            return reply
+
+        outcome = self._claims.run(
+            ClaimedCall(
+                account=caller.name,
+                key=key,
+                fingerprint=_fingerprint(service, method, target, body),
+                fenced=backend.report.checks_fence,
+                attempt=_attempt(),
+            ),
+            dispatch,
+        )
+        match outcome:
+            case Done(reply=reply):
+                return _answer(reply, request_id)
+            case NotRun(code=code, message=message, retry_after_s=retry_after_s):
+                raise Refused(503, code, message, retry_after_s=retry_after_s)
+            case OutcomeUnknown(message=message):
+                raise Refused(502, "outcome_unknown", message, OutcomeKind.UNKNOWN, 1.0)
+            case KeyReused():
+                raise Refused(
+                    422,
+                    "idempotency_key_reused",
+                    "the idempotency key was used for another request",
+                )
+
+    def _backends(self, caller: Caller, service: Service) -> list[Backend]:
+        backends = self._state.services(caller.workload, service)
+        if not backends:
+            raise Refused(
+                503,
+                "no_backend",
+                f"no backend server of {service.name!r} takes work now",
+                retry_after_s=RETRY_NO_BACKEND_S,
+            )
+        return backends
+
+    def _send(
+        self,
+        backend: Backend,
+        service: Service,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> Reply:
+        """Send on a connection of its own when the call may not be repeated."""
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=service.timeout_s)
+        url = f"http://{backend.address}{target}"
+        headers = {"Content-Type": "application/json", **headers}
+        if HEADER_IDEMPOTENCY_KEY in headers:
+            headers["Connection"] = "close"
+        pool = self._pool if method == "GET" else urllib3.PoolManager(retries=False)
+        try:
+            resp = pool.request(
+                method, url, body=body, headers=headers, timeout=timeout
+            )
+        except (NewConnectionError, ConnectTimeoutError, MaxRetryError) as exc:
+            raise DispatchNeverLeft(f"{backend.name!r}: {exc}") from exc
+        except (HTTPError, OSError) as exc:
+            raise DispatchUnsettled(f"{backend.name!r}: {exc}") from exc
+        content_type = resp.headers.get("Content-Type", "application/octet-stream")
+        return Reply(resp.status, content_type, resp.data)
+
+
+def _find_service(caller: Caller, name: str) -> Service:
+    for service in caller.workload.services:
+        if service.name == name:
+            return service
+    raise Refused(404, "unknown_service", f"service {name!r} does not exist")
+
+
+def _find_call(service: Service, method: str, path: str) -> ServiceCall | None:
+    for call in service.calls:
+        if call.method == method and path.startswith(call.path):
+            return call
+    return None
+
+
+def _idempotency_key() -> str:
+    key = bottle.request.get_header(HEADER_IDEMPOTENCY_KEY, "")
+    if not key:
+        raise Refused(
+            400, "idempotency_key_missing", "this call needs an Idempotency-Key header"
+        )
+    if len(key) > MAX_KEY_BYTES or not key.isascii() or not key.isprintable():
+        raise Refused(400, "idempotency_key_invalid", "Idempotency-Key is not usable")
+    return blake2b(key.encode(), digest_size=16).hexdigest()
+
+
+def _attempt() -> int:
+    text = bottle.request.get_header(HEADER_ATTEMPT, "1")
+    if not text.isdigit():
+        raise Refused(400, "invalid_attempt", f"attempt {text!r} is not a number")
+    return int(text)
+
+
+def _fingerprint(service: Service, method: str, target: str, body: bytes) -> str:
+    digest = blake2b(digest_size=16)
+    for part in (service.name.encode(), method.encode(), target.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _answer(reply: Reply, request_id: str) -> bottle.HTTPResponse:
+    headers = {
+        "Content-Type": reply.content_type,
+        HEADER_REQUEST_ID: request_id,
+        HEADER_OUTCOME: OutcomeKind.DONE.value,
+    }
+    return bottle.HTTPResponse(reply.body, reply.status, headers=headers)
--- /dev/null
+++ b/arbutusyard/entry/state.py
@@ -0,0 +1,166 @@
+"""Hold what an entry knows; it outlives the control that told it."""
+
+import hmac
+from collections import Counter
+
+from arbutusyard.backends.const import ROLE_ENGINE, ROLE_SERVICE
+from arbutusyard.backends.models import Backend, BackendState
+from arbutusyard.config.delta import patch
+from arbutusyard.config.exceptions import ConfigError
+from arbutusyard.config.models import Configuration, Service, Workload
+from arbutusyard.control.messages import (
+    BackendList,
+    ConfigDeltas,
+    ConfigSnapshot,
+    ControlMessage,
+    EntryList,
+    ShareList,
+)
+from arbutusyard.entry.models import Caller
+from arbutusyard.limits.coordinator import Limiter
+from arbutusyard.membership.models import EntryView
+from arbutusyard.questionnaire.keys import hash_key
+from arbutusyard.routing.coordinator import Router, Target
+from arbutusyard.routing.load import LoadReport
+
+
+class EntryState:
+    """Apply the control's messages and answer look-ups."""
+
+    __slots__ = (
+        "_callers",
+        "_unreachable",
+        "backends",
+        "config",
+        "draining",
+        "entries",
+        "in_flight",
+        "limiter",
+        "me",
+        "router",
+        "updated_at",
+    )
+
+    def __init__(self, me: EntryView, router: Router, limiter: Limiter) -> None:
+        self.me = me
+        self.router = router
+        self.limiter = limiter
+        self.config = Configuration(0, "")
+        self.backends: dict[str, Backend] = {}
+        self.entries: tuple[EntryView, ...] = (me,)
+        self.in_flight = 0
+        self.draining = False
+        self.updated_at = 0.0
+        self._callers: dict[str, Caller] = {}
+        self._unreachable: dict[str, float] = {}
+
+    def apply(self, message: ControlMessage, now: float) -> None:
+        """Take over one message of the control."""
+        self.updated_at = now
+        match message:
+            case ConfigSnapshot(config=config):
+                self.set_config(config)
+            case ConfigDeltas(deltas=deltas):
+                self._apply_deltas(deltas)
+            case BackendList(backends=backends):
+                self._set_backends(backends, now)
+            case EntryList(entries=entries):
+                self.entries = entries or (self.me,)
+            case ShareList(shares=shares):
+                for item in shares:
+                    self.limiter.set_fraction(item.account, item.fraction, now)
+
+    def set_config(self, config: Configuration) -> None:
+        """Put a newer configuration in force; an older one changes nothing."""
+        if config.revision <= self.config.revision:
+            return
+        self.config = config
+        self._callers = {
+            account.key_hash: Caller(workload, account)
+            for workload in config.workloads
+            for account in workload.accounts
+        }
+
+    def caller(self, key: str) -> Caller | None:
+        """Return the account whose key this is."""
+        wanted = hash_key(key)
+        caller = self._callers.get(wanted)
+        if caller is None:
+            return None
+        if not hmac.compare_digest(caller.account.key_hash, wanted):
+            return None
+        return caller
+
+    def targets(self, serves: str, weights_version: str = "") -> list[Target]:
+        """Return the live engines of a model group, at one version if named."""
+        return [
+            Target(backend.name, backend.failure_domain, backend.report.incarnation)
+            for backend in self.backends.values()
+            if self._takes_work(backend, ROLE_ENGINE, serves)
+            and weights_version in ("", backend.report.weights_version)
+        ]
+
+    def version_in_service(self, serves: str, wanted: str) -> str:
+        """Return the weights version that most live engines hold."""
+        versions = Counter(
+            backend.report.weights_version
+            for backend in self.backends.values()
+            if self._takes_work(backend, ROLE_ENGINE, serves)
+        )
+        if not versions:
+            return wanted
+        return max(versions, key=lambda version: (versions[version], version == wanted))
+
+    def services(self, workload: Workload, service: Service) -> list[Backend]:
+        """Return the live backend servers of a plain service."""
+        serves = f"{workload.name}/{service.name}"
+        return [
+            backend
+            for backend in self.backends.values()
+            if self._takes_work(backend, ROLE_SERVICE, serves)
+        ]
+
+    def mark_unreachable(self, name: str, now: float) -> None:
+        """Give a backend server no work until a newer report of it comes."""
+        self._unreachable[name] = now
+
+    def _takes_work(self, backend: Backend, role: str, serves: str) -> bool:
+        return (
+            backend.role == role
+            and backend.serves == serves
+            and backend.state is BackendState.LIVE
+            and backend.name not in self._unreachable
+        )
+
+    def _apply_deltas(self, deltas: tuple) -> None:
+        newest = self.config
+        for delta in deltas:
+            try:
+                newest = patch(newest, delta)
+            except ConfigError:
+                return
+        self.set_config(newest)
+
+    def _set_backends(self, backends: tuple[Backend, ...], now: float) -> None:
+        self.backends = {backend.name: backend for backend in backends}
+        self.router.keep_only(self.backends)
+        for backend in backends:
+            report = backend.report
+            self._clear_unreachable(backend, now)
+            if backend.role != ROLE_ENGINE or not report.incarnation:
+                continue
+            load = LoadReport(
+                taken_at=now - report.age_s,
+                queue_s=report.queue_s,
+                running=report.running,
+                max_batch=report.max_batch,
+                prefill_piece_s=report.prefill_piece_s,
+                import_piece_s=report.import_piece_s,
+                decode_step_s=report.decode_step_s,
+            )
+            self.router.report(backend.name, report.incarnation, load, now)
+
+    def _clear_unreachable(self, backend: Backend, now: float) -> None:
+        marked_at = self._unreachable.get(backend.name)
+        if marked_at is not None and now - backend.report.age_s > marked_at:
+            del self._unreachable[backend.name]
--- /dev/null
+++ b/arbutusyard/entry/status.py
@@ -0,0 +1,32 @@
+"""Describe an entry to operators."""
+
+from msgspec import Struct
+
+from arbutusyard.entry.state import EntryState
+
+
+class EntryStatus(Struct, frozen=True):
+    """Describe what an entry knows and does."""
+
+    name: str
+    revision: int
+    in_flight: int
+    draining: bool
+    control_age_s: float
+    backends: dict[str, str]
+    entries: tuple[str, ...]
+    known_pieces: int
+
+
+def entry_status(state: EntryState, now: float) -> EntryStatus:
+    """Return the present status of an entry."""
+    return EntryStatus(
+        name=state.me.name,
+        revision=state.config.revision,
+        in_flight=state.in_flight,
+        draining=state.draining,
+        control_age_s=now - state.updated_at,
+        backends={b.name: b.state.value for b in state.backends.values()},
+        entries=tuple(entry.address for entry in state.entries),
+        known_pieces=len(state.router.index),
+    )
--- /dev/null
+++ b/arbutusyard/limits/coordinator.py
@@ -0,0 +1,119 @@
+"""Admit requests of client accounts within their limits."""
+
+import enum
+
+from expression import Error, Ok, Result
+from msgspec import Struct
+
+from arbutusyard.config.models import Account
+from arbutusyard.limits.bucket import DemandMeter, TokenBucket
+from arbutusyard.limits.const import (
+    CONCURRENCY_RETRY_AFTER_S,
+    MIN_RETRY_AFTER_S,
+    RETRY_CREDIT_MAX,
+    RETRY_CREDIT_PER_REQUEST,
+)
+
+MIN_DEMAND_TOKENS_PER_S = 1.0
+
+
+class LimitKind(enum.Enum):
+    """Name the limit that a request ran into."""
+
+    TOKENS = "account_tokens"
+    CONCURRENCY = "account_concurrency"
+
+
+class LimitExceeded(Struct, frozen=True):
+    """Say which limit holds and when to come back."""
+
+    kind: LimitKind
+    retry_after_s: float
+
+
+class AccountUse:
+    """Hold what one account uses on this entry."""
+
+    __slots__ = ("bucket", "demand", "fraction", "in_flight")
+
+    def __init__(self, now: float) -> None:
+        self.bucket = TokenBucket(now)
+        self.demand = DemandMeter(now)
+        self.fraction = 1.0
+        self.in_flight = 0
+
+
+class Limiter:
+    """Hold every account to this entry's share of its limits."""
+
+    __slots__ = ("_accounts",)
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, AccountUse] = {}
+
+    def admit(
+        self, name: str, account: Account, tokens: int, now: float
+    ) -> Result[None, LimitExceeded]:
+        """Admit a request or say when to come back."""
+        use = self._use(name, now)
+        use.demand.add(tokens, now)
+        concurrency = max(1, round(account.concurrency * use.fraction))
+        if use.in_flight >= concurrency:
+            return Error(
+                LimitExceeded(LimitKind.CONCURRENCY, CONCURRENCY_RETRY_AFTER_S)
+            )
+        rate = max(1.0, account.tokens_per_s * use.fraction)
+        wait_s = use.bucket.wait_s(rate, now)
+        if wait_s > 0:
+            retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
+            return Error(LimitExceeded(LimitKind.TOKENS, retry_after_s))
+        use.bucket.take(tokens)
+        use.in_flight += 1
+        return Ok(None)
+
+    def release(self, name: str, unused_tokens: int, now: float) -> None:
+        """Count a request as ended and give back what it did not use."""
+        use = self._use(name, now)
+        use.in_flight -= 1
+        use.bucket.give_back(unused_tokens)
+
+    def set_fraction(self, name: str, fraction: float, now: float) -> None:
+        """Set the part of an account's limits that this entry may use."""
+        self._use(name, now).fraction = fraction
+
+    def demands(self, now: float) -> dict[str, float]:
+        """Return the demand of each active account in tokens a second."""
+        found = {}
+        for name, use in list(self._accounts.items()):
+            rate = use.demand.rate(now)
+            if rate >= MIN_DEMAND_TOKENS_PER_S:
+                found[name] = rate
+            elif not use.in_flight:
+                del self._accounts[name]
+        return found
+
+    def _use(self, name: str, now: float) -> AccountUse:
+        use = self._accounts.get(name)
+        if use is None:
+            use = self._accounts[name] = AccountUse(now)
+        return use
+
+
+class RetryBudget:
+    """Allow retries only as a small part of the requests."""
+
+    __slots__ = ("_credit",)
+
+    def __init__(self) -> None:
+        self._credit = RETRY_CREDIT_MAX
+
+    def count_request(self) -> None:
+        """Earn credit with a first try."""
+        self._credit = min(RETRY_CREDIT_MAX, self._credit + RETRY_CREDIT_PER_REQUEST)
+
+    def spend(self) -> bool:
+        """Spend credit on a retry; return False when there is none."""
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
--- /dev/null
+++ b/arbutusyard/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Measure what the system does, with bounded label sets."""
--- /dev/null
+++ b/arbutusyard/metrics/registry.py
@@ -0,0 +1,144 @@
+"""Define an entry's instruments and export them."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import MetricReader
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
+from prometheus_client import REGISTRY, generate_latest
+
+from arbutusyard.metrics.const import (
+    ACCOUNT_OTHER,
+    ACCOUNTS_MAX,
+    ATTR_ACCOUNT,
+    ATTR_CLASS,
+    ATTR_OUTCOME,
+    ATTR_REASON,
+    EXPORT_INTERVAL_MS,
+    EXPORT_TIMEOUT_MS,
+    LATENCY_BOUNDS_S,
+)
+
+
+class AccountLabels:
+    """Give the first accounts seen a label each and the rest a common one."""
+
+    __slots__ = ("_known", "_limit")
+
+    def __init__(self, limit: int = ACCOUNTS_MAX) -> None:
+        self._known: set[str] = set()
+        self._limit = limit
+
+    def label(self, account: str) -> str:
+        """Return the label of an account."""
+        if account in self._known:
+            return account
+        if len(self._known) >= self._limit:
+            return ACCOUNT_OTHER
+        self._known.add(account)
+        return account
+
+
+class EntryMetrics:
+    """Hold the instruments of an entry."""
+
+    __slots__ = (
+        "_hit_tokens",
+        "_labels",
+        "_provider",
+        "_recomputed_tokens",
+        "_refusals",
+        "_requests",
+        "_retries",
+        "_time_between_tokens",
+        "_time_queued",
+        "_time_to_first_token",
+        "_time_whole",
+    )
+
+    def __init__(self, otlp_endpoint: str = "") -> None:
+        readers: list[MetricReader] = [PrometheusMetricReader()]
+        if otlp_endpoint:
+            readers.append(_otlp_reader(otlp_endpoint))
+        view = View(
+            instrument_name="arbutusyard_*_seconds",
+            aggregation=ExplicitBucketHistogramAggregation(LATENCY_BOUNDS_S),
+        )
+        self._provider = MeterProvider(metric_readers=readers, views=[view])
+        self._labels = AccountLabels()
+        meter = self._provider.get_meter("arbutusyard")
+        self._time_to_first_token = meter.create_histogram(
+            "arbutusyard_time_to_first_token_seconds"
+        )
+        self._time_between_tokens = meter.create_histogram(
+            "arbutusyard_time_between_tokens_seconds"
+        )
+        self._time_queued = meter.create_histogram("arbutusyard_expected_wait_seconds")
+        self._time_whole = meter.create_histogram("arbutusyard_whole_answer_seconds")
+        self._requests = meter.create_counter("arbutusyard_requests")
+        self._refusals = meter.create_counter("arbutusyard_refusals")
+        self._retries = meter.create_counter("arbutusyard_retries")
+        self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
+        self._recomputed_tokens = meter.create_counter("arbutusyard_recomputed_tokens")
+
+    def count_request(self, account: str, work_class: str, outcome: str) -> None:
+        """Count a request by what became of it."""
+        attrs = self._attributes(account, work_class)
+        self._requests.add(1, {**attrs, ATTR_OUTCOME: outcome})
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a refusal by its reason."""
+        self._refusals.add(1, {ATTR_REASON: reason})
+
+    def record_answer(
+        self,
+        account: str,
+        work_class: str,
+        first_token_s: float,
+        whole_s: float,
+        tokens: int,
+    ) -> None:
+        """Record the times of a finished answer."""
+        attrs = self._attributes(account, work_class)
+        self._time_to_first_token.record(first_token_s, attrs)
+        self._time_whole.record(whole_s, attrs)
+        if tokens > 1:
+            between_s = (whole_s - first_token_s) / (tokens - 1)
+            self._time_between_tokens.record(between_s, attrs)
+
+    def record_wait(self, account: str, work_class: str, wait_s: float) -> None:
+        """Record the wait that routing expected."""
+        self._time_queued.record(wait_s, self._attributes(account, work_class))
+
+    def count_tokens(self, account: str, cached: int, recomputed: int) -> None:
+        """Count the prompt tokens that were reused and those that were not."""
+        attrs = {ATTR_ACCOUNT: self._labels.label(account)}
+        self._hit_tokens.add(cached, attrs)
+        self._recomputed_tokens.add(recomputed, attrs)
+
+    def count_retries(self, retries: int) -> None:
+        """Count tries after the first."""
+        self._retries.add(retries)
+
+    def text(self) -> bytes:
+        """Return every metric in the usual text format."""
+        return generate_latest(REGISTRY)
+
+    def shutdown(self) -> None:
+        """Export what is left and stop."""
+        self._provider.shutdown()
+
+    def _attributes(self, account: str, work_class: str) -> dict[str, str]:
+        return {ATTR_ACCOUNT: self._labels.label(account), ATTR_CLASS: work_class}
+
+
+def _otlp_reader(endpoint: str) -> MetricReader:
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+        OTLPMetricExporter,
+    )
+    from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+
+    return PeriodicExportingMetricReader(
+        OTLPMetricExporter(endpoint=endpoint),
+        export_interval_millis=EXPORT_INTERVAL_MS,
+        export_timeout_millis=EXPORT_TIMEOUT_MS,
+    )
--- /dev/null
+++ b/arbutusyard/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's table service, object store and VM list."""
--- /dev/null
+++ b/arbutusyard/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""Turn an operator's answers into configuration."""
--- /dev/null
+++ b/arbutusyard/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose a backend server for a prompt."""
--- /dev/null
+++ b/arbutusyard/routing/const.py
@@ -0,0 +1,20 @@
+"""Define the constants of routing."""
+
+from typing import Final
+
+PIECE_BYTES: Final = 4000
+PIECE_TOKENS: Final = 1000
+BYTES_PER_TOKEN: Final = 4
+PIECE_HASH_BYTES: Final = 12
+MAX_PIECES: Final = 512
+
+INDEX_ENTRIES_MAX: Final = 40_000
+INDEX_HOLDERS_MAX: Final = 8
+DEFAULT_KEEP_S: Final = 20.0
+
+DEFAULT_RECOMPUTE_PRICE: Final = 4.0
+DEFAULT_PIECE_PREFILL_S: Final = 0.1
+DEFAULT_DECODE_STEP_S: Final = 0.02
+LOAD_STALE_S: Final = 3.0
+CROSS_DOMAIN_COST_S: Final = 0.003
+FULL_BATCH_COST_S: Final = 1.0
--- /dev/null
+++ b/arbutusyard/routing/coordinator.py
@@ -0,0 +1,114 @@
+"""Combine cache knowledge, load and policy into one choice for each request."""
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from arbutusyard.routing.chain import Chain
+from arbutusyard.routing.index import PrefixIndex
+from arbutusyard.routing.load import BackendLoad, LoadReport
+from arbutusyard.routing.models import Candidate, Choice, Work
+from arbutusyard.routing.policy import Policy, PricedPrefix, choose
+
+
+class Target(Struct, frozen=True):
+    """Name a backend server that may take a request."""
+
+    name: str
+    failure_domain: str
+    incarnation: str
+
+
+class Router:
+    """Route requests with this node's own knowledge."""
+
+    __slots__ = ("_loads", "index", "policy")
+
+    def __init__(
+        self, policy: Policy | None = None, index: PrefixIndex | None = None
+    ) -> None:
+        self.policy = policy or PricedPrefix()
+        self.index = index or PrefixIndex()
+        self._loads: dict[str, BackendLoad] = {}
+
+    def load(self, backend: str, now: float) -> BackendLoad:
+        """Return the load record of a backend server."""
+        load = self._loads.get(backend)
+        if load is None:
+            load = self._loads[backend] = BackendLoad(now)
+        return load
+
+    def report(
+        self, backend: str, incarnation: str, report: LoadReport, now: float
+    ) -> None:
+        """Take a load report; a changed incarnation drops what was known."""
+        self.see_incarnation(backend, incarnation)
+        load = self.load(backend, now)
+        if report.taken_at >= load.report.taken_at:
+            load.report = report
+
+    def see_incarnation(self, backend: str, incarnation: str) -> None:
+        """Take note of the incarnation that a backend server names."""
+        if self.index.incarnation(backend) != incarnation:
+            self.index.set_incarnation(backend, incarnation)
+
+    def forget(self, backend: str) -> None:
+        """Drop what is known of a backend server."""
+        self.index.forget(backend)
+        self._loads.pop(backend, None)
+
+    def keep_only(self, backends: Iterable[str]) -> None:
+        """Drop what is known of any other backend server."""
+        for backend in set(self._loads) - set(backends):
+            self.forget(backend)
+
+    def route(self, work: Work, targets: list[Target], now: float) -> Choice:
+        """Choose a target with the least cost."""
+        depths = self.index.match(work.chain.pieces, now)
+        candidates = [self._candidate(work, t, depths, now) for t in targets]
+        best = choose(self.policy, work, candidates)
+        missing = len(work.chain.pieces) - best.cached
+        return Choice(
+            backend=best.backend,
+            expected_cached=best.cached,
+            expected_wait_s=best.wait_s,
+            work_s=missing * best.prefill_piece_s,
+        )
+
+    def dispatched(self, work: Work, choice: Choice, now: float) -> None:
+        """Count a request's prompt work where it was sent."""
+        load = self.load(choice.backend, now)
+        load.add(work.request_id, choice.work_s, work.priority, now)
+        incarnation = self.index.incarnation(choice.backend)
+        if incarnation is not None:
+            self.index.learn(choice.backend, incarnation, work.chain.pieces, now)
+
+    def first_token(self, backend: str, request_id: str) -> None:
+        """Take note that a request's prompt work is done."""
+        load = self._loads.get(backend)
+        if load is not None:
+            load.first_token(request_id)
+
+    def finish(self, backend: str, request_id: str) -> None:
+        """Take note that a request has left a backend server."""
+        load = self._loads.get(backend)
+        if load is not None:
+            load.finish(request_id)
+
+    def learn(self, backend: str, incarnation: str, chain: Chain, now: float) -> None:
+        """Take note that a backend server has computed or used a chain."""
+        self.see_incarnation(backend, incarnation)
+        self.index.learn(backend, incarnation, chain.pieces, now)
+
+    def _candidate(
+        self, work: Work, target: Target, depths: dict[str, int], now: float
+    ) -> Candidate:
+        load = self.load(target.name, now)
+        return Candidate(
+            backend=target.name,
+            failure_domain=target.failure_domain,
+            wait_s=load.wait_s(work.priority, now),
+            full=load.full(),
+            cached=depths.get(target.name, 0),
+            prefill_piece_s=load.report.prefill_piece_s,
+        )
--- /dev/null
+++ b/arbutusyard/routing/load.py
@@ -0,0 +1,81 @@
+"""Estimate the wait at each backend server from late reports and own dispatches."""
+
+from msgspec import Struct
+
+from arbutusyard.routing.const import (
+    DEFAULT_DECODE_STEP_S,
+    DEFAULT_PIECE_PREFILL_S,
+    LOAD_STALE_S,
+)
+
+
+class LoadReport(Struct, frozen=True):
+    """Hold what a backend server said of its load at one moment."""
+
+    taken_at: float
+    queue_s: float = 0.0
+    running: int = 0
+    max_batch: int = 32
+    prefill_piece_s: float = DEFAULT_PIECE_PREFILL_S
+    import_piece_s: float = DEFAULT_PIECE_PREFILL_S
+    decode_step_s: float = DEFAULT_DECODE_STEP_S
+
+
+class Dispatch(Struct):
+    """Hold the prompt work of one request that this node has sent."""
+
+    work_s: float
+    priority: int
+    sent_at: float
+
+
+class BackendLoad:
+    """Track one backend server's wait."""
+
+    __slots__ = ("dispatches", "in_flight", "report")
+
+    def __init__(self, now: float) -> None:
+        self.report = LoadReport(now)
+        self.dispatches: dict[str, Dispatch] = {}
+        self.in_flight = 0
+
+    def add(self, request_id: str, work_s: float, priority: int, now: float) -> None:
+        """Count the prompt work of a request just sent."""
+        self.dispatches[request_id] = Dispatch(work_s, priority, now)
+        self.in_flight += 1
+
+    def first_token(self, request_id: str) -> None:
+        """Stop counting prompt work that is done."""
+        self.dispatches.pop(request_id, None)
+
+    def finish(self, request_id: str) -> None:
+        """Stop counting a request."""
+        self.dispatches.pop(request_id, None)
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def wait_s(self, priority: int, now: float) -> float:
+        """Estimate the wait of a new request, in seconds."""
+        reported = self._reported_s(now)
+        own_before, own_since = self._own_work(priority)
+        return max(reported, own_before) + own_since
+
+    def full(self) -> bool:
+        """Tell whether the batch leaves no place for another answer."""
+        return max(self.report.running, self.in_flight) >= self.report.max_batch
+
+    def _reported_s(self, now: float) -> float:
+        age_s = now - self.report.taken_at
+        if age_s > LOAD_STALE_S:
+            return 0.0
+        return max(0.0, self.report.queue_s - age_s)
+
+    def _own_work(self, priority: int) -> tuple[float, float]:
+        before = since = 0.0
+        for dispatch in self.dispatches.values():
+            if dispatch.priority > priority:
+                continue
+            if dispatch.sent_at > self.report.taken_at:
+                since += dispatch.work_s
+            else:
+                before += dispatch.work_s
+        return before, since
--- /dev/null
+++ b/arbutusyard/routing/policy.py
@@ -0,0 +1,92 @@
+"""Choose among candidates; the kinds of policy are data classes."""
+
+from dataclasses import dataclass
+from random import Random
+
+from arbutusyard.routing.chain import rank
+from arbutusyard.routing.const import CROSS_DOMAIN_COST_S, FULL_BATCH_COST_S
+from arbutusyard.routing.models import Candidate, Work
+
+
+@dataclass(frozen=True, slots=True)
+class PricedPrefix:
+    """Weigh the expected wait against a priced recomputation."""
+
+    price_factor: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class LeastLoaded:
+    """Take the shortest expected wait."""
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixHash:
+    """Take the backend server that the hash of one piece names."""
+
+    piece: int = 0
+
+
+@dataclass(slots=True)
+class RoundRobin:
+    """Take one backend server after the other."""
+
+    turn: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RandomChoice:
+    """Take any backend server."""
+
+    random: Random
+
+
+Policy = PricedPrefix | LeastLoaded | PrefixHash | RoundRobin | RandomChoice
+
+
+def choose(policy: Policy, work: Work, candidates: list[Candidate]) -> Candidate:
+    """Return the candidate that a policy prefers; there is at least one."""
+    match policy:
+        case PricedPrefix(price_factor=factor):
+            return _cheapest(work, candidates, factor)
+        case LeastLoaded():
+            return min(candidates, key=lambda c: (c.full, c.wait_s, c.backend))
+        case PrefixHash(piece=piece):
+            return _hashed(work, candidates, piece)
+        case RoundRobin():
+            policy.turn += 1
+            return candidates[policy.turn % len(candidates)]
+        case RandomChoice(random=random):
+            return random.choice(candidates)
+
+
+def cost_s(work: Work, candidate: Candidate, factor: float) -> float:
+    """Return the cost of serving work on a candidate, in seconds."""
+    missing = max(0, len(work.chain.pieces) - candidate.cached)
+    compute_s = missing * candidate.prefill_piece_s
+    cost = candidate.wait_s + work.price * factor * compute_s
+    if candidate.full:
+        cost += FULL_BATCH_COST_S
+    if candidate.failure_domain != work.failure_domain:
+        cost += CROSS_DOMAIN_COST_S
+    return cost
+
+
+def _cheapest(work: Work, candidates: list[Candidate], factor: float) -> Candidate:
+    costs = [cost_s(work, candidate, factor) for candidate in candidates]
+    least = min(costs)
+    ties = [
+        candidate
+        for candidate, cost in zip(candidates, costs, strict=True)
+        if cost - least <= 2 * CROSS_DOMAIN_COST_S
+    ]
+    if len(ties) == 1:
+        return ties[0]
+    return _hashed(work, ties, 0)
+
+
+def _hashed(work: Work, candidates: list[Candidate], piece: int) -> Candidate:
+    pieces = work.chain.pieces
+    key = pieces[min(piece, len(pieces) - 1)] if pieces else work.account.encode()
+    by_name = {candidate.backend: candidate for candidate in candidates}
+    return by_name[rank(key, by_name)[0]]
--- /dev/null
+++ b/arbutusyard/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Carry typed, authenticated messages between the system's processes."""
--- /dev/null
+++ b/arbutusyard/supervisor.py
@@ -0,0 +1,81 @@
+"""Run long-lived tasks and restart those that crash."""
+
+import enum
+import logging
+from collections.abc import Callable
+from typing import Any, Final
+
+import gevent
+from gevent import Greenlet
+
+_LOGGER = logging.getLogger(__name__)
+
+FIRST_RESTART_DELAY_S: Final = 0.1
+MAX_RESTART_DELAY_S: Final = 5.0
+STOP_TIMEOUT_S: Final = 2.0
+
+
+class Restart(enum.Enum):
+    """Name what happens when a task ends by an error."""
+
+    ALWAYS = "always"
+    NEVER = "never"
+
+
+class Supervisor:
+    """Own the tasks of one component; nested supervisors form a tree."""
+
+    __slots__ = ("_children", "_stopping", "_tasks", "name", "restarts")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.restarts = 0
+        self._tasks: set[Greenlet] = set()
+        self._children: list[Supervisor] = []
+        self._stopping = False
+
+    def child(self, name: str) -> "Supervisor":
+        """Add a supervisor that stops before this one."""
+        child = Supervisor(f"{self.name}.{name}")
+        self._children.append(child)
+        return child
+
+    def spawn(
+        self,
+        name: str,
+        func: Callable[..., None],
+        *args: Any,
+        restart: Restart = Restart.ALWAYS,
+    ) -> Greenlet:
+        """Run a function in a task of its own."""
+        task = gevent.spawn(self._run, name, func, args, restart)
+        self._tasks.add(task)
+        task.rawlink(self._tasks.discard)
+        return task
+
+    def stop(self) -> None:
+        """Stop the children, then the tasks."""
+        self._stopping = True
+        for child in reversed(self._children):
+            child.stop()
+        gevent.killall(list(self._tasks), timeout=STOP_TIMEOUT_S)
+
+    def _run(
+        self,
+        name: str,
+        func: Callable[..., None],
+        args: tuple[Any, ...],
+        restart: Restart,
+    ) -> None:
+        delay = FIRST_RESTART_DELAY_S
+        while not self._stopping:
+            try:
+                func(*args)
+                return
+            except Exception:
+                _LOGGER.exception("Task %s.%s failed", self.name, name)
+            if restart is Restart.NEVER:
+                return
+            self.restarts += 1
+            gevent.sleep(delay)
+            delay = min(delay * 2, MAX_RESTART_DELAY_S)
--- /dev/null
+++ b/standins/answers.py
@@ -0,0 +1,20 @@
+"""Compute the answer that a stand-in engine gives to a prompt."""
+
+import hashlib
+
+
+def prompt_digest(messages: list[dict], weights_version: str) -> str:
+    """Return a short digest of a prompt under a weights version."""
+    text = "\n".join(f"{m.get('role')}:{m.get('content')}" for m in messages)
+    return hashlib.sha256(f"{weights_version}\n{text}".encode()).hexdigest()[:8]
+
+
+def token(digest: str, index: int) -> str:
+    """Return the token at an index of an answer."""
+    return f"{digest}.{index} "
+
+
+def whole_answer(messages: list[dict], weights_version: str, tokens: int) -> str:
+    """Return the whole text of an answer."""
+    digest = prompt_digest(messages, weights_version)
+    return "".join(token(digest, index) for index in range(tokens))
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,234 @@
+"""Start the system and its stand-ins as separate processes on one machine."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+KEYS = "a-key-for-tests-only"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 30.0
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@dataclass
+class Process:
+    """Hold one running program and the addresses that it printed."""
+
+    name: str
+    args: list[str]
+    popen: subprocess.Popen
+    addresses: dict[str, str] = field(default_factory=dict)
+
+    def kill(self) -> None:
+        """End the program without warning."""
+        self.popen.kill()
+        self.popen.wait(STOP_TIMEOUT_S)
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def stop(self) -> int:
+        """Ask the program to end and return its exit code."""
+        self.popen.send_signal(signal.SIGTERM)
+        return self.popen.wait(STOP_TIMEOUT_S)
+
+    def running(self) -> bool:
+        """Tell whether the program still runs."""
+        return self.popen.poll() is None
+
+
+class Cluster:
+    """Start, stop and kill programs by name."""
+
+    def __init__(self, log_dir: Path) -> None:
+        self.log_dir = log_dir
+        self.processes: dict[str, Process] = {}
+        self.http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self.peers: list[str] = []
+
+    def __enter__(self) -> "Cluster":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            if process.running():
+                process.signal(signal.SIGCONT)
+                process.popen.kill()
+                process.popen.wait(STOP_TIMEOUT_S)
+
+    def together(self, *starts: Callable[[], None]) -> None:
+        """Run several starts at the same time."""
+        with ThreadPoolExecutor(len(starts)) as pool:
+            for fut in [pool.submit(start) for start in starts]:
+                fut.result()
+
+    def address(self, name: str, kind: str = "listen") -> str:
+        """Return an address that a program printed."""
+        return self.processes[name].addresses[kind]
+
+    def platform(self, *extra: str) -> None:
+        """Start the platform."""
+        self._standin("platform", "platform", *extra)
+
+    def engine(
+        self, name: str, serves: str, domain: str, *extra: str, listen: str = ""
+    ) -> None:
+        """Start an engine and put it on the platform's list."""
+        self._standin(
+            name,
+            "engine",
+            "--model",
+            serves.split("/")[1],
+            "--platform",
+            self.address("platform"),
+            *extra,
+            listen=listen,
+        )
+        self.list_vm(name, "engine", serves, domain)
+
+    def service(self, name: str, serves: str, domain: str, *extra: str) -> None:
+        """Start a plain service and put it on the platform's list."""
+        self._standin(name, "service", *extra)
+        self.list_vm(name, "service", serves, domain)
+
+    def link(self, name: str, target: str, *extra: str) -> str:
+        """Start a link to a target and return the address that it carries."""
+        self._standin(name, "link", "--target", target, *extra)
+        return self.order(name)["carries"]
+
+    def list_vm(
+        self, name: str, role: str, serves: str, domain: str, **changes: object
+    ) -> None:
+        """Put a VM on the platform's list."""
+        vm = {
+            "vm_id": name,
+            "role": role,
+            "serves": serves,
+            "address": self.address(name),
+            "failure_domain": domain,
+            "leaving": False,
+        }
+        self.order("platform", vms=[{**vm, **changes}])
+
+    def control(self, name: str, region: str, domain: str, platform: str = "") -> None:
+        """Start a control daemon; it keeps its addresses over restarts."""
+        old = self.processes.get(name)
+        listen = old.addresses["listen"] if old else f"127.0.0.1:{free_port()}"
+        rpc = old.addresses["rpc"] if old else f"127.0.0.1:{free_port()}"
+        args = [
+            "control",
+            *("--name", name, "--region", region, "--failure-domain", domain),
+            *("--platform", platform or self.address("platform"), "--keys", KEYS),
+            *("--listen", listen, "--rpc-listen", rpc),
+            *("--peers", ",".join(self.peers)),
+        ]
+        if listen not in self.peers:
+            self.peers.append(listen)
+        self._daemon(name, args)
+
+    def entry(
+        self,
+        name: str,
+        control: str,
+        region: str,
+        domain: str,
+        platform: str = "",
+        keep_s: float = 1.0,
+    ) -> None:
+        """Start an entry daemon; it keeps its address over restarts."""
+        old = self.processes.get(name)
+        listen = old.addresses["listen"] if old else "127.0.0.1:0"
+        args = [
+            "entry",
+            *("--name", name, "--region", region, "--failure-domain", domain),
+            *("--platform", platform or self.address("platform"), "--keys", KEYS),
+            *("--control", self.address(control, "rpc"), "--listen", listen),
+            *("--keep-s", str(keep_s)),
+        ]
+        self._daemon(name, args)
+
+    def apply(self, file: Path, *extra: str) -> subprocess.CompletedProcess:
+        """Apply a questionnaire by the operators' command."""
+        command = [sys.executable, "-m", "arbutusyard", "workload", "apply", str(file)]
+        command += ["--platform", self.address("platform"), *extra]
+        return subprocess.run(
+            command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False
+        )
+
+    def order(self, name: str, **order: object) -> dict:
+        """Give a stand-in an order."""
+        resp = self.http.request(
+            "POST", f"http://{self.address(name)}/_control", body=json.dumps(order)
+        )
+        return json.loads(resp.data)
+
+    def get(self, name: str, path: str, kind: str = "listen") -> dict:
+        """Read JSON from a program."""
+        resp = self.http.request("GET", f"http://{self.address(name, kind)}{path}")
+        return json.loads(resp.data)
+
+    def status(self, name: str) -> dict:
+        """Read a daemon's status."""
+        return self.get(name, "/status", "admin")
+
+    def wait(self, what: str, condition: Callable[[], bool], within_s: float) -> None:
+        """Wait until a condition holds; raise TimeoutError after a bound."""
+        give_up_at = time.monotonic() + within_s
+        while True:
+            try:
+                if condition():
+                    return
+            except (urllib3.exceptions.HTTPError, ValueError, KeyError):
+                pass
+            if time.monotonic() > give_up_at:
+                raise TimeoutError(f"{what} did not hold within {within_s} s")
+            time.sleep(0.02)
+
+    def _standin(self, name: str, module: str, *extra: str, listen: str = "") -> None:
+        args = [sys.executable, "-m", f"standins.{module}", *extra]
+        if listen:
+            args += ["--listen", listen]
+        process = self._spawn(name, args)
+        process.addresses["listen"] = _first_line(process)
+
+    def _daemon(self, name: str, args: list[str]) -> None:
+        process = self._spawn(name, [sys.executable, "-m", "arbutusyard", *args])
+        process.addresses |= json.loads(_first_line(process))
+
+    def _spawn(self, name: str, args: list[str]) -> Process:
+        with open(self.log_dir / f"{name}.log", "ab") as log:
+            popen = subprocess.Popen(
+                args,
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        process = Process(name, args, popen)
+        self.processes[name] = process
+        return process
+
+
+def _first_line(process: Process) -> str:
+    line = process.popen.stdout.readline().decode().strip()
+    if not line:
+        raise RuntimeError(f"{process.name} ended at its start, see its log")
+    return line
+
+
+def free_port() -> int:
+    """Return a port that is free for TCP and UDP now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/standins/common.py
@@ -0,0 +1,38 @@
+"""Serve a small HTTP program on a port of its own."""
+
+import argparse
+import json
+import signal
+import sys
+from typing import Any
+
+import bottle
+import gevent
+from gevent.pywsgi import WSGIServer
+
+
+def parser(description: str) -> argparse.ArgumentParser:
+    """Build the argument parser that every stand-in shares."""
+    result = argparse.ArgumentParser(description=description)
+    result.add_argument("--listen", default="127.0.0.1:0")
+    return result
+
+
+def serve(app: bottle.Bottle, listen: str) -> None:
+    """Serve until SIGTERM; print the bound address as the first line."""
+    host, port = listen.rsplit(":", 1)
+    server = WSGIServer((host, int(port)), app, log=None, error_log=None)
+    server.init_socket()
+    server.start()
+    print(f"{host}:{server.server_port}", flush=True)
+    gevent.signal_handler(signal.SIGTERM, sys.exit, 0)
+    server.serve_forever()
+
+
+def reply(data: Any, status: int = 200, **headers: str) -> bottle.HTTPResponse:
+    """Build a JSON reply."""
+    return bottle.HTTPResponse(
+        json.dumps(data),
+        status,
+        headers={"Content-Type": "application/json", **headers},
+    )
--- /dev/null
+++ b/standins/enginecore.py
@@ -0,0 +1,193 @@
+"""Model an engine's batch, queue and prefix cache, driven by a clock argument."""
+
+import heapq
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+PIECE_TOKENS = 1000
+
+
+@dataclass(slots=True)
+class EngineParams:
+    """Set the costs and sizes of an engine."""
+
+    cache_pieces: int = 120
+    lapse_s: float = 20.0
+    prefill_piece_s: float = 0.1
+    import_piece_s: float = 0.015
+    decode_step_s: float = 0.02
+    max_batch: int = 32
+
+
+@dataclass(slots=True)
+class Job:
+    """Hold one request inside an engine."""
+
+    job_id: str
+    pieces: list[str]
+    prompt_tokens: int
+    max_tokens: int
+    priority: int = 1
+    next_index: int = 0
+    import_until: int = 0
+    arrived: float = 0.0
+    cached: int = -1
+    imported: int = 0
+    done_pieces: int = 0
+    recomputed: int = 0
+
+    def prefilled(self) -> bool:
+        """Tell whether the whole prompt is in the cache."""
+        return self.done_pieces >= len(self.pieces)
+
+    def cached_tokens(self) -> int:
+        """Return the prompt tokens that were not computed."""
+        if not self.pieces:
+            return 0
+        reused = max(self.cached, 0) + self.imported
+        return self.prompt_tokens * reused // len(self.pieces)
+
+
+@dataclass(slots=True)
+class StepResult:
+    """Tell what one step took and gave."""
+
+    duration_s: float
+    emitted: list[Job] = field(default_factory=list)
+    finished: list[Job] = field(default_factory=list)
+
+
+class PrefixCache:
+    """Keep pieces by last use; evict the oldest and the lapsed."""
+
+    __slots__ = ("_pieces", "capacity", "events", "lapse_s")
+
+    def __init__(self, capacity: int, lapse_s: float) -> None:
+        self.capacity = capacity
+        self.lapse_s = lapse_s
+        self.events: list[tuple[str, str]] = []
+        self._pieces: OrderedDict[str, float] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._pieces)
+
+    def holds(self, piece: str, now: float) -> bool:
+        """Tell whether a piece is cached."""
+        used = self._pieces.get(piece)
+        return used is not None and now - used <= self.lapse_s
+
+    def match(self, pieces: list[str], now: float) -> int:
+        """Count the leading pieces that are cached."""
+        count = 0
+        for piece in pieces:
+            if not self.holds(piece, now):
+                break
+            count += 1
+        return count
+
+    def touch(self, piece: str, now: float) -> None:
+        """Store a piece or mark it used."""
+        if piece not in self._pieces:
+            self.events.append(("stored", piece))
+        self._pieces[piece] = now
+        self._pieces.move_to_end(piece)
+        self._evict(now)
+
+    def clear(self) -> None:
+        """Drop every piece."""
+        self._pieces.clear()
+
+    def _evict(self, now: float) -> None:
+        while self._pieces:
+            piece, used = next(iter(self._pieces.items()))
+            if len(self._pieces) <= self.capacity and now - used <= self.lapse_s:
+                return
+            del self._pieces[piece]
+            self.events.append(("evicted", piece))
+
+
+class EngineCore:
+    """Batch continuously: one prompt piece and one token of each answer a step."""
+
+    __slots__ = ("_seq", "_waiting", "cache", "params", "running")
+
+    def __init__(self, params: EngineParams) -> None:
+        self.params = params
+        self.cache = PrefixCache(params.cache_pieces, params.lapse_s)
+        self.running: list[Job] = []
+        self._waiting: list[tuple[int, int, Job]] = []
+        self._seq = 0
+
+    def submit(self, job: Job, now: float) -> None:
+        """Queue a job by priority, then by arrival."""
+        job.arrived = now
+        self._seq += 1
+        heapq.heappush(self._waiting, (job.priority, self._seq, job))
+
+    def cancel(self, job_id: str) -> None:
+        """Drop a job wherever it stands."""
+        self.running = [job for job in self.running if job.job_id != job_id]
+        kept = [item for item in self._waiting if item[2].job_id != job_id]
+        heapq.heapify(kept)
+        self._waiting = kept
+
+    def waiting(self) -> int:
+        """Count the jobs whose prompt is not computed yet."""
+        return len(self._waiting)
+
+    def idle(self) -> bool:
+        """Tell whether a step would do nothing."""
+        return not self.running and not self._waiting
+
+    def queue_s(self) -> float:
+        """Return the prompt work that waits, in seconds."""
+        pieces = sum(len(j.pieces) - j.done_pieces for _, _, j in self._waiting)
+        return pieces * self.params.prefill_piece_s
+
+    def step(self, now: float) -> StepResult:
+        """Do one piece of prompt work and one token for each running answer."""
+        result = StepResult(0.0)
+        if self._waiting and len(self.running) < self.params.max_batch:
+            result.duration_s += self._prefill(now)
+        if self.running:
+            result.duration_s += self.params.decode_step_s
+            self._decode(result)
+        return result
+
+    def _prefill(self, now: float) -> float:
+        job = self._waiting[0][2]
+        if job.cached < 0:
+            self._start(job, now)
+        duration_s = 0.0
+        if not job.prefilled():
+            duration_s = self._compute_piece(job, now)
+        if job.prefilled():
+            heapq.heappop(self._waiting)
+            self.running.append(job)
+        return duration_s
+
+    def _start(self, job: Job, now: float) -> None:
+        job.cached = self.cache.match(job.pieces, now)
+        job.done_pieces = job.cached
+        for piece in job.pieces[: job.cached]:
+            self.cache.touch(piece, now)
+
+    def _compute_piece(self, job: Job, now: float) -> float:
+        self.cache.touch(job.pieces[job.done_pieces], now)
+        job.done_pieces += 1
+        if job.done_pieces <= job.import_until:
+            job.imported += 1
+            return self.params.import_piece_s
+        job.recomputed += 1
+        return self.params.prefill_piece_s
+
+    def _decode(self, result: StepResult) -> None:
+        still = []
+        for job in self.running:
+            job.next_index += 1
+            result.emitted.append(job)
+            if job.next_index >= job.max_tokens:
+                result.finished.append(job)
+            else:
+                still.append(job)
+        self.running = still
--- /dev/null
+++ b/standins/link.py
@@ -0,0 +1,106 @@
+"""Stand in for a link between two processes: delay, loss and cuts on command."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json
+import random
+import socket
+
+import bottle
+import gevent
+from gevent import Greenlet
+from gevent.server import DatagramServer, StreamServer
+
+from standins.common import parser, reply, serve
+
+CHUNK_BYTES = 65536
+
+
+class Link:
+    """Carry TCP streams and UDP datagrams to one target."""
+
+    def __init__(self, target: str, delay_s: float) -> None:
+        host, port = target.rsplit(":", 1)
+        self.target = (host, int(port))
+        self.delay_s = delay_s
+        self.loss = 0.0
+        self.cut = False
+        self.drop_replies = False
+        self.pumps: set[Greenlet] = set()
+        self.sockets: set[socket.socket] = set()
+        self.random = random.Random(1)
+
+    def accept(self, sock: socket.socket, _address: tuple) -> None:
+        """Carry one TCP connection."""
+        if self.cut:
+            sock.close()
+            return
+        try:
+            far = socket.create_connection(self.target, timeout=2)
+        except OSError:
+            sock.close()
+            return
+        far.settimeout(None)
+        self.sockets |= {sock, far}
+        back = gevent.spawn(self._pump, far, sock, True)
+        self._pump(sock, far, False)
+        back.join()
+        self.sockets -= {sock, far}
+
+    def _pump(self, source: socket.socket, sink: socket.socket, reply: bool) -> None:
+        try:
+            while data := source.recv(CHUNK_BYTES):
+                gevent.sleep(self.delay_s)
+                if reply and self.drop_replies:
+                    break
+                sink.sendall(data)
+            if reply and self.drop_replies:
+                source.close()
+                sink.close()
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            sink.close()
+
+    def order(self, order: dict) -> None:
+        """Change the link; a cut closes what is open."""
+        self.cut = order.get("cut", self.cut)
+        self.delay_s = order.get("delay_s", self.delay_s)
+        self.loss = order.get("loss", self.loss)
+        self.drop_replies = order.get("drop_replies", self.drop_replies)
+        if self.cut:
+            for sock in list(self.sockets):
+                sock.close()
+
+    def datagram(self, server: DatagramServer, data: bytes, _address: tuple) -> None:
+        """Carry one datagram towards the target."""
+        if self.cut or self.random.random() < self.loss:
+            return
+        gevent.spawn_later(self.delay_s, server.socket.sendto, data, self.target)
+
+
+def main() -> None:
+    """Run a link; the control address is the first line, the carried one the second."""
+    args = parser(main.__doc__)
+    args.add_argument("--target", required=True)
+    args.add_argument("--delay-s", type=float, default=0.0)
+    cfg = args.parse_args()
+    link = Link(cfg.target, cfg.delay_s)
+    server = StreamServer(("127.0.0.1", 0), link.accept)
+    server.start()
+    datagrams = DatagramServer(("127.0.0.1", server.server_port), lambda *_: None)
+    datagrams.handle = lambda data, address: link.datagram(datagrams, data, address)
+    datagrams.start()
+    app = bottle.Bottle()
+
+    @app.post("/_control")
+    def control() -> bottle.HTTPResponse:
+        link.order(json.loads(bottle.request.body.read()))
+        return reply({"carries": f"127.0.0.1:{server.server_port}"})
+
+    serve(app, cfg.listen)
+
+
+if __name__ == "__main__":
+    main()
