--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -216,6 +216,8 @@
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
         process = Process(name, args, popen)
+        if name in self.processes:
+            process.addresses |= self.processes[name].addresses
         self.processes[name] = process
         return process
 
