--- a/arbutusyard/claims/coordinator.py
+++ b/arbutusyard/claims/coordinator.py
@@ -91,18 +91,21 @@
             return _unreadable(call)
         existing = _claim(row)
         fence = 1
+        took_over = False
         if existing is not None:
             if existing.fingerprint != call.fingerprint:
                 return KeyReused()
             if not self._may_replace(call, existing):
                 return _outcome_of(existing)
             fence = existing.fence + 1
+            took_over = existing.state is not ClaimState.RELEASED
         claim = Claim(
             attempt=uuid.uuid4().hex,
             state=ClaimState.CLAIMED,
             fingerprint=call.fingerprint,
             fence=fence,
             claimed_at_ms=self._wall_ms(),
+            took_over=took_over,
         )
         return self._insert(call, claim, row)
 
@@ -139,20 +142,22 @@
         """Find out whether a write took effect whose answer was lost.
 
         A row that still reads as before may yet change when the write arrives
-        late; a released row is put in its place so that it cannot.
+        late; an abandoned row is put in its place so that it cannot.
         """
         row = self._read_back(call)
         if row is not None and row.version != before.version:
             return self._held_or_outcome(claim, row)
         if row is not None and self._block(call, claim, before):
+            if claim.took_over:
+                return OutcomeUnknown("an earlier attempt with this key may have run")
             return _store_down()
         self._background(lambda: self._release(call, claim.attempt))
         return OutcomeUnknown("the claim of this key could not be settled")
 
     def _block(self, call: ClaimedCall, claim: Claim, before: Row) -> bool:
-        released = msgspec.structs.replace(claim, state=ClaimState.RELEASED)
+        blocked = msgspec.structs.replace(claim, state=claim.abandoned_state)
         try:
-            return bool(self._write(call, released, before.version))
+            return bool(self._write(call, blocked, before.version))
         except PlatformError:
             return False
 
@@ -160,7 +165,9 @@
         try:
             reply = dispatch(held.claim.fence)
         except DispatchNeverLeft as exc:
-            self._finish(call, held, ClaimState.RELEASED, None)
+            self._finish(call, held, held.claim.abandoned_state, None)
+            if held.claim.took_over:
+                return OutcomeUnknown("an earlier attempt with this key may have run")
             return NotRun("backend_unreachable", str(exc))
         except DispatchUnsettled as exc:
             self._finish(call, held, ClaimState.UNKNOWN, None)
@@ -206,7 +213,7 @@
                 found = _claim(row)
                 if found is None or found.attempt != attempt:
                     return
-                freed = msgspec.structs.replace(found, state=ClaimState.RELEASED)
+                freed = msgspec.structs.replace(found, state=found.abandoned_state)
                 if self._write(call, freed, row.version):
                     return
             except PlatformError:
--- a/arbutusyard/claims/models.py
+++ b/arbutusyard/claims/models.py
@@ -23,15 +23,25 @@
 
 
 class Claim(Struct, frozen=True):
-    """Hold the claim row of one idempotency key."""
+    """Hold the claim row of one idempotency key.
+
+    A claim that took over another one cannot be released as not run, because the
+    earlier attempt may have run.
+    """
 
     attempt: str
     state: ClaimState
     fingerprint: str
     fence: int
     claimed_at_ms: int
+    took_over: bool = False
     reply: Reply | None = None
 
+    @property
+    def abandoned_state(self) -> ClaimState:
+        """Return the state to leave when this attempt does not dispatch."""
+        return ClaimState.UNKNOWN if self.took_over else ClaimState.RELEASED
+
 
 class NotRun(Struct, frozen=True):
     """Say truthfully that the request was not run."""
