Prove the promises by scenarios in a small test language

Cause: nothing showed what happens to real processes under kills, cuts, freezes, outages and races.

What the scenarios showed, red first: - operators_race and doubled: an accepted change was lost to the nodes while the platform was down right after it accepted, because only the platform knew of it. Ruled out: polling faster (any interval leaves a gap). Change: "workload apply" tells the control daemons it is given, by the operators' port and key; a node takes only greater revisions. - the link stand-in carried no datagrams; its handler was never called. - the first form of "leaving" expected the state "down"; the engine says "leaving", so the check names that state.

Change: grammar in lark, a runner, fifteen scenarios with bounds from the promises, links that can be cut, advertised addresses for controls, and an engine stand-in that finishes its answers before it loads new weights.

--- a/arbutusyard/cli/admin.py
+++ b/arbutusyard/cli/admin.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from arbutusyard.app import Application
+from arbutusyard.config.models import Configuration
 
 OPERATOR_HEADER = "X-Operator-Key"
 
@@ -18,7 +19,15 @@
 
     name = "admin_server"
 
-    __slots__ = ("_drain", "_keys", "_metrics", "_server", "_status", "address")
+    __slots__ = (
+        "_drain",
+        "_keys",
+        "_metrics",
+        "_offer",
+        "_server",
+        "_status",
+        "address",
+    )
 
     def __init__(
         self,
@@ -27,11 +36,13 @@
         metrics: Callable[[], bytes],
         drain: Callable[[], None],
         keys: tuple[bytes, ...],
+        offer: Callable[[Configuration], bool] | None = None,
     ) -> None:
         self._status = status
         self._metrics = metrics
         self._drain = drain
         self._keys = keys
+        self._offer = offer
         host, port = listen.rsplit(":", 1)
         self._server = WSGIServer(
             (host, int(port)), self._build(), log=None, error_log=None
@@ -55,6 +66,8 @@
         app.route("/status", "GET", self._serve_status)
         app.route("/metrics", "GET", self._serve_metrics)
         app.route("/drain", "POST", self._serve_drain)
+        if self._offer is not None:
+            app.route("/config", "POST", self._serve_config)
         return app
 
     def _serve_status(self) -> bytes:
@@ -66,8 +79,21 @@
         return self._metrics()
 
     def _serve_drain(self) -> dict[str, bool]:
+        self._check_key()
+        self._drain()
+        return {"draining": True}
+
+    def _serve_config(self) -> dict[str, bool]:
+        self._check_key()
+        try:
+            config = msgspec.msgpack.decode(
+                bottle.request.body.read(), type=Configuration
+            )
+        except msgspec.DecodeError as exc:
+            raise bottle.HTTPError(400, f"configuration cannot be read: {exc}") from exc
+        return {"taken": self._offer(config)}
+
+    def _check_key(self) -> None:
         given = bottle.request.get_header(OPERATOR_HEADER, "").encode()
         if not any(hmac.compare_digest(given, key) for key in self._keys):
             raise bottle.HTTPError(403, "operator key is not valid")
-        self._drain()
-        return {"draining": True}
--- a/arbutusyard/cli/daemons.py
+++ b/arbutusyard/cli/daemons.py
@@ -54,7 +54,7 @@
         incarnation=clock.wall_ms(),
         version=0,
         status=Status.ALIVE,
-        address=_bound(sock),
+        address=cfg.advertise or _bound(sock),
         rpc="",
         region=cfg.region,
         failure_domain=cfg.failure_domain,
@@ -72,16 +72,17 @@
         lambda: b"",
         app.request_stop,
         cfg.keys,
+        config.offer,
     )
     loop.setup(app)
     service.setup(app)
-    membership.table.update_me(rpc=service.address)
+    membership.table.update_me(rpc=cfg.rpc_advertise or service.address)
     for component in (config, backends, membership, control, orders, admin):
         app.add(component)
     gevent.spawn(
         _announce,
         app,
-        {"listen": me.address, "rpc": service.address, "admin": admin.address},
+        {"listen": _bound(sock), "rpc": service.address, "admin": admin.address},
     )
     app.run()
 
--- a/arbutusyard/cli/main.py
+++ b/arbutusyard/cli/main.py
@@ -63,9 +63,15 @@
     listen: Annotated[
         str, setting("listen", "IP:port (UDP) for other control daemons.")
     ] = "127.0.0.1:0",
+    advertise: Annotated[
+        str, setting("advertise", "IP:port (UDP) that others are told, if another.")
+    ] = "",
     rpc_listen: Annotated[
         str, setting("rpc_listen", "IP:port for entries and other control daemons.")
     ] = "127.0.0.1:0",
+    rpc_advertise: Annotated[
+        str, setting("rpc_advertise", "IP:port (RPC) that others are told, if another.")
+    ] = "",
     admin_listen: AdminListen = "127.0.0.1:0",
     peers: Annotated[
         str, setting("peers", "IP:port of other control daemons, with commas.")
--- a/arbutusyard/cli/settings.py
+++ b/arbutusyard/cli/settings.py
@@ -24,7 +24,9 @@
     region: str
     failure_domain: str
     listen: str
+    advertise: str
     rpc_listen: str
+    rpc_advertise: str
     admin_listen: str
     platform: str
     peers: tuple[str, ...]
@@ -117,7 +119,9 @@
     "region": name,
     "failure_domain": name,
     "listen": address,
+    "advertise": optional_address,
     "rpc_listen": address,
+    "rpc_advertise": optional_address,
     "admin_listen": address,
     "platform": address,
     "peers": addresses,
--- a/arbutusyard/cli/workload.py
+++ b/arbutusyard/cli/workload.py
@@ -11,10 +11,12 @@
 
 import msgspec
 import typer
+import urllib3
 
+from arbutusyard.cli.admin import OPERATOR_HEADER
 from arbutusyard.cli.settings import address
 from arbutusyard.config.exceptions import ConfigError
-from arbutusyard.config.models import Workload
+from arbutusyard.config.models import Configuration, Workload
 from arbutusyard.config.store import Change, ConfigStore
 from arbutusyard.const import ENV_PREFIX
 from arbutusyard.platform.client import PlatformClient
@@ -25,6 +27,7 @@
 
 EXIT_USAGE = 2
 EXIT_FAILED = 1
+TELL_TIMEOUT_S = 1.0
 
 T = TypeVar("T")
 
@@ -78,6 +81,18 @@
         int,
         typer.Option(help="Refuse if the workload has changed since this revision."),
     ] = -1,
+    admin: Annotated[
+        str,
+        typer.Option(
+            envvar=ENV_PREFIX + "ADMIN",
+            help="IP:port for operators of control daemons, with commas; they hear of "
+            "the change at once, even if the platform goes down.",
+        ),
+    ] = "",
+    keys: Annotated[
+        str,
+        typer.Option(envvar=ENV_PREFIX + "KEYS", help="Key that all processes share."),
+    ] = "",
 ) -> None:
     """Generate the configuration and put it in force, all or nothing."""
     text, workload = _read(file)
@@ -92,6 +107,8 @@
     store = _store(platform)
     accepted = _ask(lambda: store.apply(change))
     typer.echo(f"{workload.name}: accepted as revision {accepted.revision}")
+    for control in filter(None, admin.split(",")):
+        _tell(control.strip(), keys.split(",")[0], accepted)
 
 
 @workload_app.command()
@@ -155,6 +172,23 @@
         raise typer.Exit(EXIT_USAGE) from exc
 
 
+def _tell(control: str, key: str, accepted: Configuration) -> None:
+    try:
+        resp = urllib3.request(
+            "POST",
+            f"http://{control}/config",
+            body=msgspec.msgpack.encode(accepted),
+            headers={OPERATOR_HEADER: key},
+            timeout=TELL_TIMEOUT_S,
+            retries=False,
+        )
+        problem = "" if resp.status == 200 else f"status {resp.status}"
+    except urllib3.exceptions.HTTPError as exc:
+        problem = str(exc)
+    if problem:
+        typer.echo(f"warning: {control} was not told: {problem}", err=True)
+
+
 def _ask(call: Callable[[], T]) -> T:
     try:
         return call()
--- a/arbutusyard/client/client.py
+++ b/arbutusyard/client/client.py
@@ -22,6 +22,7 @@
     DEFAULT_RETRIES,
     DEFAULT_RETRY_AFTER_S,
     MAX_RETRY_AFTER_S,
+    POOL_SIZE,
     READ_TIMEOUT_S,
 )
 from arbutusyard.client.exceptions import CallFailed, StreamBroken, Unreachable
@@ -67,6 +68,7 @@
         self._retries = retries
         self._sleep = sleep
         self._pool = urllib3.PoolManager(
+            maxsize=POOL_SIZE,
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
         )
@@ -108,10 +110,15 @@
         return progress.answer()
 
     def call(
-        self, method: str, service: str, path: str, body: Any = None
+        self,
+        method: str,
+        service: str,
+        path: str,
+        body: Any = None,
+        key: str | None = None,
     ) -> ServiceReply:
-        """Call a plain service once; repeat only what was not run or is settled."""
-        key = uuid.uuid4().hex
+        """Call a plain service once, under a key that its retries share."""
+        key = key or uuid.uuid4().hex
         data = b"" if body is None else msgspec.json.encode(body)
         tries = 0
         while True:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -56,6 +56,7 @@
         self.processes: dict[str, Process] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=5.0)
         self.peers: list[str] = []
+        self.cut_off: set[str] = set()
 
     def __enter__(self) -> "Cluster":
         return self
@@ -82,25 +83,30 @@
         self._standin("platform", "platform", *extra)
 
     def engine(
-        self, name: str, serves: str, domain: str, *extra: str, listen: str = ""
+        self, name: str, serves: str, domain: str, *extra: str, linked: bool = False
     ) -> None:
         """Start an engine and put it on the platform's list."""
+        listen = f"127.0.0.1:{free_port()}"
+        model = serves.split("/")[1]
+        platform = self.address("platform")
         self._standin(
             name,
             "engine",
-            "--model",
-            serves.split("/")[1],
-            "--platform",
-            self.address("platform"),
+            *("--model", model, "--platform", platform, "--listen", listen),
             *extra,
-            listen=listen,
         )
-        self.list_vm(name, "engine", serves, domain)
+        address = self.link(f"{name}-link", listen) if linked else listen
+        self.list_vm(name, "engine", serves, domain, address=address)
 
-    def service(self, name: str, serves: str, domain: str, *extra: str) -> None:
+    def service(
+        self, name: str, serves: str, domain: str, *extra: str, linked: bool = False
+    ) -> None:
         """Start a plain service and put it on the platform's list."""
         self._standin(name, "service", *extra)
-        self.list_vm(name, "service", serves, domain)
+        address = self.address(name)
+        if linked:
+            address = self.link(f"{name}-link", address)
+        self.list_vm(name, "service", serves, domain, address=address)
 
     def link(self, name: str, target: str, *extra: str) -> str:
         """Start a link to a target and return the address that it carries."""
@@ -121,38 +127,62 @@
         }
         self.order("platform", vms=[{**vm, **changes}])
 
-    def control(self, name: str, region: str, domain: str, platform: str = "") -> None:
+    def control(
+        self, name: str, region: str, domain: str, linked: bool = False
+    ) -> None:
         """Start a control daemon; it keeps its addresses over restarts."""
-        old = self.processes.get(name)
-        listen = old.addresses["listen"] if old else f"127.0.0.1:{free_port()}"
-        rpc = old.addresses["rpc"] if old else f"127.0.0.1:{free_port()}"
+        listen, rpc = self._reserve(name)
         args = [
             "control",
             *("--name", name, "--region", region, "--failure-domain", domain),
-            *("--platform", platform or self.address("platform"), "--keys", KEYS),
-            *("--listen", listen, "--rpc-listen", rpc),
-            *("--peers", ",".join(self.peers)),
+            *("--keys", KEYS, "--listen", listen, "--rpc-listen", rpc),
         ]
+        if linked:
+            listen = self.link(f"{name}-udp", listen)
+            args += ["--advertise", listen]
+            args += ["--rpc-advertise", self.link(f"{name}-rpc", rpc)]
+        args += ["--platform", self.platform_address(name, linked)]
+        args += ["--peers", ",".join(self.peers)]
         if listen not in self.peers:
             self.peers.append(listen)
         self._daemon(name, args)
 
+    def platform_address(self, name: str, linked: bool) -> str:
+        """Return the platform's address as one daemon sees it."""
+        if not linked:
+            return self.address("platform")
+        return self.link(f"{name}-platform", self.address("platform"))
+
+    def restart(self, name: str) -> None:
+        """Start a daemon or an engine again, with the same arguments."""
+        old = self.processes[name]
+        process = self._spawn(name, old.args)
+        line = _first_line(process)
+        if line.startswith("{"):
+            process.addresses |= json.loads(line)
+
+    def _reserve(self, name: str) -> tuple[str, str]:
+        old = self.processes.get(name)
+        if old is not None:
+            return old.addresses["listen"], old.addresses["rpc"]
+        return f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+
     def entry(
         self,
         name: str,
         control: str,
         region: str,
         domain: str,
-        platform: str = "",
+        linked: bool = False,
         keep_s: float = 1.0,
     ) -> None:
         """Start an entry daemon; it keeps its address over restarts."""
         old = self.processes.get(name)
-        listen = old.addresses["listen"] if old else "127.0.0.1:0"
+        listen = old.addresses["listen"] if old else f"127.0.0.1:{free_port()}"
         args = [
             "entry",
             *("--name", name, "--region", region, "--failure-domain", domain),
-            *("--platform", platform or self.address("platform"), "--keys", KEYS),
+            *("--platform", self.platform_address(name, linked), "--keys", KEYS),
             *("--control", self.address(control, "rpc"), "--listen", listen),
             *("--keep-s", str(keep_s)),
         ]
@@ -162,10 +192,21 @@
         """Apply a questionnaire by the operators' command."""
         command = [sys.executable, "-m", "arbutusyard", "workload", "apply", str(file)]
         command += ["--platform", self.address("platform"), *extra]
+        command += ["--keys", KEYS, "--admin", ",".join(self._controls())]
         return subprocess.run(
             command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False
         )
 
+    def _controls(self) -> list[str]:
+        """Return the operators' addresses of the controls that can be reached."""
+        return [
+            process.addresses["admin"]
+            for name, process in self.processes.items()
+            if "rpc" in process.addresses
+            and process.running()
+            and name not in self.cut_off
+        ]
+
     def order(self, name: str, **order: object) -> dict:
         """Give a stand-in an order."""
         resp = self.http.request(
@@ -195,10 +236,8 @@
                 raise TimeoutError(f"{what} did not hold within {within_s} s")
             time.sleep(0.02)
 
-    def _standin(self, name: str, module: str, *extra: str, listen: str = "") -> None:
+    def _standin(self, name: str, module: str, *extra: str) -> None:
         args = [sys.executable, "-m", f"standins.{module}", *extra]
-        if listen:
-            args += ["--listen", listen]
         process = self._spawn(name, args)
         process.addresses["listen"] = _first_line(process)
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -191,7 +191,7 @@
         wait_for(lambda: tally.report.requests >= KILL_ENTRY_AFTER)
         print("kill entry1", flush=True)
         cluster.processes["entry1"].kill()
-        cluster.entry("entry1", "control1", "demo", "domain-1")
+        cluster.restart("entry1")
         for fut in futs:
             fut.result()
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -22,6 +22,7 @@
 
 KEEPALIVE_S = 0.5
 DETACHED_GRACE_S = 10.0
+FINISH_TIMEOUT_S = 60.0
 EVENT_BACKLOG = 10_000
 BYTES_PER_TOKEN = 4
 bottle.BaseRequest.MEMFILE_MAX = 16 * 1024 * 1024
@@ -71,7 +72,7 @@
     def run(self) -> None:
         """Step the core for ever."""
         while True:
-            if self.core.idle() or self.loading:
+            if self.core.idle():
                 self.work.clear()
                 self.work.wait(0.1)
                 self._sweep()
@@ -199,7 +200,7 @@
         if version == self.version and not self.loading:
             return
         self.loading = True
-        self._drop_jobs()
+        self._finish_answers()
         url = f"http://{self.platform}/weights/{self.model}/{version}"
         try:
             urllib3.request("GET", url, retries=5, timeout=10)
@@ -213,9 +214,10 @@
         self.core.cache.clear()
         self.work.set()
 
-    def _drop_jobs(self) -> None:
-        for job_id in [s.job.job_id for s in self.streams.values() if not s.ended]:
-            self.cancel(job_id)
+    def _finish_answers(self) -> None:
+        give_up_at = time.monotonic() + FINISH_TIMEOUT_S
+        while not self.core.idle() and time.monotonic() < give_up_at:
+            gevent.sleep(0.02)
 
     def cancel(self, job_id: str) -> None:
         """Stop an answer and end its stream without the closing event."""
--- a/standins/link.py
+++ b/standins/link.py
@@ -27,6 +27,7 @@
         self.delay_s = delay_s
         self.loss = 0.0
         self.cut = False
+        self.drop_from: set[str] = set()
         self.drop_replies = False
         self.pumps: set[Greenlet] = set()
         self.sockets: set[socket.socket] = set()
@@ -68,18 +69,33 @@
         self.cut = order.get("cut", self.cut)
         self.delay_s = order.get("delay_s", self.delay_s)
         self.loss = order.get("loss", self.loss)
+        self.drop_from = set(order.get("drop_from", self.drop_from))
         self.drop_replies = order.get("drop_replies", self.drop_replies)
         if self.cut:
             for sock in list(self.sockets):
                 sock.close()
 
-    def datagram(self, server: DatagramServer, data: bytes, _address: tuple) -> None:
+    def datagram(self, server: DatagramServer, data: bytes, source: tuple) -> None:
         """Carry one datagram towards the target."""
         if self.cut or self.random.random() < self.loss:
             return
+        if f"{source[0]}:{source[1]}" in self.drop_from:
+            return
         gevent.spawn_later(self.delay_s, server.socket.sendto, data, self.target)
 
 
+class LinkDatagrams(DatagramServer):
+    """Receive the datagrams of a link."""
+
+    def __init__(self, port: int, link: Link) -> None:
+        super().__init__(("127.0.0.1", port))
+        self._link = link
+
+    def handle(self, data: bytes, source: tuple) -> None:
+        """Carry one datagram."""
+        self._link.datagram(self, data, source)
+
+
 def main() -> None:
     """Run a link; the control address is the first line, the carried one the second."""
     args = parser(main.__doc__)
@@ -89,9 +105,7 @@
     link = Link(cfg.target, cfg.delay_s)
     server = StreamServer(("127.0.0.1", 0), link.accept)
     server.start()
-    datagrams = DatagramServer(("127.0.0.1", server.server_port), lambda *_: None)
-    datagrams.handle = lambda data, address: link.datagram(datagrams, data, address)
-    datagrams.start()
+    LinkDatagrams(server.server_port, link).start()
     app = bottle.Bottle()
 
     @app.post("/_control")
--- /dev/null
+++ b/tests/scenarios/groups.py
@@ -0,0 +1,103 @@
+"""Send groups of requests in the background and judge their answers."""
+
+import threading
+import time
+from dataclasses import dataclass, field
+
+from arbutusyard.client import CallFailed, Client, ClientError, Unreachable
+from arbutusyard.client.models import Answer
+from standins.answers import whole_answer
+from standins.workloads import Level
+
+MODEL = "quetzal-assistant"
+LATE_START_S = 30.0
+
+
+def messages(prompt, number):
+    """Return a prompt that shares its first pieces with others of its name."""
+    return [
+        {"role": "system", "content": Level(prompt, 4).text()},
+        {"role": "user", "content": f"question {number}"},
+    ]
+
+
+@dataclass
+class Request:
+    messages: list
+    tokens: int
+    started_at: float = 0.0
+    ended_at: float = 0.0
+    answer: Answer | None = None
+    error: ClientError | None = None
+
+
+@dataclass
+class Group:
+    """Hold requests that were sent together."""
+
+    client: Client
+    requests: list = field(default_factory=list)
+    threads: list = field(default_factory=list)
+
+    def send(self, count, work, tokens, prompt):
+        for number in range(count):
+            request = Request(messages(prompt, number), tokens)
+            self.requests.append(request)
+            thread = threading.Thread(
+                target=self._run, args=(request, work), daemon=True
+            )
+            self.threads.append(thread)
+            thread.start()
+
+    def _run(self, request, work):
+        request.started_at = time.monotonic()
+        try:
+            request.answer = self.client.chat(
+                MODEL, request.messages, request.tokens, work
+            )
+        except ClientError as exc:
+            request.error = exc
+        request.ended_at = time.monotonic()
+
+    def ended(self):
+        return all(request.ended_at for request in self.requests)
+
+    def complete(self):
+        """Tell whether each answer is whole, in order and of one weights version."""
+        return all(
+            request.answer is not None
+            and request.answer.text
+            in [
+                whole_answer(request.messages, version, request.tokens)
+                for version in ("v1", "v2", "v3")
+            ]
+            for request in self.requests
+        )
+
+    def first_token_p95(self):
+        times = sorted(r.answer.first_token_s for r in self.requests if r.answer)
+        return times[len(times) * 95 // 100]
+
+    def refusals(self):
+        return [request.error for request in self.requests if request.error]
+
+    def refused_not_run(self):
+        return bool(self.refusals()) and all(
+            isinstance(error, Unreachable)
+            or (
+                isinstance(error, CallFailed)
+                and error.detail.outcome.value == "not_run"
+                and error.detail.retry_after_s
+            )
+            for error in self.refusals()
+        )
+
+    def refused_within(self, bound_s):
+        return all(
+            request.ended_at - request.started_at < bound_s
+            for request in self.requests
+            if request.error
+        )
+
+    def describe(self):
+        return [str(error) for error in self.refusals()][:3]
--- /dev/null
+++ b/tests/scenarios/language.py
@@ -0,0 +1,351 @@
+"""Run scenarios: text that starts, harms and observes real processes."""
+
+import signal
+import threading
+import time
+from functools import partial
+from pathlib import Path
+
+from lark import Lark, Token, Tree
+
+from arbutusyard.client import CallFailed, Client, ClientError, Unreachable
+from standins.cluster import ROOT, Cluster
+from tests.scenarios.groups import Group
+
+HERE = Path(__file__).parent
+PARSER = Lark((HERE / "grammar.lark").read_text(), parser="earley", lexer="dynamic")
+ACCOUNT = "cielo-maya"
+START_BOUND_S = 15.0
+NO_NEW_WORK_S = 1.5
+REFUSAL_BOUND_S = 0.5
+
+
+class ScenarioFailed(AssertionError):
+    """Report a condition that did not hold, with its line."""
+
+
+class Scenario:
+    """Hold the processes, groups and outcomes of one scenario."""
+
+    def __init__(self, cluster: Cluster):
+        self.cluster = cluster
+        self.groups = {}
+        self.outcomes = {}
+        self.engines = []
+        self.nodes = 0
+        self.linked = False
+
+    def run(self, text):
+        tree = PARSER.parse(text if text.endswith("\n") else text + "\n")
+        for statement in tree.children:
+            self._do(statement)
+
+    def _do(self, tree):
+        return getattr(self, "do_" + tree.data)(*map(_value, tree.children))
+
+    def _holds(self, tree):
+        return getattr(self, "is_" + tree.data)(*map(_value, tree.children))
+
+    # Statements
+
+    def do_system(self, workload, engines, entries, *options):
+        names = {option.data for option in options}
+        cluster = self.cluster
+        self.linked = "linked" in names
+        self.nodes = entries
+        self.engines = [f"q{number}" for number in range(engines)]
+        cluster.platform(*(["--weights-s", "2"] if "slow_weights" in names else []))
+        engine_args = ["--ignore-fencing"] if "unfenced" in names else []
+        service_args = ["--fenced"] if "fenced_service" in names else []
+        serves = f"{workload}/{workload}-assistant"
+        cluster.together(
+            partial(
+                cluster.service,
+                "x0",
+                f"{workload}/exchange",
+                "gt-0",
+                *service_args,
+                linked=self.linked,
+            ),
+            *(
+                partial(
+                    cluster.engine,
+                    name,
+                    serves,
+                    f"gt-{number}",
+                    *engine_args,
+                    linked=self.linked,
+                )
+                for number, name in enumerate(self.engines)
+            ),
+            *(partial(self._start_node, number) for number in range(entries)),
+        )
+        assert cluster.apply(ROOT / f"examples/{workload}.toml").returncode == 0
+        cluster.wait("the start", self._started, START_BOUND_S)
+
+    def do_process(self, action, *names):
+        for name in names:
+            getattr(self, "action_" + action)(name)
+
+    def do_delay(self, name, seconds):
+        self.cluster.order(f"{name}-link", delay_s=seconds)
+
+    def do_platform(self, what, number):
+        orders = {
+            "down": {"down": True},
+            "up": {"down": False, "delay_s": 0},
+            "slow": {"delay_s": number},
+            "loses": {"lose_answers": int(number or 1)},
+        }
+        self.cluster.order("platform", **orders[what])
+
+    def do_apply(self, weights, from_revision, name):
+        thread = threading.Thread(
+            target=self._apply, args=(weights, from_revision, name), daemon=True
+        )
+        thread.start()
+
+    def do_apply_now(self, weights):
+        self._apply(weights, None, "now")
+        if self.outcomes.get("now") != "accepted":
+            raise ScenarioFailed(f"apply gave {self.outcomes['now']}")
+
+    def do_send(self, count, work, account, entry, tokens, prompt, name):
+        group = Group(self._client(account or ACCOUNT, entry))
+        self.groups[name] = group
+        group.send(count, work, tokens or 12, prompt or "manual")
+
+    def do_reserve(self, part, key, entry, name):
+        threading.Thread(
+            target=self._reserve, args=(part, key, entry, name), daemon=True
+        ).start()
+
+    def do_leave(self, name):
+        self.cluster.order(name, leaving=True)
+
+    def do_until(self, bound_s, condition):
+        give_up_at = time.monotonic() + bound_s
+        while not self._try(condition):
+            if time.monotonic() > give_up_at:
+                raise ScenarioFailed(self._failure(condition, f"within {bound_s} s"))
+            time.sleep(0.02)
+
+    def do_expect(self, condition):
+        if not self._holds(condition):
+            raise ScenarioFailed(self._failure(condition, "at once"))
+
+    # Actions
+
+    def action_kill(self, name):
+        self.cluster.processes[name].kill()
+
+    def action_stop(self, name):
+        self.cluster.processes[name].signal(signal.SIGTERM)
+
+    def action_restart(self, name):
+        self.cluster.restart(name)
+
+    def action_freeze(self, name):
+        self.cluster.processes[name].signal(signal.SIGSTOP)
+
+    def action_thaw(self, name):
+        self.cluster.processes[name].signal(signal.SIGCONT)
+
+    def action_cut(self, name):
+        self._set_cut(name, True)
+
+    def action_heal(self, name):
+        self._set_cut(name, False)
+
+    def action_drop(self, name):
+        self.cluster.order(f"{name}-link", drop_replies=True)
+
+    # Conditions
+
+    def is_complete(self, name):
+        return self.groups[name].ended() and self.groups[name].complete()
+
+    def is_ended(self, name):
+        if name in self.groups:
+            return self.groups[name].ended()
+        return name in self.outcomes
+
+    def is_begun(self, name):
+        accepted = sum(
+            self.cluster.get(engine, "/_state")["accepted"] for engine in self.engines
+        )
+        return accepted >= len(self.groups[name].requests)
+
+    def is_reused_nothing(self, name):
+        answers = [request.answer for request in self.groups[name].requests]
+        return all(answer.cached_tokens == 0 for answer in answers)
+
+    def is_reused_most(self, name):
+        answers = [request.answer for request in self.groups[name].requests]
+        cached = sum(answer.cached_tokens for answer in answers)
+        return cached > 0.5 * sum(answer.prompt_tokens for answer in answers)
+
+    def is_refused_not_run(self, name):
+        return self.groups[name].refused_not_run()
+
+    def is_refused_at_once(self, name):
+        group = self.groups[name]
+        return bool(group.refusals()) and group.refused_within(REFUSAL_BOUND_S)
+
+    def is_p95_below(self, name, bound_s):
+        return self.groups[name].first_token_p95() < bound_s
+
+    def is_outcome(self, name, wanted):
+        return self.outcomes.get(name) == wanted
+
+    def is_one_of(self, first, second, wanted):
+        return [self.outcomes.get(first), self.outcomes.get(second)].count(wanted) == 1
+
+    def is_process_state(self, name, wanted):
+        process = self.cluster.processes[name]
+        match wanted:
+            case "stopped":
+                return process.popen.poll() == 0
+            case "draining":
+                return self.cluster.status(name)["draining"]
+            case "dead" | "alive":
+                members = self.cluster.status("c0")["members"]
+                states = {member["name"]: member["status"] for member in members}
+                return states.get(name) == wanted
+        return all(
+            self.cluster.status(f"e{number}")["backends"].get(name) == wanted
+            for number in range(self.nodes)
+            if self.cluster.processes[f"e{number}"].running()
+        )
+
+    def is_no_new_work(self, name):
+        before = self.cluster.get(name, "/_state")["accepted"]
+        time.sleep(NO_NEW_WORK_S)
+        return self.cluster.get(name, "/_state")["accepted"] == before
+
+    def is_has_weights(self, name, version):
+        return self.cluster.get(name, "/_state")["weights_version"] == version
+
+    def is_revision_everywhere(self, revision):
+        return all(
+            self.cluster.status(f"{kind}{number}")["revision"] == revision
+            for number in range(self.nodes)
+            for kind in "ce"
+        )
+
+    def is_revision_on(self, revision, name):
+        return self.cluster.status(name)["revision"] == revision
+
+    def is_executed(self, times):
+        return sum(self._executions()) == times
+
+    def is_at_most_once(self):
+        return all(count <= 1 for count in self._executions())
+
+    def is_no_lease(self, name):
+        leases = self.cluster.status(name)["leases"]
+        return all(lease["state"] != "held" for lease in leases)
+
+    def is_orders_forward(self):
+        for engine in self.engines:
+            fences = [o["fence"] for o in self.cluster.get(engine, "/_state")["orders"]]
+            if fences != sorted(fences):
+                return False
+        return True
+
+    # Help
+
+    def _start_node(self, number):
+        domain = f"gt-{number}"
+        self.cluster.control(f"c{number}", "gt-central", domain, linked=self.linked)
+        self.cluster.entry(
+            f"e{number}", f"c{number}", "gt-central", domain, linked=self.linked
+        )
+
+    def _started(self):
+        for number in range(self.nodes):
+            status = self.cluster.status(f"e{number}")
+            live = list(status["backends"].values()).count("live")
+            if status["revision"] != 1 or live != len(self.engines) + 1:
+                return False
+            if len(status["entries"]) != self.nodes:
+                return False
+        return True
+
+    def _set_cut(self, name, cut):
+        """Cut a node off from the platform and from all other nodes."""
+        cluster = self.cluster
+        if f"{name}-link" in cluster.processes:
+            cluster.order(f"{name}-link", cut=cut)
+            return
+        (cluster.cut_off.add if cut else cluster.cut_off.discard)(name)
+        cluster.order(f"{name}-platform", cut=cut)
+        cluster.order(f"{name}-udp", cut=cut)
+        cluster.order(f"{name}-rpc", cut=cut)
+        dropped = [cluster.address(name)] if cut else []
+        for number in range(self.nodes):
+            if f"c{number}" != name:
+                cluster.order(f"c{number}-udp", drop_from=dropped)
+
+    def _client(self, account, entry=None, retries=8):
+        names = [entry] if entry else [f"e{number}" for number in range(self.nodes)]
+        seeds = tuple(self.cluster.address(name) for name in names)
+        return Client(seeds, f"demo-{account}", retries=retries)
+
+    def _apply(self, weights, from_revision, name):
+        text = (ROOT / "examples/quetzal.toml").read_text()
+        file = self.cluster.log_dir / f"{name}.toml"
+        file.write_text(text.replace('weights = "v1"', f'weights = "{weights}"'))
+        extra = []
+        if from_revision is not None:
+            extra = ["--from-revision", str(from_revision)]
+        result = self.cluster.apply(file, *extra)
+        if result.returncode == 0:
+            self.outcomes[name] = "accepted"
+        else:
+            conflict = "the change was made from" in result.stderr
+            self.outcomes[name] = "conflict" if conflict else result.stderr
+
+    def _reserve(self, part, key, entry, name):
+        client = self._client(ACCOUNT, entry, retries=0)
+        try:
+            client.call("POST", "exchange", "/reservations", {"part": part}, key=key)
+            self.outcomes[name] = "done"
+        except CallFailed as exc:
+            self.outcomes[name] = exc.detail.outcome.value
+        except Unreachable:
+            self.outcomes[name] = "unknown"
+        except ClientError as exc:
+            self.outcomes[name] = str(exc)
+
+    def _executions(self):
+        return self.cluster.get("x0", "/_executions")["executions"].values()
+
+    def _try(self, condition):
+        try:
+            return self._holds(condition)
+        except (KeyError, ValueError, OSError):
+            return False
+        except Exception as exc:
+            if type(exc).__module__.startswith("urllib3"):
+                return False
+            raise
+
+    def _failure(self, condition, when):
+        words = " ".join(str(child) for child in condition.children)
+        detail = {name: group.describe() for name, group in self.groups.items()}
+        return (
+            f"{condition.data} {words} did not hold {when}; "
+            f"refusals {detail}, outcomes {self.outcomes}"
+        )
+
+
+def _value(child):
+    if child is None or isinstance(child, Tree):
+        return child
+    if isinstance(child, Token):
+        if child.type == "INT":
+            return int(child)
+        if child.type == "NUMBER":
+            return float(child)
+    return str(child)
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,12 @@
+"""Run every scenario file."""
+
+import pytest
+
+from tests.scenarios.language import HERE, Scenario
+
+FILES = sorted(HERE.glob("*.scn"))
+
+
+@pytest.mark.parametrize("file", FILES, ids=lambda file: file.stem)
+def test_scenario(file, cluster):
+    Scenario(cluster).run(file.read_text())
