--- a/arbutusyard/backends/models.py
+++ b/arbutusyard/backends/models.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from arbutusyard.routing.load import QueuePart
+
 
 class BackendState(enum.Enum):
     """Name whether a backend server may get new work."""
@@ -23,6 +25,7 @@
     weights_version: str = ""
     incarnation: str = ""
     queue_s: float = 0.0
+    queue_parts: tuple[QueuePart, ...] = ()
     running: int = 0
     max_batch: int = 32
     prefill_piece_s: float = 0.1
--- a/arbutusyard/entry/state.py
+++ b/arbutusyard/entry/state.py
@@ -157,6 +157,7 @@
                 prefill_piece_s=report.prefill_piece_s,
                 import_piece_s=report.import_piece_s,
                 decode_step_s=report.decode_step_s,
+                parts=report.queue_parts,
             )
             self.router.report(backend.name, report.incarnation, load, now)
 
--- a/arbutusyard/routing/coordinator.py
+++ b/arbutusyard/routing/coordinator.py
@@ -101,13 +101,18 @@
         self.index.learn(backend, incarnation, chain.pieces, now)
 
     def _candidate(
-        self, work: Work, target: Target, depths: dict[str, int], now: float
+        self,
+        work: Work,
+        target: Target,
+        depths: dict[str, int],
+        now: float,
     ) -> Candidate:
         load = self.load(target.name, now)
         return Candidate(
             backend=target.name,
             failure_domain=target.failure_domain,
             wait_s=load.wait_s(work.priority, now),
+            queue_s=load.queue_s(now),
             full=load.full(),
             cached=depths.get(target.name, 0),
             prefill_piece_s=load.report.prefill_piece_s,
--- a/arbutusyard/routing/load.py
+++ b/arbutusyard/routing/load.py
@@ -6,9 +6,17 @@
     DEFAULT_DECODE_STEP_S,
     DEFAULT_PIECE_PREFILL_S,
     LOAD_STALE_S,
+    LOWEST_PRIORITY,
 )
 
 
+class QueuePart(Struct, frozen=True, array_like=True):
+    """Hold the prompt work of one priority that waits, in seconds."""
+
+    priority: int
+    queue_s: float
+
+
 class LoadReport(Struct, frozen=True):
     """Hold what a backend server said of its load at one moment."""
 
@@ -19,6 +27,7 @@
     prefill_piece_s: float = DEFAULT_PIECE_PREFILL_S
     import_piece_s: float = DEFAULT_PIECE_PREFILL_S
     decode_step_s: float = DEFAULT_DECODE_STEP_S
+    parts: tuple[QueuePart, ...] = ()
 
 
 class Dispatch(Struct):
@@ -53,21 +62,40 @@
         self.dispatches.pop(request_id, None)
         self.in_flight = max(0, self.in_flight - 1)
 
+    def queue_s(self, now: float) -> float:
+        """Estimate all prompt work that waits, in seconds."""
+        before, since = self._own_work(LOWEST_PRIORITY)
+        return max(self._reported_s(now), before) + since
+
     def wait_s(self, priority: int, now: float) -> float:
         """Estimate the wait of a new request, in seconds."""
-        reported = self._reported_s(now)
-        own_before, own_since = self._own_work(priority)
-        return max(reported, own_before) + own_since
+        before, since = self._own_work(priority)
+        return max(self._reported_ahead_s(priority, now), before) + since
 
     def full(self) -> bool:
         """Tell whether the batch leaves no place for another answer."""
         return max(self.report.running, self.in_flight) >= self.report.max_batch
 
     def _reported_s(self, now: float) -> float:
+        return self._drained(self.report.queue_s, now)
+
+    def _reported_ahead_s(self, priority: int, now: float) -> float:
+        """Return the reported work that goes ahead; without parts, only the own counts.
+
+        The most urgent work waits shortest, so little of an unsplit queue is ahead.
+        """
+        if not self.report.parts and self.dispatches:
+            own, _ = self._own_work(priority)
+            everything, _ = self._own_work(LOWEST_PRIORITY)
+            return self._reported_s(now) if own == everything > 0 else own
+        ahead = sum(p.queue_s for p in self.report.parts if p.priority <= priority)
+        return self._drained(ahead, now)
+
+    def _drained(self, queue_s: float, now: float) -> float:
         age_s = now - self.report.taken_at
         if age_s > LOAD_STALE_S:
             return 0.0
-        return max(0.0, self.report.queue_s - age_s)
+        return max(0.0, queue_s - age_s)
 
     def _own_work(self, priority: int) -> tuple[float, float]:
         before = since = 0.0
--- a/arbutusyard/routing/models.py
+++ b/arbutusyard/routing/models.py
@@ -22,6 +22,7 @@
     backend: str
     failure_domain: str
     wait_s: float
+    queue_s: float
     full: bool
     cached: int
     prefill_piece_s: float
--- a/arbutusyard/routing/policy.py
+++ b/arbutusyard/routing/policy.py
@@ -4,15 +4,25 @@
 from random import Random
 
 from arbutusyard.routing.chain import rank
-from arbutusyard.routing.const import CROSS_DOMAIN_COST_S, FULL_BATCH_COST_S
+from arbutusyard.routing.const import (
+    CROSS_DOMAIN_COST_S,
+    FULL_BATCH_COST_S,
+    PRICE_PRESSURE_S,
+)
 from arbutusyard.routing.models import Candidate, Work
 
 
 @dataclass(frozen=True, slots=True)
 class PricedPrefix:
-    """Weigh the expected wait against a priced recomputation."""
+    """Weigh the expected wait against a priced recomputation.
+
+    Computing a piece again takes capacity from all that waits, so the price grows with
+    the mean queue: by its own size for each `pressure_s` of it, and not at all when
+    that is infinite.
+    """
 
     price_factor: float = 1.0
+    pressure_s: float = PRICE_PRESSURE_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,8 +57,9 @@
 def choose(policy: Policy, work: Work, candidates: list[Candidate]) -> Candidate:
     """Return the candidate that a policy prefers; there is at least one."""
     match policy:
-        case PricedPrefix(price_factor=factor):
-            return _cheapest(work, candidates, factor)
+        case PricedPrefix(price_factor=factor, pressure_s=pressure_s):
+            queue_s = min(candidate.queue_s for candidate in candidates)
+            return _cheapest(work, candidates, factor * (1 + queue_s / pressure_s))
         case LeastLoaded():
             return min(candidates, key=lambda c: (c.full, c.wait_s, c.backend))
         case PrefixHash(piece=piece):
--- /dev/null
+++ b/measure/report.py
@@ -0,0 +1,44 @@
+"""Print measured tables and keep them with the commit that gave them."""
+
+import json
+import subprocess
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+MEASURED = ROOT / "docs" / "measured"
+
+
+@dataclass(slots=True)
+class Table:
+    """Hold one table."""
+
+    title: str
+    columns: tuple[str, ...]
+    rows: list[tuple[str, ...]] = field(default_factory=list)
+
+    def markdown(self) -> str:
+        """Return the table as text."""
+        lines = [f"## {self.title}", "", "| " + " | ".join(self.columns) + " |"]
+        lines.append("|" + " --- |" * len(self.columns))
+        lines += ["| " + " | ".join(map(str, row)) + " |" for row in self.rows]
+        return "\n".join(lines) + "\n"
+
+
+def write(name: str, title: str, tables: list[Table], how: str) -> None:
+    """Print tables and keep them as text and as data."""
+    head = f"# {title}\n\nCommit {commit()}, `script/measure {name}`, {how}.\n\n"
+    text = head + "\n".join(table.markdown() for table in tables)
+    print(text)
+    MEASURED.mkdir(parents=True, exist_ok=True)
+    (MEASURED / f"{name}.md").write_text(text)
+    data = {"commit": commit(), "how": how, "tables": [asdict(t) for t in tables]}
+    (MEASURED / f"{name}.json").write_text(json.dumps(data, indent=1) + "\n")
+
+
+def commit() -> str:
+    """Return the commit that is measured, marked when files have changed since."""
+    command = ["git", "-C", str(ROOT), "describe", "--always", "--abbrev=10"]
+    command += ["--dirty=, with changes", "--exclude=*"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    return done.stdout.strip() or "unknown"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -100,6 +100,7 @@
             "weights_version": self.version,
             "incarnation": self.incarnation,
             "queue_s": self.core.queue_s(),
+            "queue_parts": self.core.queue_parts(),
             "running": len(self.core.running),
             "max_batch": self.core.params.max_batch,
             "waiting": self.core.waiting(),
--- a/standins/enginecore.py
+++ b/standins/enginecore.py
@@ -135,6 +135,12 @@
         """Count the jobs whose prompt is not computed yet."""
         return len(self._waiting)
 
+    def next_job(self) -> Job | None:
+        """Return the job whose prompt the next step works on."""
+        if self._waiting and len(self.running) < self.params.max_batch:
+            return self._waiting[0][2]
+        return None
+
     def idle(self) -> bool:
         """Tell whether a step would do nothing."""
         return not self.running and not self._waiting
@@ -144,6 +150,23 @@
         pieces = sum(len(j.pieces) - j.done_pieces for _, _, j in self._waiting)
         return pieces * self.params.prefill_piece_s
 
+    def queue_parts(self) -> list[tuple[int, float]]:
+        """Return the prompt work of each priority that waits, in seconds."""
+        parts: dict[int, float] = {}
+        for priority, _, job in self._waiting:
+            work_s = (len(job.pieces) - job.done_pieces) * self.params.prefill_piece_s
+            parts[priority] = parts.get(priority, 0.0) + work_s
+        return sorted(parts.items())
+
+    def queue_before_s(self, priority: int) -> float:
+        """Return the prompt work that a new job of a priority would wait for."""
+        pieces = sum(
+            len(job.pieces) - job.done_pieces
+            for job_priority, _, job in self._waiting
+            if job_priority <= priority
+        )
+        return pieces * self.params.prefill_piece_s
+
     def step(self, now: float) -> StepResult:
         """Do one piece of prompt work and one token for each running answer."""
         result = StepResult(0.0)
