Add state machines and byte-reader properties; measure the path

Cause: claims, configuration and the cache index had models and scenarios, but nothing drove their real code through arbitrary orders of failures.

--- /dev/null
+++ b/measure/path.py
@@ -0,0 +1,211 @@
+"""Measure what an entry adds to a request, and what the daemons cost."""
+
+import json
+import os
+import statistics
+import tempfile
+import threading
+import time
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+
+import urllib3
+
+from measure.report import Table, write
+from standins.cluster import ROOT, Cluster
+
+MODEL = "quetzal-assistant"
+KEY = "demo-cielo-maya"
+REQUESTS_PER_S = 27
+TOKENS_PER_REQUEST = 450
+SECONDS = 20.0
+WARM_S = 4.0
+IDLE_S = 60.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+MIB = 1024 * 1024
+ENGINES = 3
+STEP_S = 0.02
+
+
+@dataclass
+class Times:
+    """Collect the times of one way to the engines."""
+
+    first_s: list[float] = field(default_factory=list)
+    between_s: list[float] = field(default_factory=list)
+    incomplete: int = 0
+
+
+def send(address: str, body: bytes, times: Times, warm: bool) -> None:
+    """Send one request and time each of its events."""
+    pool = urllib3.PoolManager(retries=False, timeout=30)
+    headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
+    started = time.perf_counter()
+    last = 0.0
+    done = False
+    resp = pool.request(
+        "POST",
+        f"http://{address}/v1/chat/completions",
+        body=body,
+        headers=headers,
+        preload_content=False,
+    )
+    for data in resp.stream():
+        now = time.perf_counter()
+        if data.startswith(b":"):
+            continue
+        if not warm and last:
+            times.between_s.append(now - last)
+        elif not warm and not last:
+            times.first_s.append(now - started)
+        last = now
+        done = done or b"[DONE]" in data
+    times.incomplete += not done
+
+
+def offer(addresses: list[str], times: Times) -> None:
+    """Offer the load of one node at an even rate."""
+    threads = []
+    started = time.perf_counter()
+    for number in range(int(REQUESTS_PER_S * SECONDS)):
+        wait_s = started + number / REQUESTS_PER_S - time.perf_counter()
+        time.sleep(max(0.0, wait_s))
+        warm = number / REQUESTS_PER_S < WARM_S
+        address = addresses[number % len(addresses)]
+        job = partial(send, address, request_body(number), times, warm)
+        threads.append(threading.Thread(target=job))
+        threads[-1].start()
+    for thread in threads:
+        thread.join()
+
+
+def request_body(number: int) -> bytes:
+    """Return a streamed request with a shared prefix."""
+    messages = [
+        {"role": "system", "content": f"manual {number % 4} " * 1200},
+        {"role": "user", "content": f"question {number}"},
+    ]
+    return json.dumps(
+        {
+            "model": MODEL,
+            "messages": messages,
+            "max_tokens": TOKENS_PER_REQUEST,
+            "stream": True,
+        }
+    ).encode()
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def resident_mib(pid: int) -> float:
+    """Return the resident memory of a process."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * PAGE_BYTES / MIB
+
+
+def quantile_ms(values: list[float], part: float) -> float:
+    """Return a quantile in milliseconds."""
+    ordered = sorted(values)
+    return 1000 * ordered[min(len(ordered) - 1, int(len(ordered) * part))]
+
+
+def restart_s(cluster: Cluster) -> float:
+    """Kill the entry with the platform down; return the time until it serves."""
+    cluster.order("platform", down=True)
+    cluster.processes["e0"].kill()
+    started = time.perf_counter()
+    restart = threading.Thread(target=cluster.restart, args=("e0",))
+    restart.start()
+    body = request_body(0).replace(str(TOKENS_PER_REQUEST).encode(), b"1")
+    while True:
+        try:
+            times = Times()
+            send(cluster.address("e0"), body, times, False)
+            if not times.incomplete:
+                break
+        except urllib3.exceptions.HTTPError:
+            time.sleep(0.005)
+    restart.join()
+    cluster.order("platform", down=False)
+    return time.perf_counter() - started
+
+
+def main() -> None:
+    """Measure both ways in one run, in turn."""
+    with tempfile.TemporaryDirectory() as logs, Cluster(Path(logs)) as cluster:
+        cluster.platform()
+        engine = ("--decode-step-s", str(STEP_S), "--max-batch", "512")
+        cluster.together(
+            *(
+                partial(cluster.engine, f"q{n}", f"quetzal/{MODEL}", f"gt-{n}", *engine)
+                for n in range(ENGINES)
+            ),
+            partial(cluster.control, "c0", "gt-central", "gt-0"),
+        )
+        cluster.entry("e0", "c0", "gt-central", "gt-0")
+        raise_limits(cluster)
+        cluster.wait("start", lambda: ready(cluster), 15)
+        direct, routed = Times(), Times()
+        engines = [cluster.address(f"q{n}") for n in range(ENGINES)]
+        offer(engines, direct)
+        entry, control = (cluster.processes[name].popen.pid for name in ("e0", "c0"))
+        before, began = (cpu_s(entry), cpu_s(control)), time.perf_counter()
+        offer([cluster.address("e0")], routed)
+        spent = time.perf_counter() - began
+        entry_cpu = (cpu_s(entry) - before[0]) / spent
+        control_cpu = (cpu_s(control) - before[1]) / spent
+        time.sleep(max(0.0, IDLE_S - spent))
+        memory = (resident_mib(entry), resident_mib(control))
+        restarts = [restart_s(cluster) for _ in range(5)]
+    times = Table("Times", ("figure", "direct", "through the entry", "added", "bound"))
+    for label, name, part, bound in (
+        ("first token p50, ms", "first_s", 0.5, ""),
+        ("first token p95, ms", "first_s", 0.95, "5"),
+        ("between tokens p50, ms", "between_s", 0.5, ""),
+        ("between tokens p95, ms", "between_s", 0.95, "2"),
+    ):
+        a = quantile_ms(getattr(direct, name), part)
+        b = quantile_ms(getattr(routed, name), part)
+        times.rows.append((label, f"{a:.1f}", f"{b:.1f}", f"{b - a:.1f}", bound))
+    lost = (str(direct.incomplete), str(routed.incomplete))
+    times.rows.append(("incomplete", *lost, "", "0"))
+    cost = Table("Cost", ("figure", "measured", "bound"))
+    cost.rows += [
+        ("entry, cores", f"{entry_cpu:.2f}", "1"),
+        ("control, cores", f"{control_cpu:.3f}", "0.049"),
+        ("entry, resident MiB", f"{memory[0]:.1f}", ""),
+        ("control, resident MiB", f"{memory[1]:.1f}", "64"),
+        (
+            "killed entry serves again, platform down, s (median, most)",
+            f"{statistics.median(restarts):.2f}, {max(restarts):.2f}",
+            "1",
+        ),
+    ]
+    how = f"{REQUESTS_PER_S} requests/s of {TOKENS_PER_REQUEST} tokens, {SECONDS} s"
+    write("path", "Path through an entry", [times, cost], how)
+
+
+def raise_limits(cluster: Cluster) -> None:
+    """Apply the example with limits above the offered load."""
+    text = (ROOT / "examples/quetzal.toml").read_text()
+    text = text.replace("at_once = 64", "at_once = 4096")
+    file = cluster.log_dir / "path.toml"
+    file.write_text(text)
+    cluster.apply(file)
+
+
+def ready(cluster: Cluster) -> bool:
+    """Tell whether the entry knows the configuration and the engines."""
+    status = cluster.status("e0")
+    live = list(status["backends"].values()).count("live")
+    return status["revision"] == 1 and live == ENGINES
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/routing/test_index.py
@@ -0,0 +1,92 @@
+"""Compare the prefix index with a plain model of it."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from arbutusyard.routing.chain import build_chain, rank, salt
+from arbutusyard.routing.index import PrefixIndex
+
+KEEP_S = 10.0
+MAX_ENTRIES = 8
+BACKENDS = st.sampled_from(["w0", "w1", "w2"])
+LENGTHS = st.integers(1, 4)
+STEMS = st.sampled_from([b"a", b"b", b"c"])
+
+
+def pieces(stem, length):
+    return tuple(stem + bytes([n]) for n in range(length))
+
+
+class IndexMachine(RuleBasedStateMachine):
+    """Whatever was learned, nothing of a dead incarnation or too old counts."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.index = PrefixIndex(MAX_ENTRIES, KEEP_S)
+        self.live = {}
+        self.learned = {}
+
+    @rule(backend=BACKENDS, number=st.integers(0, 2))
+    def name_incarnation(self, backend, number):
+        self.index.set_incarnation(backend, f"{backend}.{number}")
+        self.live[backend] = f"{backend}.{number}"
+
+    @rule(backend=BACKENDS)
+    def forget(self, backend):
+        self.index.forget(backend)
+        self.live.pop(backend, None)
+
+    @rule(backend=BACKENDS, number=st.integers(0, 2), stem=STEMS, length=LENGTHS)
+    def learn(self, backend, number, stem, length):
+        incarnation = f"{backend}.{number}"
+        self.index.learn(backend, incarnation, pieces(stem, length), self.now)
+        if self.live.get(backend) == incarnation:
+            for piece in pieces(stem, length):
+                self.learned[backend, piece] = (incarnation, self.now)
+
+    @rule(backend=BACKENDS, stem=STEMS, length=LENGTHS)
+    def unlearn(self, backend, stem, length):
+        self.index.unlearn(backend, pieces(stem, length))
+        for piece in pieces(stem, length):
+            self.learned.pop((backend, piece), None)
+
+    @rule(elapsed=st.floats(0, 12))
+    def pass_time(self, elapsed):
+        self.now += elapsed
+
+    @invariant()
+    def claims_no_more_than_was_learned(self):
+        assert len(self.index) <= MAX_ENTRIES
+        for stem in (b"a", b"b", b"c"):
+            for backend, depth in self.index.match(pieces(stem, 4), self.now).items():
+                for piece in pieces(stem, depth):
+                    incarnation, at = self.learned[backend, piece]
+                    assert incarnation == self.live[backend]
+                    assert self.now - at <= KEEP_S
+
+
+TestIndex = IndexMachine.TestCase
+TestIndex.settings = settings(max_examples=150, stateful_step_count=30)
+
+
+def test_accounts_and_versions_share_no_piece():
+    text = b"x" * 9000
+    chains = [
+        build_chain(text, salt(account, "m", version)).pieces
+        for account in ("a", "b")
+        for version in ("v1", "v2")
+    ]
+    assert len({piece for chain in chains for piece in chain}) == 4 * 3
+
+
+def test_salt_keeps_its_parts_apart():
+    assert salt("ab", "c", "d") != salt("a", "bc", "d")
+
+
+def test_rank_moves_only_the_names_that_are_lost():
+    names = [f"e{number}" for number in range(7)]
+    for key in (b"a", b"b", b"c"):
+        full = rank(key, names)
+        assert rank(key, [n for n in names if n != full[3]]) == full[:3] + full[4:]
--- /dev/null
+++ b/tests/test_outside_bytes.py
@@ -0,0 +1,205 @@
+"""Feed any bytes to the readers of bytes from outside: a typed error or a value."""
+
+import contextlib
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutusyard.backends.exceptions import BackendLost
+from arbutusyard.backends.stream import EngineStream, EventKind
+from arbutusyard.config.delta import diff, patch
+from arbutusyard.config.models import Account, Configuration, Workload
+from arbutusyard.entry.exceptions import Refused
+from arbutusyard.entry.models import ResumeToken
+from arbutusyard.entry.parse import read_chat
+from arbutusyard.entry.resume import ResumeTokens
+from arbutusyard.questionnaire.check import check, check_text
+from arbutusyard.questionnaire.const import QUESTIONNAIRE
+from arbutusyard.rpc.exceptions import MessageRejected
+from arbutusyard.rpc.seal import Envelope, ReplayGuard, Sealer
+from standins.cluster import ROOT
+
+KEYS = (b"k" * 16, b"l" * 16)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(
+            st.sampled_from(["model", "messages", "role", "content", "stream", "x"]),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+TOKEN = ResumeToken("w/a", "r", "q0", "i1", "s", "v1")
+
+
+@given(st.binary(max_size=200) | JSON.map(msgspec.json.encode))
+def test_chat_bodies(data):
+    try:
+        req, _ = read_chat(data)
+    except Refused as refused:
+        assert refused.status == 400
+    else:
+        assert req.messages
+
+
+def test_deeply_nested_body_is_refused():
+    with pytest.raises(Refused):
+        read_chat(b'{"messages":' + b"[" * 100_000)
+
+
+@given(st.text(max_size=300))
+def test_questionnaire_text(text):
+    result = check_text(text)
+    assert result.is_ok() or result.error
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from([question.name for question in QUESTIONNAIRE]), JSON, max_size=5
+    )
+)
+def test_questionnaire_answers(answers):
+    result = check(answers)
+    assert result.is_ok() or all(str(wrong) for wrong in result.error)
+
+
+@pytest.mark.parametrize("name", ["quetzal", "venture"])
+@given(st.data())
+def test_each_wrong_answer_is_named(name, data):
+    text = (ROOT / f"examples/{name}.toml").read_text()
+    lines = [n for n, line in enumerate(text.splitlines()) if " = " in line]
+    number = data.draw(st.sampled_from(lines))
+    changed = text.splitlines()
+    question = changed[number].split(" = ")[0]
+    changed[number] = f"{question} = []"
+    result = check_text("\n".join(changed))
+    if question == "large":
+        return
+    assert result.is_error()
+    assert any(wrong.question.endswith(question) for wrong in result.error)
+
+
+@given(st.binary(max_size=120))
+def test_peer_messages(data):
+    with pytest.raises(MessageRejected):
+        Sealer(KEYS).decode(data, Envelope)
+
+
+@given(st.binary(max_size=80))
+def test_sealed_nonsense(data):
+    sealer = Sealer(KEYS)
+    with contextlib.suppress(MessageRejected):
+        sealer.decode(sealer.seal(data), Envelope)
+
+
+def test_either_key_is_accepted_during_a_change():
+    old, new = Sealer(KEYS[1:]), Sealer(KEYS)
+    assert new.open(old.seal(b"x")) == b"x"
+    with pytest.raises(MessageRejected):
+        old.open(new.seal(b"x"))
+
+
+@given(st.lists(st.tuples(st.integers(0, 2), st.integers(0, 40)), max_size=60))
+def test_replays_and_stale_incarnations_are_dropped(messages):
+    guard = ReplayGuard()
+    taken = []
+    for incarnation, seq in messages:
+        envelope = Envelope("c0", incarnation, seq, msgspec.Raw(b""))
+        try:
+            guard.check(envelope)
+        except MessageRejected:
+            stale = taken and incarnation < max(taken)[0]
+            assert stale or (incarnation, seq) in taken
+        else:
+            assert (incarnation, seq) not in taken
+            taken.append((incarnation, seq))
+
+
+@given(st.text(max_size=120) | st.binary(max_size=90).map(bytes.hex))
+def test_resume_tokens(text):
+    with pytest.raises(Refused):
+        ResumeTokens(KEYS).read(text, "w/a")
+
+
+@given(st.integers(0, 200), st.integers(1, 255))
+def test_changed_resume_token_is_refused(position, change):
+    tokens = ResumeTokens(KEYS)
+    data = bytearray(tokens.issue(TOKEN).encode())
+    data[position % len(data)] ^= change
+    try:
+        found = tokens.read(bytes(data).decode("latin-1"), "w/a")
+    except Refused:
+        return
+    assert found == TOKEN
+
+
+def test_resume_token_of_another_account_is_refused():
+    tokens = ResumeTokens(KEYS)
+    assert tokens.read(tokens.issue(TOKEN), "w/a") == TOKEN
+    with pytest.raises(Refused) as refused:
+        tokens.read(tokens.issue(TOKEN), "w/b")
+    assert refused.value.status == 403
+
+
+class FakeResponse:
+    """Give an engine's bytes in chunks."""
+
+    headers = {}
+
+    def __init__(self, chunks):
+        self.chunks = chunks
+
+    def stream(self, _):
+        return iter(self.chunks)
+
+
+@given(st.lists(st.binary(max_size=40), max_size=6))
+def test_event_streams(chunks):
+    with contextlib.suppress(BackendLost):
+        list(EngineStream("q0", FakeResponse(chunks)).events(0))
+
+
+@given(st.lists(st.integers(1, 30), max_size=12))
+def test_events_come_in_order_however_they_are_cut(cuts):
+    data = b"".join(b"id: %d\ndata: {}\n\n: keepalive\n\n" % n for n in range(5))
+    data += b"id: 5\ndata: [DONE]\n\n"
+    chunks, position = [], 0
+    for cut in cuts:
+        chunks.append(data[position : position + cut])
+        position += cut
+    chunks.append(data[position:])
+    events = [
+        event
+        for event in EngineStream("q0", FakeResponse(chunks)).events(0)
+        if event.kind is not EventKind.KEEPALIVE
+    ]
+    assert [event.index for event in events] == list(range(6))
+    assert events[-1].kind is EventKind.DONE
+
+
+@pytest.mark.parametrize("numbers", [(0, 2), (1,), (0, 0)])
+def test_gap_or_repeat_in_a_stream_is_a_loss(numbers):
+    data = b"".join(b"id: %d\ndata: {}\n\n" % n for n in numbers)
+    with pytest.raises(BackendLost):
+        list(EngineStream("q0", FakeResponse([data])).events(0))
+
+
+ACCOUNTS = st.dictionaries(st.sampled_from("abcd"), st.integers(1, 3), max_size=4).map(
+    lambda found: tuple(Account(n, n, found[n], 1) for n in sorted(found))
+)
+WORKLOADS = st.dictionaries(st.sampled_from("xyz"), ACCOUNTS, max_size=3).map(
+    lambda found: tuple(
+        Workload(name, "r", 1.0, "c", (), (), found[name], ()) for name in sorted(found)
+    )
+)
+
+
+@given(WORKLOADS, WORKLOADS)
+def test_difference_leads_from_one_configuration_to_the_other(old, new):
+    before, after = Configuration(1, "a", old), Configuration(2, "b", new)
+    assert patch(before, diff(before, after)) == after
