Hold accounts to fair shares in the entry; count the other nodes' dispatches

Cause: at 5 times the capacity goodput fell to 14.6/s of 23.5/s at twice the capacity. Between two late load reports every entry knows only what itself has sent, so all of them admit into the same gap.

Change: work sent since a report counts as many times as the reported queue is larger than the own part of it, at most 8 times. Entries refuse by fair share under pressure ("fair_share", with when to come back).

--- a/arbutusyard/entry/relay.py
+++ b/arbutusyard/entry/relay.py
@@ -290,7 +290,8 @@
         return self._prefix + "".join(event_text(raw) for raw in self._sent)
 
     def _check_wait(self, choice: Choice, now: float) -> None:
-        late_s = choice.expected_wait_s - self._work.work_class.first_token_s
+        bound_s = self._work.work_class.first_token_s
+        late_s = choice.expected_wait_s - bound_s
         total_s = choice.expected_wait_s + choice.work_s
         late_s = max(late_s, now + total_s - self._work.deadline_at)
         if late_s > 0:
@@ -300,6 +301,15 @@
                 f"the answer would begin {late_s:.1f} s too late",
                 retry_after_s=max(late_s, MIN_RETRY_AFTER_S),
             )
+        if not self._state.fair_share.admit(
+            self._work.caller.name, choice.work_s, choice.expected_wait_s, bound_s, now
+        ):
+            raise Refused(
+                429,
+                "fair_share",
+                "the client account takes more than its share of a full system",
+                retry_after_s=max(choice.expected_wait_s, MIN_RETRY_AFTER_S),
+            )
 
     def _check_retry(self, tries: int) -> None:
         outcome = OutcomeKind.UNKNOWN if self._left else OutcomeKind.NOT_RUN
--- a/arbutusyard/entry/state.py
+++ b/arbutusyard/entry/state.py
@@ -18,6 +18,7 @@
 )
 from arbutusyard.entry.models import Caller
 from arbutusyard.limits.coordinator import Limiter
+from arbutusyard.limits.fairness import FairShare
 from arbutusyard.membership.models import EntryView
 from arbutusyard.questionnaire.keys import hash_key
 from arbutusyard.routing.coordinator import Router, Target
@@ -34,6 +35,7 @@
         "config",
         "draining",
         "entries",
+        "fair_share",
         "in_flight",
         "limiter",
         "me",
@@ -48,6 +50,7 @@
         self.config = Configuration(0, "")
         self.backends: dict[str, Backend] = {}
         self.entries: tuple[EntryView, ...] = (me,)
+        self.fair_share = FairShare()
         self.in_flight = 0
         self.draining = False
         self.updated_at = 0.0
--- a/arbutusyard/routing/load.py
+++ b/arbutusyard/routing/load.py
@@ -7,6 +7,7 @@
     DEFAULT_PIECE_PREFILL_S,
     LOAD_STALE_S,
     LOWEST_PRIORITY,
+    OTHERS_MAX,
 )
 
 
@@ -70,7 +71,8 @@
     def wait_s(self, priority: int, now: float) -> float:
         """Estimate the wait of a new request, in seconds."""
         before, since = self._own_work(priority)
-        return max(self._reported_ahead_s(priority, now), before) + since
+        reported = self._reported_ahead_s(priority, now)
+        return max(reported, before) + since * self._others(reported, before)
 
     def full(self) -> bool:
         """Tell whether the batch leaves no place for another answer."""
@@ -91,6 +93,13 @@
         ahead = sum(p.queue_s for p in self.report.parts if p.priority <= priority)
         return self._drained(ahead, now)
 
+    @staticmethod
+    def _others(reported_s: float, own_s: float) -> float:
+        """Return how many times the own work all nodes have sent, by the report."""
+        if own_s <= 0:
+            return 1.0
+        return min(max(reported_s / own_s, 1.0), OTHERS_MAX)
+
     def _drained(self, queue_s: float, now: float) -> float:
         age_s = now - self.report.taken_at
         if age_s > LOAD_STALE_S:
