--- a/arbutusyard/limits/fairness.py
+++ b/arbutusyard/limits/fairness.py
@@ -5,7 +5,7 @@
 from arbutusyard.limits.bucket import DemandMeter
 
 PRESSURE_PART: Final = 0.5
-SHARE_SLACK: Final = 1.25
+SHARE_SLACK: Final = 0.95
 
 
 class FairShare:
