Bound a routing decision, the fan-out and datagrams at the target size

Cause: script/measure capacity, before this change: a decision among the 580 workers of one model takes 3,484 us (200 allowed), since every target became a candidate and all ties were hashed; the whole list of 5,800 workers went to the entry four times a second (0.0136 of a core); membership took 4.80 KB/s (3).

Ruled out: fewer than 24 candidates without the holders (few fixed candidates lose, as the proposed design says); filtering the whole list for each request (304 us).

Change: beyond 24 targets only the account's 24 by rendezvous hash and the holders of the prefix are weighed; target lists are built once a change; the control sends what has changed; datagrams have at most 600 bytes when there are more than 32 members.

Still over budget: polling workers for their load, 0.060 of a core and 36 KB/s at the bound of 40 polls a second.

--- a/arbutusyard/backends/coordinator.py
+++ b/arbutusyard/backends/coordinator.py
@@ -34,6 +34,7 @@
     name = "backends"
 
     __slots__ = (
+        "_changed_at",
         "_client",
         "_failures",
         "_platform",
@@ -49,6 +50,7 @@
     def __init__(self, platform: PlatformClient, client: BackendClient) -> None:
         self._platform = platform
         self._client = client
+        self._changed_at: dict[str, int] = {}
         self._failures: dict[str, int] = {}
         self._polls: dict[str, gevent.Greenlet] = {}
         self._seen_at: dict[str, float] = {}
@@ -82,6 +84,14 @@
         """Return every backend server with the present age of its report."""
         return tuple(self._aged(backend, now) for backend in self.backends.values())
 
+    def view_since(self, change: int, now: float) -> tuple[Backend, ...]:
+        """Return the backend servers that have changed after a change number."""
+        return tuple(
+            self._aged(backend, now)
+            for name, backend in self.backends.items()
+            if self._changed_at[name] > change
+        )
+
     def learn_list(self, vms: VmList) -> None:
         """Take over the platform's list; an empty list is not believed."""
         found = {
@@ -126,8 +136,7 @@
             self._replace(known, BackendState.LEAVING, known.report)
 
     def _add(self, backend: Backend) -> None:
-        self.backends[backend.name] = backend
-        self.changes += 1
+        self._store(backend)
         if backend.name not in self._polls:
             self._polls[backend.name] = self._supervisor.spawn(
                 f"poll.{backend.name}", self._poll_backend_forever, backend.name
@@ -135,6 +144,7 @@
 
     def _remove(self, name: str) -> None:
         del self.backends[name]
+        del self._changed_at[name]
         self._polls.pop(name).kill(block=False)
         self._failures.pop(name, None)
         self.changes += 1
@@ -172,10 +182,12 @@
     ) -> None:
         if backend.state is not state:
             _LOGGER.info("Backend server %s is %s", backend.name, state.value)
-        self.backends[backend.name] = msgspec.structs.replace(
-            backend, state=state, report=report
-        )
+        self._store(msgspec.structs.replace(backend, state=state, report=report))
+
+    def _store(self, backend: Backend) -> None:
         self.changes += 1
+        self.backends[backend.name] = backend
+        self._changed_at[backend.name] = self.changes
 
     def _aged(self, backend: Backend, now: float) -> Backend:
         age_s = backend.report.age_s + now - self._seen_at.get(backend.name, now)
--- a/arbutusyard/control/coordinator.py
+++ b/arbutusyard/control/coordinator.py
@@ -17,7 +17,7 @@
 )
 from arbutusyard.control.messages import (
     AccountShare,
-    BackendList,
+    BackendChanges,
     ConfigDeltas,
     ConfigSnapshot,
     ControlMessage,
@@ -46,6 +46,7 @@
     """Remember what an entry was sent, so that only changes follow."""
 
     revision: int = -1
+    backend_change: int = -1
     entries: tuple[EntryView, ...] = ()
 
 
@@ -118,7 +119,10 @@
         if sent.entries != entries:
             found.append(EntryList(entries))
             sent.entries = entries
-        found.append(BackendList(self.backends.view(now)))
+        if sent.backend_change != self.backends.changes:
+            changed = self.backends.view_since(sent.backend_change, now)
+            found.append(BackendChanges(changed, tuple(self.backends.backends)))
+            sent.backend_change = self.backends.changes
         found.append(ShareList(self._shares(entry)))
         return found
 
--- a/arbutusyard/control/messages.py
+++ b/arbutusyard/control/messages.py
@@ -36,10 +36,11 @@
     deltas: tuple[Delta, ...]
 
 
-class BackendList(Struct, frozen=True, tag="backends"):
-    """Carry every backend server with its report."""
+class BackendChanges(Struct, frozen=True, tag="backends"):
+    """Carry the backend servers that have changed, and the names of all."""
 
-    backends: tuple[Backend, ...]
+    changed: tuple[Backend, ...]
+    names: tuple[str, ...]
 
 
 class EntryList(Struct, frozen=True, tag="entries"):
@@ -62,7 +63,7 @@
 
 
 EntryMessage = Attach | EntryReport
-ControlMessage = ConfigSnapshot | ConfigDeltas | BackendList | EntryList | ShareList
+ControlMessage = ConfigSnapshot | ConfigDeltas | BackendChanges | EntryList | ShareList
 
 
 class PullRequest(Struct, frozen=True):
--- a/arbutusyard/entry/relay.py
+++ b/arbutusyard/entry/relay.py
@@ -219,13 +219,9 @@
     def _connect(self) -> None:
         now = clock.now()
         work = self._routable()
-        targets = [
-            target
-            for target in self._state.targets(
-                self._work.serves, self._work.weights_version
-            )
-            if target.name not in self._excluded
-        ]
+        targets = self._state.targets(self._work.serves, self._work.weights_version)
+        if self._excluded:
+            targets = [t for t in targets if t.name not in self._excluded]
         if not targets:
             raise self._no_backend()
         choice = self._state.router.route(work, targets, now)
--- a/arbutusyard/entry/state.py
+++ b/arbutusyard/entry/state.py
@@ -9,7 +9,7 @@
 from arbutusyard.config.exceptions import ConfigError
 from arbutusyard.config.models import Configuration, Service, Workload
 from arbutusyard.control.messages import (
-    BackendList,
+    BackendChanges,
     ConfigDeltas,
     ConfigSnapshot,
     ControlMessage,
@@ -30,6 +30,7 @@
 
     __slots__ = (
         "_callers",
+        "_targets",
         "_unreachable",
         "backends",
         "config",
@@ -55,6 +56,7 @@
         self.draining = False
         self.updated_at = 0.0
         self._callers: dict[str, Caller] = {}
+        self._targets: dict[tuple[str, str], list[Target]] = {}
         self._unreachable: dict[str, float] = {}
 
     def apply(self, message: ControlMessage, now: float) -> None:
@@ -65,8 +67,8 @@
                 self.set_config(config)
             case ConfigDeltas(deltas=deltas):
                 self._apply_deltas(deltas)
-            case BackendList(backends=backends):
-                self._set_backends(backends, now)
+            case BackendChanges(changed=changed, names=names):
+                self._change_backends(changed, names, now)
             case EntryList(entries=entries):
                 self.entries = entries or (self.me,)
             case ShareList(shares=shares):
@@ -96,19 +98,22 @@
 
     def targets(self, serves: str, weights_version: str = "") -> list[Target]:
         """Return the live engines of a model group, at one version if named."""
-        return [
-            Target(backend.name, backend.failure_domain, backend.report.incarnation)
-            for backend in self.backends.values()
-            if self._takes_work(backend, ROLE_ENGINE, serves)
-            and weights_version in ("", backend.report.weights_version)
-        ]
+        key = (serves, weights_version)
+        found = self._targets.get(key)
+        if found is None:
+            found = self._targets[key] = [
+                Target(backend.name, backend.failure_domain, backend.report.incarnation)
+                for backend in self.backends.values()
+                if self._takes_work(backend, ROLE_ENGINE, serves)
+                and weights_version in ("", backend.report.weights_version)
+            ]
+        return found
 
     def version_in_service(self, serves: str, wanted: str) -> str:
         """Return the weights version that most live engines hold."""
         versions = Counter(
-            backend.report.weights_version
-            for backend in self.backends.values()
-            if self._takes_work(backend, ROLE_ENGINE, serves)
+            self.backends[target.name].report.weights_version
+            for target in self.targets(serves)
         )
         if not versions:
             return wanted
@@ -126,6 +131,7 @@
     def mark_unreachable(self, name: str, now: float) -> None:
         """Give a backend server no work until a newer report of it comes."""
         self._unreachable[name] = now
+        self._targets.clear()
 
     def _takes_work(self, backend: Backend, role: str, serves: str) -> bool:
         return (
@@ -144,10 +150,21 @@
                 return
         self.set_config(newest)
 
-    def _set_backends(self, backends: tuple[Backend, ...], now: float) -> None:
-        self.backends = {backend.name: backend for backend in backends}
-        self.router.keep_only(self.backends)
-        for backend in backends:
+    def _change_backends(
+        self, changed: tuple[Backend, ...], names: tuple[str, ...], now: float
+    ) -> None:
+        before = dict(self.backends)
+        for gone in set(before) - set(names):
+            del self.backends[gone]
+            self.router.forget(gone)
+        self.backends |= {backend.name: backend for backend in changed}
+        if any(
+            _routing_facts(before.get(b.name)) != _routing_facts(b) for b in changed
+        ):
+            self._targets.clear()
+        if len(before) != len(self.backends):
+            self._targets.clear()
+        for backend in changed:
             report = backend.report
             self._clear_unreachable(backend, now)
             if backend.role != ROLE_ENGINE or not report.incarnation:
@@ -168,3 +185,12 @@
         marked_at = self._unreachable.get(backend.name)
         if marked_at is not None and now - backend.report.age_s > marked_at:
             del self._unreachable[backend.name]
+            self._targets.clear()
+
+
+def _routing_facts(backend: Backend | None) -> tuple | None:
+    """Return what decides whether a backend server is a target."""
+    if backend is None:
+        return None
+    report = backend.report
+    return (backend.serves, backend.state, report.incarnation, report.weights_version)
--- a/arbutusyard/membership/coordinator.py
+++ b/arbutusyard/membership/coordinator.py
@@ -17,6 +17,7 @@
     LARGE_MEMBER_COUNT,
     LEAVE_ROUNDS,
     MAX_DATAGRAM_BYTES,
+    MAX_DATAGRAM_LARGE_BYTES,
     PROBE_INTERVAL_LARGE_S,
     PROBE_INTERVAL_S,
     PROBE_TIMEOUT_S,
@@ -111,9 +112,10 @@
 
     def interval_s(self) -> float:
         """Return the probe interval for the present number of members."""
-        if len(self.table.members) > LARGE_MEMBER_COUNT:
-            return PROBE_INTERVAL_LARGE_S
-        return PROBE_INTERVAL_S
+        return PROBE_INTERVAL_LARGE_S if self._large() else PROBE_INTERVAL_S
+
+    def _large(self) -> bool:
+        return len(self.table.members) > LARGE_MEMBER_COUNT
 
     def _probe_forever(self) -> None:
         while True:
@@ -227,6 +229,7 @@
 
     def _encode(self, datagram: Datagram) -> bytes:
         records = self.table.updates(limit=16)
+        limit = MAX_DATAGRAM_LARGE_BYTES if self._large() else MAX_DATAGRAM_BYTES
         while True:
             full = msgspec.structs.replace(datagram, updates=tuple(records))
             envelope = Envelope(
@@ -236,7 +239,7 @@
                 msgspec.Raw(msgspec.msgpack.encode(full)),
             )
             data = self._sealer.encode(envelope)
-            if len(data) <= MAX_DATAGRAM_BYTES or len(records) == 1:
+            if len(data) <= limit or len(records) == 1:
                 self.table.count_sent(records)
                 return data
             records = records[: len(records) // 2]
--- a/arbutusyard/routing/coordinator.py
+++ b/arbutusyard/routing/coordinator.py
@@ -1,10 +1,9 @@
 """Combine cache knowledge, load and policy into one choice for each request."""
 
-from collections.abc import Iterable
-
 from msgspec import Struct
 
-from arbutusyard.routing.chain import Chain
+from arbutusyard.routing.chain import Chain, rank
+from arbutusyard.routing.const import CANDIDATES_MAX, SHORTLISTS_MAX
 from arbutusyard.routing.index import PrefixIndex
 from arbutusyard.routing.load import BackendLoad, LoadReport
 from arbutusyard.routing.models import Candidate, Choice, Work
@@ -19,10 +18,18 @@
     incarnation: str
 
 
+class TargetList(Struct, frozen=True):
+    """Hold a list of targets, by name too, and the part that each account uses."""
+
+    targets: list[Target]
+    by_name: dict[str, Target]
+    spreads: dict[str, dict[str, Target]] = {}
+
+
 class Router:
     """Route requests with this node's own knowledge."""
 
-    __slots__ = ("_loads", "index", "policy")
+    __slots__ = ("_list", "_loads", "index", "policy")
 
     def __init__(
         self, policy: Policy | None = None, index: PrefixIndex | None = None
@@ -30,6 +37,7 @@
         self.policy = policy or PricedPrefix()
         self.index = index or PrefixIndex()
         self._loads: dict[str, BackendLoad] = {}
+        self._list: TargetList | None = None
 
     def load(self, backend: str, now: float) -> BackendLoad:
         """Return the load record of a backend server."""
@@ -57,15 +65,11 @@
         self.index.forget(backend)
         self._loads.pop(backend, None)
 
-    def keep_only(self, backends: Iterable[str]) -> None:
-        """Drop what is known of any other backend server."""
-        for backend in set(self._loads) - set(backends):
-            self.forget(backend)
-
     def route(self, work: Work, targets: list[Target], now: float) -> Choice:
         """Choose a target with the least cost."""
         depths = self.index.match(work.chain.pieces, now)
-        candidates = [self._candidate(work, t, depths, now) for t in targets]
+        kept = self._shortlist(work, targets, depths)
+        candidates = [self._candidate(work, t, depths, now) for t in kept]
         best = choose(self.policy, work, candidates)
         missing = len(work.chain.pieces) - best.cached
         return Choice(
@@ -100,6 +104,36 @@
         self.see_incarnation(backend, incarnation)
         self.index.learn(backend, incarnation, chain.pieces, now)
 
+    def _shortlist(
+        self, work: Work, targets: list[Target], depths: dict[str, int]
+    ) -> list[Target]:
+        """Keep the holders and the account's own part of a long list of targets."""
+        if len(targets) <= CANDIDATES_MAX:
+            return targets
+        known = self._known_list(targets)
+        kept = self._spread_of(work.account, known)
+        holders = {
+            name: known.by_name[name] for name in depths if name in known.by_name
+        }
+        return list((kept | holders).values())
+
+    def _known_list(self, targets: list[Target]) -> TargetList:
+        if self._list is None or self._list.targets is not targets:
+            by_name = {target.name: target for target in targets}
+            self._list = TargetList(targets, by_name)
+        return self._list
+
+    @staticmethod
+    def _spread_of(account: str, known: TargetList) -> dict[str, Target]:
+        spread = known.spreads.get(account)
+        if spread is None:
+            names = rank(account.encode(), known.by_name)[:CANDIDATES_MAX]
+            spread = {name: known.by_name[name] for name in names}
+            if len(known.spreads) >= SHORTLISTS_MAX:
+                known.spreads.clear()
+            known.spreads[account] = spread
+        return spread
+
     def _candidate(
         self,
         work: Work,
--- /dev/null
+++ b/measure/capacity.py
@@ -0,0 +1,391 @@
+"""Measure slopes at several sizes and work out the page for the target size."""
+
+import gc
+import json
+import os
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from arbutusyard.backends.models import Backend, BackendState, EngineReport
+from arbutusyard.config.coordinator import ConfigCoordinator
+from arbutusyard.config.delta import diff
+from arbutusyard.config.models import Account, Configuration, Model, Workload
+from arbutusyard.limits.coordinator import Limiter
+from arbutusyard.membership.const import (
+    MAX_DATAGRAM_LARGE_BYTES,
+    PROBE_INTERVAL_LARGE_S,
+)
+from arbutusyard.membership.models import AccountDemand, EntryView, Member, Status
+from arbutusyard.membership.table import MemberTable
+from arbutusyard.metrics.registry import EntryMetrics
+from arbutusyard.routing.chain import Chain
+from arbutusyard.routing.coordinator import Router, Target
+from arbutusyard.routing.index import PrefixIndex
+from arbutusyard.routing.models import Work
+from arbutusyard.rpc.seal import Envelope, ReplayGuard, Sealer
+from measure.report import MEASURED, Table, write
+
+NODES = 410
+WORKERS = 5_800
+ACCOUNTS = 1_700
+REQUESTS_PER_S = 11_000
+CHANGES_PER_DAY = 13_000
+SECONDS_PER_DAY = 86_400
+REPEATS = 7
+MIB = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Hold a straight line through measured sizes, and how badly it fits."""
+
+    name: str
+    unit: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+    base: float
+    slope: float
+    error: float
+
+    def at(self, size: float) -> float:
+        """Return the value that the line gives at a size."""
+        return self.base + self.slope * size
+
+
+def fit(name: str, unit: str, sizes: tuple[int, ...], values: list[float]) -> Slope:
+    """Fit a line by least squares; the error is the largest relative miss."""
+    line = statistics.linear_regression(sizes, values)
+    misses = [
+        abs(line.intercept + line.slope * size - value) / max(value, 1e-12)
+        for size, value in zip(sizes, values, strict=True)
+    ]
+    return Slope(
+        name, unit, sizes, tuple(values), line.intercept, line.slope, max(misses)
+    )
+
+
+def memory_of(build: Callable[[], object]) -> float:
+    """Return the bytes that a structure holds."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def time_of(action: Callable[[], object], calls: int) -> float:
+    """Return the median processor time of a call, in seconds."""
+    found = []
+    for _ in range(REPEATS):
+        started = time.process_time()
+        for _ in range(calls):
+            action()
+        found.append((time.process_time() - started) / calls)
+    return statistics.median(found)
+
+
+def member(number: int) -> Member:
+    """Return a member like those of today."""
+    return Member(
+        name=f"control-{number:04d}",
+        incarnation=1_790_000_000_000 + number,
+        version=number,
+        status=Status.ALIVE,
+        address=f"10.1.{number // 250}.{number % 250}:7000",
+        rpc=f"10.1.{number // 250}.{number % 250}:7001",
+        region="region-1",
+        failure_domain="domain-1",
+        revision=4_000_000,
+        entries=(EntryView(f"entry-{number:04d}", "10.1.1.1:8000", "domain-1"),),
+        demands=tuple(AccountDemand(f"work/account-{n}", 1000.0) for n in range(4)),
+    )
+
+
+def member_table(size: int) -> MemberTable:
+    """Return a full member table."""
+    table = MemberTable(member(0))
+    for number in range(1, size):
+        table.merge(member(number), 0.0)
+    return table
+
+
+def configuration(accounts: int, revision: int = 1) -> Configuration:
+    """Return a configuration with ten models."""
+    found = tuple(
+        Account(f"account-{n:05d}", f"{n:064x}", 1000, 16 + (n == 0) * revision)
+        for n in range(accounts)
+    )
+    models = tuple(Model(f"model-{n}", "v1") for n in range(10))
+    workload = Workload("work", "region-1", 6.0, "c", models, (), found, ())
+    return Configuration(revision, f"change-{revision}", (workload,))
+
+
+def backends(size: int) -> tuple[Backend, ...]:
+    """Return backend servers with reports."""
+    return tuple(
+        Backend(
+            name=f"worker-{n:05d}",
+            role="engine",
+            serves=f"work/model-{n % 10}",
+            address=f"10.2.{n // 250}.{n % 250}:9000",
+            failure_domain=f"domain-{n % 10}",
+            state=BackendState.LIVE,
+            report=EngineReport("engine", incarnation=f"{n:x}", queue_s=1.0),
+        )
+        for n in range(size)
+    )
+
+
+def router(workers: int) -> tuple[Router, list[Target]]:
+    """Return a router that knows some pieces of every worker."""
+    found = Router()
+    targets = [
+        Target(f"worker-{n:05d}", f"d{n % 10}", f"{n:x}") for n in range(workers)
+    ]
+    for number, target in enumerate(targets):
+        found.see_incarnation(target.name, target.incarnation)
+        pieces = tuple(f"{number % 97}#{i}".encode() for i in range(10))
+        found.learn(target.name, target.incarnation, Chain(pieces, 10_000), 0.0)
+        found.load(target.name, 0.0)
+    return found, targets
+
+
+def work(number: int) -> Work:
+    """Return a request of ten pieces."""
+    pieces = tuple(f"{number % 97}#{i}".encode() for i in range(10))
+    return Work(f"r{number}", "work/a", Chain(pieces, 10_000), 1, 6.0, "d1")
+
+
+def filled_index(size: int) -> PrefixIndex:
+    """Return an index of so many pieces, each with two holders."""
+    index = PrefixIndex(max_entries=size)
+    for name in ("w0", "w1"):
+        index.set_incarnation(name, "1")
+        for number in range(size):
+            index.learn(name, "1", (number.to_bytes(12, "big"),), 0.0)
+    return index
+
+
+def filled_limiter(size: int) -> Limiter:
+    """Return a limiter that has seen so many accounts."""
+    limiter = Limiter()
+    for number in range(size):
+        account = Account(f"a{number}", "h", 1000, 16)
+        limiter.admit(f"work/a{number}", account, 10, 0.0)
+    return limiter
+
+
+def filled_metrics(size: int) -> None:
+    """Record one answer for each of so many accounts."""
+    for number in range(size):
+        METRICS.record_answer(f"work/a{number}", f"class{size}", 0.1, 1.0, 10)
+
+
+METRICS = EntryMetrics()
+
+
+def slopes() -> dict[str, Slope]:
+    """Measure every slope."""
+    found: dict[str, Slope] = {}
+
+    def add(
+        key: str,
+        name: str,
+        unit: str,
+        sizes: tuple[int, ...],
+        measure: Callable[[int], float],
+    ) -> None:
+        found[key] = fit(name, unit, sizes, [measure(size) for size in sizes])
+
+    nodes, accounts = (50, 100, 200, 400), (200, 800, 1600)
+    workers = (64, 256, 1024, 4096)
+    add("members", "member table", "bytes a node", nodes,
+        lambda n: memory_of(lambda: member_table(n)))  # fmt: skip
+    add("config", "configuration in force", "bytes an account", accounts,
+        lambda n: memory_of(lambda: configuration(n)))  # fmt: skip
+    add("backends", "list of backend servers", "bytes a worker", workers,
+        lambda n: memory_of(lambda: backends(n)))  # fmt: skip
+    add("fan_out", "encoding the list for an entry", "s a worker", workers,
+        lambda n: encode_time(n))  # fmt: skip
+    add("index", "prefix index", "bytes a piece", (1000, 4000, 16_000, 40_000),
+        lambda n: memory_of(lambda: filled_index(n)))  # fmt: skip
+    add("loads", "loads and incarnations", "bytes a worker", workers,
+        lambda n: memory_of(lambda: router(n)))  # fmt: skip
+    add("decide", "routing decision", "s a candidate", workers, decide_time)
+    add("limits", "limits", "bytes an account", accounts,
+        lambda n: memory_of(lambda: filled_limiter(n)))  # fmt: skip
+    add("metrics", "histograms", "bytes an account", (8, 24, 64),
+        lambda n: memory_of(lambda: filled_metrics(n)))  # fmt: skip
+    add("delta", "one change on its way", "bytes an account", accounts, delta_bytes)
+    add("patch", "taking a change over", "s an account", accounts, patch_time)
+    add("datagram", "datagram, in and out", "s a record", (1, 2, 4), datagram_time)
+    return found
+
+
+def encode_time(size: int) -> float:
+    """Return the time to age and encode a list of backend servers."""
+    items = backends(size)
+    return time_of(lambda: msgspec.msgpack.encode(items), 20)
+
+
+def decide_time(size: int) -> float:
+    """Return the time of one routing decision over all candidates."""
+    found, targets = router(size)
+    request = work(5)
+    return time_of(lambda: found.route(request, targets, 0.1), max(3, 4000 // size))
+
+
+def delta_bytes(size: int) -> float:
+    """Return the bytes of a change of one account among so many."""
+    delta = diff(configuration(size), configuration(size, 2))
+    return float(len(msgspec.msgpack.encode(delta)))
+
+
+def patch_time(size: int) -> float:
+    """Return the time to take a change of one account over."""
+    old, new = configuration(size), configuration(size, 2)
+    delta = diff(old, new)
+
+    def take() -> None:
+        coordinator = ConfigCoordinator(None)
+        coordinator.current = old
+        coordinator.offer_deltas((delta,))
+
+    return time_of(take, 3)
+
+
+def datagram_time(records: int) -> float:
+    """Return the time to encode, seal, open and merge a datagram."""
+    sealer, table, guard = Sealer((b"k" * 16,)), member_table(50), ReplayGuard()
+    items = [member(number) for number in range(records)]
+    turn = [0]
+
+    def once() -> None:
+        turn[0] += 1
+        raw = msgspec.Raw(msgspec.msgpack.encode(items))
+        data = sealer.encode(Envelope("control-0001", 1, turn[0], raw))
+        envelope = sealer.decode(data, Envelope)
+        guard.check(envelope)
+        for record in msgspec.msgpack.decode(envelope.payload, type=list[Member]):
+            table.merge(record, 0.0)
+
+    return time_of(once, 300)
+
+
+def page(found: dict[str, Slope]) -> list[Table]:
+    """Work the target size out from the slopes."""
+    per_node_accounts = -(-ACCOUNTS // NODES)
+    fits = Table("Slopes", ("what", "sizes", "at the largest", "slope", "worst miss"))
+    for item in found.values():
+        fits.rows.append(
+            (
+                f"{item.name} ({item.unit})",
+                ", ".join(map(str, item.sizes)),
+                f"{item.values[-1]:.4g}",
+                f"{item.slope:.4g}",
+                f"{item.error:.0%}",
+            )
+        )
+    datagrams_per_s = 4 / PROBE_INTERVAL_LARGE_S
+    gossip = datagrams_per_s * MAX_DATAGRAM_LARGE_BYTES / 1000
+    changes_per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
+    delta = found["delta"].at(ACCOUNTS)
+    control = Table(
+        f"A control among {NODES} nodes before {WORKERS} workers",
+        ("role", "mechanism", "memory MiB", "cores", "KB a second"),
+    )
+    rows: list[tuple[str, str, float, float, float]] = [
+        ("membership", "probes of one member an interval, records passed on by least "
+         "sent, datagrams of at most 600 bytes", found["members"].at(NODES) / MIB,
+         datagrams_per_s * found["datagram"].at(4), gossip),
+        ("configuration", "differences by account, pulled from the peer that is ahead",
+         found["config"].at(ACCOUNTS) / MIB, changes_per_s * found["patch"].at(ACCOUNTS),  # noqa: E501
+         2 * changes_per_s * delta / 1000),
+        ("workers and load", "every worker listed; polls bounded to 40 a second "
+         "(guess: 1.5 ms and 900 bytes each)", found["backends"].at(WORKERS) / MIB,
+         40 * 0.0015, 40 * 0.9),
+        ("fan-out to the entry", "what has changed, each 0.25 s over loopback", 0.0,
+         4 * found["fan_out"].at(10), 0.0),
+    ]  # fmt: skip
+    for role, mechanism, memory, cores, rate in rows:
+        cells = (f"{memory:.2f}", f"{cores:.4f}", f"{rate:.2f}")
+        control.rows.append((role, mechanism, *cells))
+    memory, cores, rate = (sum(row[i] for row in rows) for i in (2, 3, 4))
+    control.rows.append(
+        (
+            "sum",
+            "programs and libraries not counted",
+            f"{memory:.2f} (64)",
+            f"{cores:.4f} (0.049{', over budget' if cores > 0.049 else ''})",
+            f"{rate:.2f} (3{', over budget' if rate > 3 else ''})",
+        )
+    )
+    entry = Table(
+        f"An entry at {REQUESTS_PER_S / NODES:.1f} requests a second",
+        ("role", "mechanism", "memory MiB", "cores"),
+    )
+    decide = found["decide"].at(WORKERS / 10)
+    entry.rows += [
+        (
+            "cache knowledge",
+            "40,000 pieces at most, learned from what passes through",
+            f"{found['index'].at(40_000) / MIB:.2f}",
+            "with routing",
+        ),
+        (
+            "routing",
+            f"holders and 24 workers of an account; {decide * 1e6:.0f} us a decision "
+            f"(200{', over budget' if decide > 200e-6 else ''})",
+            f"{found['loads'].at(WORKERS) / MIB:.2f}",
+            f"{decide * REQUESTS_PER_S / NODES:.4f}",
+        ),
+        (
+            "limits",
+            f"home accounts, {per_node_accounts} an entry; all {ACCOUNTS} if moved",
+            f"{found['limits'].at(ACCOUNTS) / MIB:.2f}",
+            "not measured",
+        ),
+        (
+            "metrics",
+            "64 labelled accounts, the rest under one label",
+            f"{found['metrics'].at(64) / MIB:.2f}",
+            "not measured",
+        ),
+        ("streams", "relayed as bytes; see path.md", "see path.md", "see path.md"),
+    ]
+    shared = Table("The platform, shared by all", ("use", "writes /s", "reads /s"))
+    shared.rows += [
+        ("configuration, head polled at 20 a second in all", f"{changes_per_s:.2f}", "20"),  # noqa: E501
+        ("list of VMs, polled at 20 a second in all", "0", "20"),
+        ("leases of 10 groups, renewed each 1.5 s by 1, watched by 2", "6.7", "20"),
+        ("claims, 1 in 100 requests (guess)", f"{2 * REQUESTS_PER_S / 100:.0f}",
+         f"{REQUESTS_PER_S / 100:.0f}"),
+    ]  # fmt: skip
+    return [control, entry, shared, fits]
+
+
+def main() -> None:
+    """Measure, write the tables and keep the slopes."""
+    found = slopes()
+    how = f"Python {sys.version.split()[0]}, {os.cpu_count()} cores"
+    write("capacity", "Capacity at the target size", page(found), how)
+    data = {key: msgspec.to_builtins(vars_of(item)) for key, item in found.items()}
+    Path(MEASURED / "slopes.json").write_text(json.dumps(data, indent=1) + "\n")
+
+
+def vars_of(item: Slope) -> dict[str, object]:
+    """Return a slope's fields."""
+    return {name: getattr(item, name) for name in Slope.__slots__}
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/routing/test_index.py
+++ b/tests/routing/test_index.py
@@ -5,7 +5,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from arbutusyard.routing.chain import build_chain, rank, salt
+from arbutusyard.routing.coordinator import Router, Target
 from arbutusyard.routing.index import PrefixIndex
+from arbutusyard.routing.models import Work
 
 KEEP_S = 10.0
 MAX_ENTRIES = 8
@@ -90,3 +92,17 @@
     for key in (b"a", b"b", b"c"):
         full = rank(key, names)
         assert rank(key, [n for n in names if n != full[3]]) == full[:3] + full[4:]
+
+
+def test_long_list_is_cut_to_holders_and_the_accounts_part():
+    router = Router()
+    targets = [Target(f"w{n}", "d", "1") for n in range(500)]
+    chain = build_chain(b"x" * 9000, salt("a", "m", "v1"))
+    work = Work("r", "a", chain, 1, 6.0, "d")
+    part = {router.route(work, targets, 0.0).backend for _ in range(50)}
+    outside = next(t.name for t in reversed(targets) if t.name not in part)
+    router.learn(outside, "1", chain, 0.0)
+    assert router.route(work, targets, 0.1).backend == outside
+    assert router.route(work, targets[:400], 0.1).backend in {
+        target.name for target in targets[:400]
+    }
