--- a/measure/report.py
+++ b/measure/report.py
@@ -7,6 +7,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 MEASURED = ROOT / "docs" / "measured"
+MEASURED_CODE = ("arbutusyard", "measure", "standins")
 
 
 @dataclass(slots=True)
@@ -37,8 +38,15 @@
 
 
 def commit() -> str:
-    """Return the commit that is measured, marked when files have changed since."""
-    command = ["git", "-C", str(ROOT), "describe", "--always", "--abbrev=10"]
-    command += ["--dirty=, with changes", "--exclude=*"]
-    done = subprocess.run(command, capture_output=True, text=True, check=False)
-    return done.stdout.strip() or "unknown"
+    """Return the commit that is measured, marked when its code has changed since."""
+    git = ["git", "-C", str(ROOT)]
+    name = subprocess.run(
+        [*git, "rev-parse", "--short=10", "HEAD"],
+        capture_output=True,
+        text=True,
+        check=False,
+    ).stdout.strip()
+    changed = subprocess.run(
+        [*git, "diff", "--quiet", "HEAD", "--", *MEASURED_CODE], check=False
+    ).returncode
+    return (name or "unknown") + (", with changes" if changed else "")
