--- a/arbutusyard/claims/coordinator.py
+++ b/arbutusyard/claims/coordinator.py
@@ -151,13 +151,12 @@
             if claim.took_over:
                 return OutcomeUnknown("an earlier attempt with this key may have run")
             return _store_down()
-        self._background(lambda: self._release(call, claim.attempt))
+        self._release_later(call, claim.attempt)
         return OutcomeUnknown("the claim of this key could not be settled")
 
     def _block(self, call: ClaimedCall, claim: Claim, before: Row) -> bool:
-        blocked = msgspec.structs.replace(claim, state=claim.abandoned_state)
         try:
-            return bool(self._write(call, blocked, before.version))
+            return bool(self._write(call, _abandoned(claim), before.version))
         except PlatformError:
             return False
 
@@ -185,18 +184,23 @@
         try:
             self._write(call, claim, held.version)
         except PlatformError:
-            self._background(lambda: self._record(call, claim))
+            self._background(
+                lambda: self._change_later(call, claim.attempt, lambda _: claim)
+            )
 
-    def _record(self, call: ClaimedCall, claim: Claim) -> None:
-        """Write an outcome as soon as the platform is back."""
+    def _change_later(
+        self, call: ClaimedCall, attempt: str, change: Callable[[Claim], Claim]
+    ) -> None:
+        """Change an attempt's claim as soon as the platform is back."""
         delay_s = RECORD_DELAY_S
         for _ in range(RECORD_TRIES):
             try:
                 row = self._platform.get(TABLE_CLAIMS, _key(call))
                 found = _claim(row)
-                if found is None or found.attempt != claim.attempt:
+                if found is None or found.attempt != attempt:
                     return
-                if found.state is claim.state or self._write(call, claim, row.version):
+                new = change(found)
+                if found == new or self._write(call, new, row.version):
                     return
             except PlatformError:
                 pass
@@ -204,22 +208,9 @@
             delay_s = min(delay_s * 2, RECORD_DELAY_MAX_S)
         _LOGGER.error("Outcome of claim %s was not recorded", call.key)
 
-    def _release(self, call: ClaimedCall, attempt: str) -> None:
+    def _release_later(self, call: ClaimedCall, attempt: str) -> None:
         """Free a key whose claim may have been written but was never dispatched."""
-        delay_s = RECORD_DELAY_S
-        for _ in range(RECORD_TRIES):
-            try:
-                row = self._platform.get(TABLE_CLAIMS, _key(call))
-                found = _claim(row)
-                if found is None or found.attempt != attempt:
-                    return
-                freed = msgspec.structs.replace(found, state=found.abandoned_state)
-                if self._write(call, freed, row.version):
-                    return
-            except PlatformError:
-                pass
-            self._sleep(delay_s)
-            delay_s = min(delay_s * 2, RECORD_DELAY_MAX_S)
+        self._background(lambda: self._change_later(call, attempt, _abandoned))
 
     def _read_back(self, call: ClaimedCall) -> Row | None:
         for attempt in range(SETTLE_TRIES):
@@ -250,6 +241,10 @@
     return _store_down()
 
 
+def _abandoned(claim: Claim) -> Claim:
+    return msgspec.structs.replace(claim, state=claim.abandoned_state)
+
+
 def _store_down() -> NotRun:
     return NotRun("platform_unavailable", "the platform's table did not answer")
 
--- a/arbutusyard/control/coordinator.py
+++ b/arbutusyard/control/coordinator.py
@@ -56,6 +56,8 @@
     name = "control"
 
     __slots__ = (
+        "_known_limits",
+        "_limits_revision",
         "_pull",
         "_supervisor",
         "attached",
@@ -77,6 +79,8 @@
         self.membership = membership
         self.attached: dict[str, AttachedEntry] = {}
         self.reported_demands: dict[str, float] = {}
+        self._known_limits: dict[str, int] = {}
+        self._limits_revision = -1
         self._pull = pull
         self._supervisor: Supervisor | None = None
 
@@ -226,27 +230,39 @@
         item = self.attached.get(entry)
         if item is None:
             return ()
-        elsewhere: dict[str, float] = {}
-        for member in self.membership.table.usable()[1:]:
-            for demand in member.demands:
-                known = elsewhere.get(demand.account, 0.0)
-                elsewhere[demand.account] = known + demand.tokens_per_s
-        for name, other in self.attached.items():
-            if name != entry:
-                for demand in other.report.demands:
-                    known = elsewhere.get(demand.account, 0.0)
-                    elsewhere[demand.account] = known + demand.tokens_per_s
-        limits = {
-            f"{workload.name}/{account.name}": account.tokens_per_s
-            for workload in self.config.current.workloads
-            for account in workload.accounts
-        }
+        elsewhere = self._demands_elsewhere(entry)
         own = {d.account: d.tokens_per_s for d in item.report.demands}
         return tuple(
             AccountShare(account, fraction)
-            for account, fraction in entry_shares(own, elsewhere, limits).items()
+            for account, fraction in entry_shares(
+                own, elsewhere, self._limits()
+            ).items()
         )
 
+    def _demands_elsewhere(self, entry: str) -> dict[str, float]:
+        others = [member.demands for member in self.membership.table.usable()[1:]]
+        others += [
+            item.report.demands for name, item in self.attached.items() if name != entry
+        ]
+        total: dict[str, float] = {}
+        for demands in others:
+            for demand in demands:
+                known = total.get(demand.account, 0.0)
+                total[demand.account] = known + demand.tokens_per_s
+        return total
+
+    def _limits(self) -> dict[str, int]:
+        """Return the limit of each account; worked out once a revision."""
+        current = self.config.current
+        if self._limits_revision != current.revision:
+            self._limits_revision = current.revision
+            self._known_limits = {
+                f"{workload.name}/{account.name}": account.tokens_per_s
+                for workload in current.workloads
+                for account in workload.accounts
+            }
+        return self._known_limits
+
 
 def _changed(old: dict[str, float], new: dict[str, float]) -> bool:
     if set(old) != set(new):
--- a/arbutusyard/entry/chat.py
+++ b/arbutusyard/entry/chat.py
@@ -139,7 +139,8 @@
         account, work_class = work.caller.name, work.work_class.name
         self._metrics.count_retries(relay.retries)
         if not relay.usage.completion_tokens:
-            self._metrics.count_request(account, work_class, "incomplete")
+            ended = "incomplete" if relay.first_token_at else "refused"
+            self._metrics.count_request(account, work_class, ended)
             return
         self._metrics.count_request(account, work_class, "complete")
         self._metrics.record_answer(
