Start each daemon from a module of its own; keep the measured path

The start is imports, and an entry imported the control's parts too.

Ruled out: starting the metrics after the port (requests need them).

Change: control_daemon.py, entry_daemon.py and what both share.

--- /dev/null
+++ b/arbutusyard/cli/entry_daemon.py
@@ -0,0 +1,62 @@
+"""Put the components of the entry daemon together."""
+
+import gevent
+
+from arbutusyard import clock
+from arbutusyard.app import Application
+from arbutusyard.claims.coordinator import ClaimCoordinator
+from arbutusyard.cli.admin import AdminServer
+from arbutusyard.cli.settings import EntrySettings
+from arbutusyard.cli.start import announce, configure_logging
+from arbutusyard.entry.chat import ChatService
+from arbutusyard.entry.link import ControlLink
+from arbutusyard.entry.resume import ResumeTokens
+from arbutusyard.entry.server import CallerServer
+from arbutusyard.entry.services import ServiceCaller
+from arbutusyard.entry.state import EntryState
+from arbutusyard.entry.status import entry_status
+from arbutusyard.limits.coordinator import Limiter
+from arbutusyard.membership.models import EntryView
+from arbutusyard.metrics.registry import EntryMetrics
+from arbutusyard.platform.client import PlatformClient
+from arbutusyard.routing.coordinator import Router
+from arbutusyard.rpc.loop import LoopRunner
+from arbutusyard.rpc.seal import Sealer
+
+
+def run_entry(cfg: EntrySettings) -> None:
+    """Run an entry daemon until it is told to stop."""
+    configure_logging()
+    app = Application(f"entry.{cfg.name}")
+    sealer = Sealer(cfg.keys)
+    metrics = EntryMetrics(cfg.otlp_endpoint)
+    me = EntryView(cfg.name, "", cfg.failure_domain)
+    state = EntryState(me, Router(), Limiter())
+    claims = ClaimCoordinator(
+        PlatformClient(cfg.platform), gevent.sleep, clock.wall_ms, gevent.spawn
+    )
+    server = CallerServer(
+        state,
+        ChatService(state, ResumeTokens(cfg.keys), metrics),
+        ServiceCaller(state, claims),
+        metrics,
+        cfg.keep_s,
+        cfg.drain_timeout_s,
+    )
+    bound = server.bind(cfg.listen)
+    state.me = EntryView(cfg.name, cfg.advertise or bound, cfg.failure_domain)
+    state.entries = (state.me,)
+    admin = AdminServer(
+        cfg.admin_listen,
+        lambda: entry_status(state, clock.now()),
+        metrics.text,
+        app.request_stop,
+        cfg.keys,
+    )
+    loop = LoopRunner()
+    link = ControlLink(loop, sealer, cfg.control, state)
+    for component in (loop, link, server, admin):
+        app.add(component)
+    announce(app, {"listen": bound, "admin": admin.address})
+    app.run()
+    metrics.shutdown()
--- a/arbutusyard/cli/main.py
+++ b/arbutusyard/cli/main.py
@@ -80,7 +80,7 @@
     """Run the control daemon of a VM: configuration, members, load, orders."""
     values = {key: value for key, value in locals().items() if key in CONTROL_CHECKS}
     cfg = _checked(ControlSettings, CONTROL_CHECKS, values)
-    from arbutusyard.cli.daemons import run_control
+    from arbutusyard.cli.control_daemon import run_control
 
     run_control(cfg)
 
@@ -113,7 +113,7 @@
     """Run an entry daemon, which serves callers."""
     values = {key: value for key, value in locals().items() if key in ENTRY_CHECKS}
     cfg = _checked(EntrySettings, ENTRY_CHECKS, values)
-    from arbutusyard.cli.daemons import run_entry
+    from arbutusyard.cli.entry_daemon import run_entry
 
     run_entry(cfg)
 
