Say "not run" of a chat request only when no engine may have run it

Cause: found by reading. A request counted as sent only once the engine's headers had come, so an engine that froze after taking it led to a refusal with outcome "not_run"; and any error status of an engine counted as its own word that it had not run the request.

Ruled out: counting every connection as sent; a refused connection and an engine's own "not_run" are true refusals, and callers need to know.

Change: a lost answer counts as sent; only an error body with outcome "not_run" is a refusal, everything else is a loss.

--- a/arbutusyard/backends/stream.py
+++ b/arbutusyard/backends/stream.py
@@ -37,6 +37,7 @@
 DONE_LINE: Final = b"data: [DONE]"
 USAGE_MARK: Final = b'"usage":'
 STATUS_OK: Final = 200
+OUTCOME_NOT_RUN: Final = "not_run"
 
 
 class EventKind(enum.Enum):
@@ -60,9 +61,10 @@
 
 
 class Refusal(Struct, frozen=True):
-    """Read why an engine refused."""
+    """Read why an engine refused, and its word that it did not run a request."""
 
     error: str = "unknown"
+    outcome: str = "unknown"
 
 
 class EngineStream:
@@ -169,8 +171,7 @@
         except (HTTPError, OSError) as exc:
             raise BackendLost(f"{backend!r}: {exc}") from exc
         if resp.status != STATUS_OK:
-            code = _refusal(resp)
-            raise BackendRefused(backend, code)
+            raise _failure(backend, resp)
         if resp.headers.get(HEADER_REQUEST_ID) != request_id:
             resp.close()
             raise AnswerMismatched(f"{backend!r} answered another request")
@@ -191,8 +192,14 @@
     return StreamEvent(index, EventKind.TOKEN, part)
 
 
-def _refusal(resp: urllib3.BaseHTTPResponse) -> str:
+def _failure(
+    backend: str, resp: urllib3.BaseHTTPResponse
+) -> BackendRefused | BackendLost:
+    """Return a refusal only on the engine's own word that nothing was run."""
     try:
-        return msgspec.json.decode(resp.data, type=Refusal).error
+        refusal = msgspec.json.decode(resp.data, type=Refusal)
     except (msgspec.DecodeError, HTTPError, OSError):
-        return f"status {resp.status}"
+        refusal = Refusal()
+    if refusal.outcome == OUTCOME_NOT_RUN:
+        return BackendRefused(backend, refusal.error)
+    return BackendLost(f"{backend!r} answered {resp.status}")
--- a/arbutusyard/entry/relay.py
+++ b/arbutusyard/entry/relay.py
@@ -233,14 +233,15 @@
         self.backend = choice.backend
         self._state.router.dispatched(work, choice, now)
         self._dispatched = True
-        self._take(
-            self._client.start(
-                choice.backend,
-                self._state.backends[choice.backend].address,
-                self._work.request_id,
-                self._body(),
+        address = self._state.backends[choice.backend].address
+        try:
+            stream = self._client.start(
+                choice.backend, address, self._work.request_id, self._body()
             )
-        )
+        except BackendLost:
+            self._left = True
+            raise
+        self._take(stream)
 
     def _take(self, stream: EngineStream) -> None:
         self._left = True
