Count orders from reports; entries count heartbeats in the same field

Cause: an order's condition took the entry's sequence, which counts heartbeats; every order was refused.

--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -117,7 +117,6 @@
     state: ServerState
     slots: int
     weights: dict[str, int]
-    orders_taken: int
     cold_s: float = 0.0
 
 
--- a/arbutusyard/logs/handler.py
+++ b/arbutusyard/logs/handler.py
@@ -1,7 +1,6 @@
 """Queue log records and write them from one task."""
 
 import logging
-import os
 import sys
 from collections import deque
 from typing import Final
@@ -72,7 +71,7 @@
             while data:
                 data = data[gevent_os.nb_write(self._fd, data) :]
         except OSError:
-            # Nobody reads the output any more; there is nowhere to say so.
+            # Nobody the output any more; there is nowhere to say so.
             self.dropped += 1
 
     def _allowed(self, record: logging.LogRecord) -> bool:
@@ -89,7 +88,7 @@
 
 def configure_node_logging() -> BoundedHandler:
     """Send all log lines of a node to standard output."""
-    handler = BoundedHandler(os.dup(sys.stdout.fileno()))
+    handler = BoundedHandler(sys.stdout.fileno())
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
     logging.getLogger("urllib3").setLevel(logging.ERROR)
     logging.raiseExceptions = False
--- a/arbutusyard/platform/rows.py
+++ b/arbutusyard/platform/rows.py
@@ -124,7 +124,7 @@
     slots: int
     # Names the software, not the weights.
     version: str
-    # Counts orders that were accepted, not changes of the entry.
+    # Counts the entry's writings here; in reports it counts orders.
     sequence: int
     cold_remaining_ms: float
     models: list[WireServerModel] = []
@@ -225,7 +225,6 @@
         state=state,
         slots=max(1, wire.slots),
         weights={model.name: model.version for model in wire.models},
-        orders_taken=wire.sequence,
         cold_s=wire.cold_remaining_ms / MS_PER_S,
     )
 
--- a/arbutusyard/platform/servers.py
+++ b/arbutusyard/platform/servers.py
@@ -40,6 +40,7 @@
     """Decode a backend server's report on itself."""
 
     busy: bool
+    # Counts the orders that were accepted; in entries it counts heartbeats.
     sequence: int
     models: list[WireReportModel] = []
     queue_depth: int = 0
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -31,7 +31,7 @@
     RETRY_S,
     STEP_S,
 )
-from arbutusyard.weights.models import LoadOrder, OrderOutcome, SwitchMode
+from arbutusyard.weights.models import LoadOrder, OrderOutcome, ServerReport, SwitchMode
 from arbutusyard.weights.planner import EngineView, plan_loads
 
 _LOGGER = logging.getLogger(__name__)
@@ -220,9 +220,17 @@
                 self._lease.refresh()
                 if not self._lease.valid(clock.now(), ORDER_DELIVERY_S):
                     return False
+            if server.lifetime not in self._orders_taken:
+                # Another node may have given orders; a report is cheaper than
+                # an order that is refused.
+                if self._read_report(server) is None:
+                    return False
+                continue
             outcome = self._order(model, version, server)
             if outcome in (OrderOutcome.FENCED, OrderOutcome.OTHER_SERVER):
                 return False
+            if outcome is None and self._read_report(server) is None:
+                return False
             if outcome is OrderOutcome.REFUSED:
                 gevent.sleep(RETRY_S)
             elif outcome is OrderOutcome.HOLDS:
@@ -232,7 +240,6 @@
         return False
 
     def _order(self, model: str, version: int, server: Server) -> OrderOutcome | None:
-        taken = self._orders_taken.get(server.lifetime, 0)
         order = LoadOrder(
             server_id=server.entry.server_id,
             address=server.entry.address,
@@ -241,7 +248,7 @@
             mode=SwitchMode.KEEP,
             owner=self._node,
             fence=self._lease.fence,
-            orders_taken=max(taken, server.entry.orders_taken),
+            orders_taken=self._orders_taken[server.lifetime],
         )
         outcome: OrderOutcome | None = None
         cause = ""
@@ -277,18 +284,10 @@
         if outcome is OrderOutcome.ACCEPTED:
             gevent.sleep(self._load_s)
         while clock.now() - started_at < LOAD_MAX_S / 2 and not server.dead:
-            try:
-                report = self._client.report(
-                    server.entry.address, server.entry.server_id
-                )
-            except PlatformUnsettled as exc:
-                _LOGGER.info("No report of %s: %s", server.entry.server_id, exc)
-                return
-            if report.born_ms != server.entry.born_ms:
+            report = self._read_report(server)
+            if report is None:
                 return
-            self._orders_taken[server.lifetime] = report.orders_taken
             if report.weights.get(model, 0) >= version:
-                server.weights[model] = report.weights[model]
                 if outcome is OrderOutcome.ACCEPTED:
                     self._learn_load(clock.now() - started_at)
                 return
@@ -296,6 +295,21 @@
                 return
             gevent.sleep(LOAD_STEP_S)
 
+    def _read_report(self, server: Server) -> ServerReport | None:
+        """Take over what a server reports of itself; None without a report."""
+        entry = server.entry
+        try:
+            report = self._client.report(entry.address, entry.server_id)
+        except PlatformUnsettled as exc:
+            _LOGGER.info("No report of %s: %s", entry.server_id, exc)
+            return None
+        if report.born_ms != entry.born_ms:
+            return None
+        self._orders_taken[server.lifetime] = report.orders_taken
+        for model, version in report.weights.items():
+            server.weights[model] = max(version, server.weights.get(model, 0))
+        return report
+
     def _learn_load(self, took_s: float) -> None:
         # Reports come in steps; the least time seen is nearest to the truth.
         self._load_s = max(0.1, min(took_s, self._load_s * 1.1) - LOAD_STEP_S / 3)
