--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -1,9 +1,11 @@
 """Put the components of a node on the users' platform together."""
 
 import logging
+from typing import Final
 
 from arbutusyard import clock
 from arbutusyard.app import Application
+from arbutusyard.fleet.caches import CacheWatcher
 from arbutusyard.fleet.knowledge import Knowledge
 from arbutusyard.fleet.peers import PeerCoordinator
 from arbutusyard.gateway.exchange import Relay
@@ -18,6 +20,9 @@
 from arbutusyard.platform.servers import ServerClient
 from arbutusyard.weights.coordinator import WeightsCoordinator
 
+# Requests begin to run a while after they are sent.
+WEIGHTS_MARGIN_S: Final = 1.5
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -38,15 +43,22 @@
         incarnation,
         lambda seq: node.describe(seq),
     )
-    router = PlacementRouter(knowledge, peers.table, cfg.failure_domain)
+    router = PlacementRouter(
+        knowledge,
+        peers.table,
+        cfg.failure_domain,
+        cfg.weights_s - WEIGHTS_MARGIN_S,
+    )
     relay = Relay(cfg, knowledge, peers.table, router, pool, metrics)
     ingress = Ingress(cfg.callers_address, knowledge, relay, cfg.max_fds)
     node = Node(cfg, incarnation, knowledge, relay, router, pool, ingress, metrics)
+    servers = ServerClient()
     weights = WeightsCoordinator(
-        cfg.name, knowledge, peers, store, ServerClient(), cfg.lease_s
+        cfg.name, knowledge, peers, store, servers, cfg.lease_s
     )
-    node.bind(peers, weights)
-    for component in (knowledge, peers, node, ingress, weights):
+    caches = CacheWatcher(knowledge, peers.table, router.parts, servers)
+    node.bind(peers, weights, caches)
+    for component in (knowledge, peers, caches, node, ingress, weights):
         app.add(component)
     app.run()
     handler.flush_queue()
--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -35,3 +35,10 @@
 FAILURE_WEIGHT: Final = 0.08
 # A failure rate halves in so long without an outcome.
 FAILURE_HALF_S: Final = 4.0
+
+# Nodes that watch a cache store themselves; the others take their word.
+CACHE_WATCHERS: Final = 8
+CACHE_PACE_S: Final = 0.3
+CACHE_RETRY_S: Final = 0.5
+# Notes on parts are repeated so often, since datagrams may be lost.
+PART_NOTE_BEATS: Final = 3
--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -90,6 +90,11 @@
             retry_s = FOLLOW_RETRY_S
             gevent.sleep(self._pace_s)
 
+    @property
+    def started(self) -> bool:
+        """Tell whether the table was read whole and is followed from there."""
+        return self._version is not None
+
     def _read(self, sent_at: float) -> None:
         if self._version is None:
             snapshot = self._client.snapshot(self._table)
@@ -142,7 +147,7 @@
         self.catalog: Catalog | None = None
         self.servers = ServerTable()
         self.weights: dict[str, int] = {}
-        self.weights_at: dict[str, float] = {}
+        self.weights_at: dict[str, float | None] = {}
         self.on_weights: Callable[[], None] = lambda: None
         self._malformed: set[tuple[str, str]] = set()
         self._supervisor: Supervisor | None = None
@@ -193,6 +198,11 @@
         """Return the version of a model that operators named last; 0 if none."""
         return self.weights.get(model, 0)
 
+    def weights_age_s(self, model: str, now: float) -> float | None:
+        """Return how long ago a model's newest version was named, if that is known."""
+        named_at = self.weights_at.get(model)
+        return None if named_at is None else now - named_at
+
     def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.version == 0:
@@ -222,7 +232,9 @@
         if target.version <= self.weights.get(target.model, 0):
             return
         self.weights[target.model] = target.version
-        self.weights_at[target.model] = clock.now()
+        # What was named before this node started has no known age.
+        named_now = self._config_rows.started
+        self.weights_at[target.model] = clock.now() if named_now else None
         _LOGGER.info(
             "Weights %d of %s are wanted",
             target.version,
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -20,6 +20,37 @@
     loading_s: float
 
 
+class CacheEvent(Struct, frozen=True, array_like=True):
+    """Say that a cache store has taken a part in, or dropped it."""
+
+    kept: bool
+    salt: str
+    part_id: str
+
+
+class CacheSign(Struct, frozen=True, array_like=True):
+    """Name a lifetime of a cache store, its events and how far they were read."""
+
+    epoch: int
+    position: int
+    events: tuple[CacheEvent, ...]
+
+
+class CacheNote(Struct, frozen=True, array_like=True):
+    """Say which lifetime a cache store has; 0 when it does not answer."""
+
+    address: str
+    epoch: int
+
+
+class PartNote(Struct, frozen=True, array_like=True):
+    """Say that a server was sent a chain of parts, or has read it by now."""
+
+    server_id: str
+    pieces: tuple[bytes, ...]
+    read: bool
+
+
 class Beat(Struct, frozen=True, array_like=True):
     """Tell the other nodes of this one."""
 
@@ -36,6 +67,9 @@
     fence: int
     loads: tuple[ServerLoad, ...] = ()
     engines: tuple[EngineNote, ...] = ()
+    caches: tuple[CacheNote, ...] = ()
+    silent: tuple[str, ...] = ()
+    parts: tuple[PartNote, ...] = ()
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -23,6 +23,10 @@
     weights: dict[str, int] = field(default_factory=dict)
     in_flight: int = 0
     prompt_tokens: int = 0
+    busy_since: float = 0.0
+    heard_at: float = 0.0
+    suspected: bool = False
+    own_word: bool = True
     suspect_until: float = 0.0
     suspect_s: float = 0.0
     failure_rate: float = 0.0
@@ -41,7 +45,7 @@
         return (
             not self.dead
             and self.entry.state is ServerState.READY
-            and now >= self.suspect_until
+            and not self.suspected
             and now >= self.loading_until
         )
 
@@ -58,8 +62,22 @@
         if not failed:
             self.suspect_s = 0.0
 
+    def begin(self, prompt_tokens: int, now: float) -> None:
+        """Count a request as sent here."""
+        if self.in_flight == 0:
+            self.busy_since = now
+        self.in_flight += 1
+        self.prompt_tokens += prompt_tokens
+
+    def quiet_s(self, now: float) -> float:
+        """Return how long requests have been here without a byte in answer."""
+        if self.in_flight == 0:
+            return 0.0
+        return now - max(self.busy_since, self.heard_at)
+
     def suspect(self, now: float) -> None:
-        """Leave the server alone for a while because it could not be reached."""
+        """Leave the server alone until it can be reached again."""
+        self.suspected = True
         if now < self.suspect_until:
             return
         self.suspect_s = min(SUSPECT_MAX_S, self.suspect_s * 2 or SUSPECT_FIRST_S)
@@ -141,6 +159,14 @@
             if server.gone_at is not None and waited_s >= RETURN_GRACE_S:
                 self._drop(server, now)
 
+    def suspects(self, now: float) -> list[Server]:
+        """Return the suspected servers that should be tried again now."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.suspected and now >= server.suspect_until
+        ]
+
     def mark_dead(self, server: Server) -> None:
         """Use a lifetime no more because another has its address."""
         server.dead = True
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -47,3 +47,7 @@
 KNOWN_MAX_AGE_S: Final = 1.8
 # Time that a stopping node leaves itself to end before it is killed.
 STOP_MARGIN_S: Final = 0.7
+# Steps in which a reader checks whether its server has fallen silent.
+QUIET_STEP_S: Final = 0.2
+# A suspected server is tried again so often while a try is under way.
+PROBE_PAUSE_S: Final = 1.0
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -11,6 +11,7 @@
 from arbutusyard.fleet.catalog import pick_service
 from arbutusyard.fleet.knowledge import Knowledge
 from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.caller import CallerConnection
 from arbutusyard.gateway.const import (
     CONNECT_TRIES,
@@ -52,6 +53,7 @@
 
 # Pieces of an answer that is passed on whole are held up to this size, in bytes.
 WHOLE_ANSWER_BYTES = 1_048_576
+URGENCY_LAST = 9
 
 
 class TryResult(enum.Enum):
@@ -80,6 +82,7 @@
     avoid: set[str] = field(default_factory=set)
     last_event_id: str = ""
     first_event_at: float | None = None
+    placement: Placement | None = None
     stored: tuple[AnswerHead, bytes] | None = None
 
 
@@ -182,6 +185,7 @@
                 exchange.service, len(self._peers.alive(now)) + 1, now
             ):
                 return self._give_up(exchange, "retry_budget")
+            exchange.placement = placement
             result = self._try(exchange, placement)
             if result is None:
                 return "answered"
@@ -216,6 +220,7 @@
         whole: AnswerHead | None = None
         try:
             conn = self._pool.acquire(server, cap, now)
+            conn.on_quiet = lambda: self._abandons(exchange, server)
             self._send(exchange, placement, conn)
             head = conn.read_head(exchange.req.request_id, exchange.until)
             result = self._take_answer(exchange, placement, conn, head)
@@ -249,10 +254,36 @@
             time_left_s=exchange.until - clock.now(),
             weights_version=placement.weights_version or None,
             cache_salt=placement.cache_salt,
+            cache_source=placement.fetch.address if placement.fetch else "",
+            cache_sink=placement.save_to,
+            urgency=_urgency(exchange.route, account),
             resume_after=exchange.last_event_id or req.resume_after,
         )
         conn.send(req.method, req.target, dispatch_headers(req, dispatch), req.body)
 
+    def _abandons(self, exchange: Exchange, server: Server) -> bool:
+        """Tell whether a silent server's request goes on elsewhere; suspect it."""
+        now = clock.now()
+        if not self._router.quiet(server, now):
+            return False
+        if not server.suspected:
+            server.suspect(now)
+            _LOGGER.warning(
+                "Server %s is silent",
+                server.entry.server_id,
+                extra={
+                    "request_id": exchange.req.request_id,
+                    "server": server.entry.server_id,
+                    "quiet_s": round(server.quiet_s(now), 3),
+                },
+            )
+        if exchange.route.repeat is Repeat.ONCE:
+            return False
+        if exchange.runs + 1 >= exchange.route.max_attempts:
+            return False
+        others = self._knowledge.servers.of_service(exchange.service)
+        return any(other.usable(now) for other in others)
+
     def _connection_cap(self, service: str, now: float) -> int:
         catalog = self._knowledge.catalog
         known = catalog.cfg.services.get(service) if catalog else None
@@ -340,9 +371,11 @@
             ]
             if not events:
                 continue
+            if not placement.started:
+                placement.started = True
+                self._router.first_event(placement, clock.now())
             if exchange.first_event_at is None:
                 exchange.first_event_at = clock.now()
-            self._router.prompt_read(placement)
             if not caller.sent_head:
                 caller.send_head(head.status, self._closing(head.headers))
             caller.send_data(b"".join(event.data for event in events))
@@ -457,6 +490,7 @@
                 "route": exchange.route.name,
                 "account": account,
                 "service": exchange.service,
+                **_describe(exchange.placement),
                 "tries": exchange.tries,
                 "runs": exchange.runs,
                 "config": catalog.cfg.version if catalog else None,
@@ -467,6 +501,30 @@
         )
 
 
+def _describe(placement: Placement | None) -> dict[str, object]:
+    """Return the inputs of the last choice of a server, for a log line."""
+    if placement is None:
+        return {}
+    fetch = placement.fetch
+    return {
+        "server": placement.server.entry.server_id,
+        "weights": placement.weights_version,
+        "expected_ms": round(placement.expected_s * 1000, 1),
+        "cached": placement.cached_tokens,
+        "fetched": fetch.tokens if fetch else 0,
+        "fetch_from": fetch.address if fetch else "",
+        "saved_to": placement.save_to,
+    }
+
+
+def _urgency(route: Route, account: Account | None) -> int | None:
+    """Return how urgent an engine should take a request, 0 first."""
+    if not route.streaming:
+        return None
+    own = account.priority if account is not None else None
+    return max(0, min(URGENCY_LAST, route.priority if own is None else own))
+
+
 def _came_before(event_id: str, last: str) -> bool:
     if not event_id.isdigit() or not last.isdigit():
         return False
--- a/arbutusyard/gateway/ingress.py
+++ b/arbutusyard/gateway/ingress.py
@@ -12,7 +12,7 @@
 from arbutusyard.app import Application
 from arbutusyard.fleet.knowledge import Knowledge
 from arbutusyard.gateway.caller import CallerConnection
-from arbutusyard.gateway.exceptions import BadRequest, CallerGone
+from arbutusyard.gateway.exceptions import BadRequest, CallerGone, GatewayError
 from arbutusyard.gateway.exchange import Relay
 from arbutusyard.gateway.models import CallerRequest, IngressLimits, Refusal
 from arbutusyard.platform.headers import read_request, refusal_headers
@@ -127,6 +127,15 @@
         try:
             read_request(req)
             self._relay.serve(req, conn)
+        except GatewayError:
+            raise
+        except Exception:
+            # A fault of ours: nothing is promised about the request.
+            _LOGGER.exception(
+                "Request failed unexpectedly", extra={"request_id": req.request_id}
+            )
+            if not conn.sent_head:
+                conn.answer(502, [(b"connection", b"close")], b"")
         finally:
             self.busy -= 1
             watcher.kill()
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -45,6 +45,7 @@
     slots: int
     cache_tokens: int
     token_bytes: int
+    link_mbps: float
     models: tuple[str, ...]
 
 
@@ -55,6 +56,7 @@
     address: str
     failure_domain: str
     cache_tokens: int
+    link_mbps: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -7,6 +7,7 @@
 
 from arbutusyard import clock
 from arbutusyard.app import Application
+from arbutusyard.fleet.caches import CacheWatcher
 from arbutusyard.fleet.knowledge import Knowledge
 from arbutusyard.fleet.messages import Beat
 from arbutusyard.fleet.peers import PeerCoordinator
@@ -34,6 +35,7 @@
     name = "node"
 
     __slots__ = (
+        "_caches",
         "_cfg",
         "_incarnation",
         "_ingress",
@@ -67,17 +69,24 @@
         self._pool = pool
         self._ingress = ingress
         self._metrics = metrics
+        self._caches: CacheWatcher | None = None
         self._peers: PeerCoordinator | None = None
         self._weights: WeightsCoordinator | None = None
         self._servers: list[WSGIServer] = []
         self._was_ready = False
 
-    def bind(self, peers: PeerCoordinator, weights: WeightsCoordinator) -> None:
+    def bind(
+        self,
+        peers: PeerCoordinator,
+        weights: WeightsCoordinator,
+        caches: CacheWatcher,
+    ) -> None:
         """Set the parts that need this node's description."""
+        self._caches = caches
         self._peers = peers
         self._weights = weights
         peers.on_tick = self._tick
-        peers.on_beat = lambda beat, now: self._router.take_notes(beat.engines, now)
+        peers.on_beat = self._take_beat
         weights.bind(self.ready)
         self._knowledge.on_weights = weights.wake
 
@@ -154,11 +163,22 @@
             fence=self._weights.fence,
             loads=self._router.loads(),
             engines=self._weights.notes(now),
+            caches=self._caches.notes(),
+            silent=self._router.silent(),
+            parts=self._router.part_notes(),
         )
 
+    def _take_beat(self, beat: Beat, now: float) -> None:
+        self._router.take_engine_notes(beat.engines, now)
+        self._caches.take_notes(beat.caches)
+        self._router.take_part_notes(beat.parts, now)
+        self._router.take_silent(beat.silent, now)
+
     def _tick(self, now: float) -> None:
         self._knowledge.servers.sweep(now)
         self._pool.sweep(now)
+        for server in self._knowledge.servers.suspects(now):
+            gevent.spawn(self._pool.probe, server)
         ready = self.ready(now)
         if ready is not self._was_ready:
             self._was_ready = ready
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+from collections.abc import Callable
 
 import gevent
 import h11
@@ -17,6 +18,8 @@
     KEEPALIVE_COUNT,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
+    PROBE_PAUSE_S,
+    QUIET_STEP_S,
     READ_BYTES,
     TCP_USER_TIMEOUT_MS,
 )
@@ -32,15 +35,29 @@
 class ServerConnection:
     """Hold one connection to a backend server, for one request at a time."""
 
-    __slots__ = ("_h11", "_request", "_sock", "address", "idle_until", "lifetime")
+    __slots__ = (
+        "_h11",
+        "_request",
+        "_server",
+        "_sock",
+        "address",
+        "idle_until",
+        "on_quiet",
+    )
 
-    def __init__(self, sock: socket.socket, address: str, lifetime: object) -> None:
+    def __init__(self, sock: socket.socket, server: Server) -> None:
         self._sock = sock
+        self._server = server
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
-        self.address = address
-        self.lifetime = lifetime
+        self.address = server.entry.address
         self.idle_until = 0.0
+        self.on_quiet: Callable[[], bool] = lambda: False
+
+    @property
+    def lifetime(self) -> tuple[str, int]:
+        """Return the lifetime of the server at the other end."""
+        return self._server.lifetime
 
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a request; raise NotSent when no byte left."""
@@ -71,7 +88,10 @@
             _LOGGER.debug("Rest of a request to %s: %s", self.address, exc)
 
     def read_head(self, request_id: str, until: float) -> AnswerHead:
-        """Read the head of the answer to a request, passing over others."""
+        """Read the head of the answer to a request, passing over others.
+
+        Raise AnswerBroken when it never comes and AnswerLate when it comes too late.
+        """
         while True:
             event = self._next(until)
             if isinstance(event, h11.InformationalResponse):
@@ -150,17 +170,31 @@
             left_s = until - clock.now()
             if left_s <= 0:
                 raise AnswerLate(f"{self.address} did not answer in time")
-            self._sock.settimeout(left_s)
+            data = self._receive(left_s, until)
+            self._server.heard_at = clock.now()
+            self._h11.receive_data(data)
+
+    def _receive(self, left_s: float, until: float) -> bytes:
+        step_s = min(left_s, QUIET_STEP_S)
+        self._sock.settimeout(step_s)
+        started_at = clock.now()
+        while True:
             try:
-                data = self._sock.recv(READ_BYTES)
+                return self._sock.recv(READ_BYTES)
             except TimeoutError as exc:
-                # The kernel's own time-outs of a dead connection end up here too.
-                if clock.now() < until:
+                now = clock.now()
+                if now >= until:
+                    raise AnswerLate(f"{self.address} did not answer in time") from exc
+                # The kernel's own time limits of a dead connection end up here too.
+                if now - started_at < step_s * 0.9:
                     raise AnswerBroken(f"{self.address}: {exc}") from exc
-                raise AnswerLate(f"{self.address} did not answer in time") from exc
+                if self.on_quiet():
+                    raise AnswerBroken(f"{self.address} is silent") from exc
+                started_at = now
+                step_s = max(0.001, min(until - now, QUIET_STEP_S))
+                self._sock.settimeout(step_s)
             except OSError as exc:
                 raise AnswerBroken(f"{self.address}: {exc}") from exc
-            self._h11.receive_data(data)
 
 
 class ServerPool:
@@ -211,13 +245,34 @@
             if not idle:
                 del self._idle[lifetime]
 
+    def probe(self, server: Server) -> None:
+        """Try to reach a suspected server; use it again if that succeeds."""
+        # Keeps others from trying meanwhile.
+        server.suspect_until = clock.now() + PROBE_PAUSE_S
+        try:
+            conn = self._connect(server)
+        except NotSent:
+            server.suspect(server.suspect_until)
+            return
+        now = clock.now()
+        conn.idle_until = now + IDLE_KEEP_S - IDLE_MARGIN_S
+        self._idle.setdefault(conn.lifetime, []).append(conn)
+        server.heard_at = now
+        server.suspected = False
+        server.own_word = True
+        _LOGGER.info(
+            "Server %s can be reached again",
+            server.entry.server_id,
+            extra={"server": server.entry.server_id},
+        )
+
     def _connect(self, server: Server) -> ServerConnection:
         address = server.entry.address
-        host, port = address.rsplit(":", 1)
         lifetime = server.lifetime
         self._open[lifetime] = self._open.get(lifetime, 0) + 1
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        conn = ServerConnection(sock, address, lifetime)
+        conn = ServerConnection(sock, server)
+        host, port = address.rsplit(":", 1)
         try:
             sock.settimeout(CONNECT_S)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -1,19 +1,52 @@
 """Find a server for a request and remember what is under way there."""
 
+from collections import deque
 from dataclasses import dataclass
 from hashlib import blake2b
 
+from arbutusyard.fleet.catalog import Catalog
+from arbutusyard.fleet.const import PART_NOTE_BEATS
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.messages import EngineNote, ServerLoad
+from arbutusyard.fleet.messages import EngineNote, PartNote, ServerLoad
 from arbutusyard.fleet.peers import PeerTable
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.models import Account, CallerRequest
 from arbutusyard.routing.chain import rank
-from arbutusyard.routing.index import PrefixIndex
-from arbutusyard.routing.placement import ServerView, Work, choose, expected_s
+from arbutusyard.routing.parts import (
+    Fetch,
+    PartMap,
+    Source,
+    best_fetch,
+    part_key,
+)
+from arbutusyard.routing.placement import (
+    PREFILL_TOKENS_PER_S,
+    ServerView,
+    Work,
+    choose,
+    expected_s,
+    express_lane,
+)
 
-# Parts below this size are not worth a server of their own.
+# Parts below this size, in tokens, are not worth a server of their own.
 HOME_PART_TOKENS = 512
+# Datagrams carry so many notes on parts at most.
+PART_NOTES_MAX = 64
+# A server that works answers something within so long, besides the time in which
+# it may be reading the prompts that wait there, estimated with room to spare.
+QUIET_S = 0.7
+QUIET_READ_FACTOR = 2.5
+
+
+@dataclass(slots=True)
+class Prompt:
+    """Hold what routing needs of a prompt under one version of the weights."""
+
+    salt: str
+    pieces: tuple[bytes, ...]
+    sent: dict[str, int]
+    engines: dict[str, int]
+    stores: dict[str, int]
 
 
 @dataclass(slots=True)
@@ -21,26 +54,47 @@
     """Hold the choice of a server for one try of a request."""
 
     server: Server
-    weights_version: int | None
-    cache_salt: str
-    pieces: tuple[bytes, ...]
-    cached_tokens: int
-    to_read: int
     expected_s: float
+    weights_version: int | None = None
+    prompt: Prompt | None = None
+    cached_tokens: int = 0
+    to_read: int = 0
+    fetch: Fetch | None = None
+    save_to: str = ""
+    shared_pieces: tuple[bytes, ...] = ()
+    started: bool = False
+
+    @property
+    def cache_salt(self) -> str:
+        """Return the salt under which the server looks for kept parts."""
+        return self.prompt.salt if self.prompt is not None else ""
 
 
 class PlacementRouter:
     """Choose servers by their load, their kept parts and their weights."""
 
-    __slots__ = ("_domain", "_index", "_knowledge", "_peers")
+    __slots__ = (
+        "_domain",
+        "_knowledge",
+        "_notes",
+        "_peers",
+        "_weights_margin_s",
+        "parts",
+    )
 
     def __init__(
-        self, knowledge: Knowledge, peers: PeerTable, failure_domain: str
+        self,
+        knowledge: Knowledge,
+        peers: PeerTable,
+        failure_domain: str,
+        weights_margin_s: float,
     ) -> None:
         self._knowledge = knowledge
         self._peers = peers
         self._domain = failure_domain
-        self._index = PrefixIndex()
+        self._weights_margin_s = weights_margin_s
+        self._notes: deque[list] = deque(maxlen=PART_NOTES_MAX)
+        self.parts = PartMap()
 
     def place(
         self,
@@ -56,69 +110,176 @@
             for server in self._knowledge.servers.of_service(service)
             if server.usable(now) and server.entry.server_id not in avoid
         ]
+        if req.model:
+            servers = self._with_allowed_weights(servers, req.model, now)
         if not servers:
             return None
         if not req.model:
             return self._place_plain(servers, now)
-        return self._place_prompt(req, account, servers, now)
+        return self._place_prompt(req, account, service, servers, now)
+
+    def _with_allowed_weights(
+        self, servers: list[Server], model: str, now: float
+    ) -> list[Server]:
+        """Leave out servers whose weights were replaced too long ago."""
+        age_s = self._knowledge.weights_age_s(model, now)
+        if age_s is not None and age_s <= self._weights_margin_s:
+            return servers
+        target = self._knowledge.target(model)
+        newest = [s for s in servers if s.weights.get(model, 0) >= target]
+        # A node that just started can't know whether the old ones are overdue.
+        return newest if newest or age_s is not None else servers
 
     def _place_plain(self, servers: list[Server], now: float) -> Placement:
         work = Work(self._domain)
         views = {s.entry.server_id: self._view(s, now) for s in servers}
         best = choose(work, list(views.values()))
         server = self._knowledge.servers.servers[best.server_id]
-        return Placement(server, None, "", (), 0, 0, expected_s(work, best))
+        return Placement(server, expected_s(work, best))
 
     def _place_prompt(
         self,
         req: CallerRequest,
         account: Account | None,
+        service: str,
         servers: list[Server],
         now: float,
     ) -> Placement:
         group = account.name if account is not None and account.isolated else ""
-        target = self._knowledge.target(req.model)
-        depths: dict[str, dict[str, int]] = {}
-        chains: dict[str, tuple[bytes, ...]] = {}
+        newest = max(server.weights.get(req.model, 0) for server in servers)
+        fresh = [
+            server.entry.server_id
+            for server in servers
+            if server.weights.get(req.model, 0) == newest
+        ]
+        home = _home(req, group, fresh)
+        express = express_lane(fresh)
         shared = sum(part.tokens for part in req.parts[:-1])
         work = Work(self._domain, max(1, req.prompt_tokens), shared)
-        home = ""
-        if req.parts and req.parts[0].tokens >= HOME_PART_TOKENS:
-            names = [server.entry.server_id for server in servers]
-            home = rank(f"{group}/{req.parts[0].part_id}".encode(), names)[0]
+        prompts: dict[int, Prompt] = {}
+        fetches: dict[str, Fetch | None] = {}
         views = []
         for server in servers:
             version = server.weights.get(req.model, 0)
-            salt = cache_salt(group, req.model, version)
-            if salt not in depths:
-                chains[salt] = piece_chain(req, salt)
-                depths[salt] = self._index.match(chains[salt], now)
+            if version not in prompts:
+                prompts[version] = self._prompt(req, group, version, now)
+            prompt = prompts[version]
             server_id = server.entry.server_id
-            depth = depths[salt].get(server_id, 0)
-            cached = sum(part.tokens for part in req.parts[:depth])
+            cached = self._tokens(req, prompt.sent.get(server_id, 0))
+            fetch = self._fetch(req, service, server, prompt, cached)
+            fetches[server_id] = fetch
             views.append(
-                self._view(server, now, cached, server_id == home, version < target)
+                self._view(
+                    server,
+                    now,
+                    cached_tokens=cached,
+                    fetch=fetch,
+                    known_tokens=self._tokens(
+                        req, max(prompt.sent.values(), default=0)
+                    ),
+                    home=server_id == home,
+                    express=server_id in express,
+                    old_weights=version < newest,
+                )
             )
         best = choose(work, views)
         server = self._knowledge.servers.servers[best.server_id]
         version = server.weights.get(req.model, 0)
-        salt = cache_salt(group, req.model, version)
-        return Placement(
+        prompt = prompts[version]
+        fetch = fetches[best.server_id]
+        ready = best.cached_tokens + (fetch.tokens if fetch else 0)
+        if fetch is None:
+            # The server may have dropped what it is believed to hold.
+            fetch = self._fetch(req, service, server, prompt, 0)
+        placement = Placement(
             server,
+            expected_s(work, best),
             version,
-            salt,
-            chains[salt],
+            prompt,
             best.cached_tokens,
-            max(0, work.prompt_tokens - best.cached_tokens),
-            expected_s(work, best),
+            max(0, work.prompt_tokens - ready),
+            fetch,
         )
+        if shared >= HOME_PART_TOKENS:
+            placement.shared_pieces = prompt.pieces[:-1]
+            placement.save_to = self._save_to(prompt)
+        return placement
+
+    def _prompt(
+        self, req: CallerRequest, group: str, version: int, now: float
+    ) -> Prompt:
+        salt = cache_salt(group, req.model, version)
+        pieces = piece_keys(req, salt)
+        return Prompt(
+            salt,
+            pieces,
+            self.parts.sent_to_engines(pieces, now),
+            self.parts.kept_by_engines(pieces, now),
+            self.parts.kept_by_stores(pieces, now),
+        )
+
+    @staticmethod
+    def _tokens(req: CallerRequest, pieces: int) -> int:
+        return sum(part.tokens for part in req.parts[:pieces])
+
+    def _fetch(
+        self,
+        req: CallerRequest,
+        service: str,
+        server: Server,
+        prompt: Prompt,
+        cached: int,
+    ) -> Fetch | None:
+        """Return from where a server should fetch parts that it does not hold."""
+        catalog = self._knowledge.catalog
+        known = catalog.cfg.services.get(service) if catalog else None
+        if known is None or known.engine is None:
+            return None
+        sources = [
+            (source, self._tokens(req, depth))
+            for source, depth in self._sources(catalog, known.engine, prompt)
+            if source.name != server.entry.server_id
+        ]
+        domain = server.entry.failure_domain
+        return best_fetch(sources, cached, known.engine.token_bytes, domain)
+
+    def _sources(
+        self, catalog: Catalog, engine, prompt: Prompt
+    ) -> list[tuple[Source, int]]:
+        found = []
+        for server_id, depth in prompt.engines.items():
+            server = self._knowledge.servers.get(server_id)
+            if server is not None and not server.dead and not server.suspected:
+                entry = server.entry
+                source = Source(
+                    server_id, entry.address, entry.failure_domain, engine.link_mbps
+                )
+                found.append((source, depth))
+        for store in catalog.cfg.cache_stores:
+            if depth := prompt.stores.get(store.address, 0):
+                source = Source(
+                    store.address, store.address, store.failure_domain, store.link_mbps
+                )
+                found.append((source, depth))
+        return found
+
+    def _save_to(self, prompt: Prompt) -> str:
+        """Return the cache store that lacks the shared parts of a prompt."""
+        for store in self._knowledge.catalog.cfg.cache_stores:
+            depth = prompt.stores.get(store.address, 0)
+            if self.parts.store_epoch(store.address) and depth < len(prompt.pieces) - 1:
+                return store.address
+        return ""
 
     def _view(
         self,
         server: Server,
         now: float,
-        cached: int = 0,
+        cached_tokens: int = 0,
+        fetch: Fetch | None = None,
         home: bool = False,
+        express: bool = False,
+        known_tokens: int = 0,
         old_weights: bool = False,
     ) -> ServerView:
         in_flight, prompt_tokens = self._peers.load(server.entry.server_id)
@@ -128,23 +289,42 @@
             server.entry.slots,
             in_flight + server.in_flight,
             prompt_tokens + server.prompt_tokens,
-            cached,
+            cached_tokens,
             home,
             server.failures(now),
             old_weights,
+            fetch.tokens if fetch else 0,
+            fetch.expected_s if fetch else 0.0,
+            express,
+            max(0, known_tokens - cached_tokens - (fetch.tokens if fetch else 0)),
         )
 
     def started(self, placement: Placement, now: float) -> None:
         """Count a try as under way."""
         server = placement.server
-        server.in_flight += 1
-        server.prompt_tokens += placement.to_read
-        if placement.pieces:
-            server_id = server.entry.server_id
-            incarnation = f"{server.entry.born_ms}.{placement.weights_version}"
-            if self._index.incarnation(server_id) != incarnation:
-                self._index.set_incarnation(server_id, incarnation)
-            self._index.learn(server_id, incarnation, placement.pieces, now)
+        server.begin(placement.to_read, now)
+        if placement.shared_pieces:
+            self._note_parts(placement, False, now)
+
+    def _note_parts(self, placement: Placement, read: bool, now: float) -> None:
+        server_id = placement.server.entry.server_id
+        note = PartNote(server_id, placement.shared_pieces, read)
+        self._learn_part(note, now)
+        self._notes.append([note, PART_NOTE_BEATS])
+
+    def _learn_part(self, note: PartNote, now: float) -> None:
+        server = self._knowledge.servers.get(note.server_id)
+        if server is not None:
+            born_ms = server.entry.born_ms
+            self.parts.learn_engine(
+                note.server_id, born_ms, note.pieces, note.read, now
+            )
+
+    def first_event(self, placement: Placement, now: float) -> None:
+        """Take note that a try's prompt was read."""
+        self.prompt_read(placement)
+        if placement.shared_pieces:
+            self._note_parts(placement, True, now)
 
     def prompt_read(self, placement: Placement) -> None:
         """Stop counting a try's prompt as waiting to be read."""
@@ -159,7 +339,31 @@
     def not_run(self, placement: Placement) -> None:
         """Forget the parts that a try would have left at its server."""
         server_id = placement.server.entry.server_id
-        self._index.unlearn(server_id, placement.pieces)
+        self.parts.forget_engine(server_id, placement.shared_pieces)
+
+    def quiet(self, server: Server, now: float) -> bool:
+        """Tell whether a server with work in hand is silent longer than it should."""
+        if now < server.loading_until:
+            return False
+        _, prompt_tokens = self._peers.load(server.entry.server_id)
+        tokens = prompt_tokens + server.prompt_tokens
+        limit_s = QUIET_S + QUIET_READ_FACTOR * tokens / PREFILL_TOKENS_PER_S
+        return server.quiet_s(now) > limit_s
+
+    def silent(self) -> tuple[str, ...]:
+        """Return the servers that this node has found silent or out of reach."""
+        servers = self._knowledge.servers.servers.values()
+        return tuple(s.entry.server_id for s in servers if s.suspected and s.own_word)
+
+    def take_silent(self, server_ids: tuple[str, ...], now: float) -> None:
+        """Take another node's word on silent servers, unless they were just heard."""
+        for server_id in server_ids:
+            server = self._knowledge.servers.get(server_id)
+            if server is None or server.suspected:
+                continue
+            if now - server.heard_at > QUIET_S:
+                server.own_word = False
+                server.suspect(now)
 
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return what this node has in flight, for the other nodes."""
@@ -169,7 +373,21 @@
             if server.in_flight
         )
 
-    def take_notes(self, notes: tuple[EngineNote, ...], now: float) -> None:
+    def part_notes(self) -> tuple[PartNote, ...]:
+        """Return the newest notes on parts, each for a few datagrams."""
+        notes = tuple(item[0] for item in self._notes)
+        for item in self._notes:
+            item[1] -= 1
+        while self._notes and self._notes[0][1] <= 0:
+            self._notes.popleft()
+        return notes
+
+    def take_part_notes(self, notes: tuple[PartNote, ...], now: float) -> None:
+        """Take over which parts other nodes have sent where."""
+        for note in notes:
+            self._learn_part(note, now)
+
+    def take_engine_notes(self, notes: tuple[EngineNote, ...], now: float) -> None:
         """Take over what another node says of servers' weights."""
         for note in notes:
             server = self._knowledge.servers.get(note.server_id)
@@ -182,18 +400,19 @@
                 server.loading_until = 0.0
 
 
+def _home(req: CallerRequest, group: str, server_ids: list[str]) -> str:
+    """Return the server that every node would send this shared part to first."""
+    if len(req.parts) < 2 or req.parts[0].tokens < HOME_PART_TOKENS:
+        return ""
+    return rank(f"{group}/{req.parts[0].part_id}".encode(), server_ids)[0]
+
+
 def cache_salt(group: str, model: str, version: int) -> str:
     """Return the salt under which only the same accounts and weights share parts."""
     text = f"{len(group)}:{group}{len(model)}:{model}{version}"
     return blake2b(text.encode(), digest_size=12).hexdigest()
 
 
-def piece_chain(req: CallerRequest, salt: str) -> tuple[bytes, ...]:
-    """Return a key for each part of a prompt that covers all parts before it."""
-    keys = []
-    previous = salt.encode()
-    for part in req.parts:
-        digest = blake2b(part.part_id.encode(), key=previous[:64], digest_size=12)
-        previous = digest.digest()
-        keys.append(previous)
-    return tuple(keys)
+def piece_keys(req: CallerRequest, salt: str) -> tuple[bytes, ...]:
+    """Return a key for each part of a prompt under a salt."""
+    return tuple(part_key(salt, part.part_id) for part in req.parts)
--- a/arbutusyard/platform/client.py
+++ b/arbutusyard/platform/client.py
@@ -31,6 +31,8 @@
     Put,
     Row,
     Snapshot,
+    Vm,
+    VmList,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -42,6 +44,7 @@
 TCP_USER_TIMEOUT_MS: Final = 2000
 POOL_SIZE: Final = 8
 PAGE_ROWS: Final = 500
+TABLE_VMS: Final = "vms"
 
 PATH_TRANSACTION: Final = "/-/rows-tx"
 PATH_ROWS: Final = "/-/rows-get"
@@ -114,6 +117,16 @@
         resp = self._request("GET", path, accept=(200, 404))
         return resp.data if resp.status == 200 else b""
 
+    def vms(self) -> VmList:
+        """Read the list of VMs that operators keep for the own interface."""
+        vms = []
+        for row in self.scan(TABLE_VMS):
+            try:
+                vms.append(msgspec.msgpack.decode(row.value, type=Vm))
+            except msgspec.DecodeError as exc:
+                _LOGGER.warning("Ignored VM %s of the list: %s", row.key, exc)
+        return VmList(tuple(vms))
+
     def _transact(self, ops: tuple[Operation, ...]) -> int:
         body: dict[str, list[Any]] = {"if_revision": [], "puts": [], "remove": []}
         for op in ops:
--- a/arbutusyard/platform/models.py
+++ b/arbutusyard/platform/models.py
@@ -1,6 +1,6 @@
 """Define the rows of the platform's store and the changes made to them."""
 
-from msgspec import Struct
+from msgspec import Raw, Struct
 
 
 class Put(Struct, frozen=True, tag="put"):
@@ -51,3 +51,21 @@
 
     rows: tuple[Row, ...]
     version: int
+
+
+class Vm(Struct, frozen=True):
+    """Describe a VM as the list of VMs gives it."""
+
+    vm_id: str
+    role: str
+    serves: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+    detail: Raw = Raw(b"null")
+
+
+class VmList(Struct, frozen=True):
+    """Hold the lagging list of VMs."""
+
+    vms: tuple[Vm, ...]
--- a/arbutusyard/platform/rows.py
+++ b/arbutusyard/platform/rows.py
@@ -65,6 +65,7 @@
     slots: int
     kv_capacity_tokens: int
     kv_token_bytes: int = 0
+    link_mbps: float = 0
     models: list[WireModel] = []
 
 
@@ -77,6 +78,7 @@
     kv_store_addr: str | None = None
     zone: str = ""
     kv_capacity_tokens: int = 0
+    link_mbps: float = 0
 
 
 class WireTenant(Struct):
@@ -148,7 +150,9 @@
         routes=tuple(_route(item) for item in wire.routes),
         services={item.name: _service(item) for item in services},
         cache_stores=tuple(
-            CacheStore(item.kv_store_addr, item.zone, item.kv_capacity_tokens)
+            CacheStore(
+                item.kv_store_addr, item.zone, item.kv_capacity_tokens, item.link_mbps
+            )
             for item in stores
         ),
         accounts=tuple(
@@ -201,6 +205,7 @@
             wire.engine.slots,
             wire.engine.kv_capacity_tokens,
             wire.engine.kv_token_bytes,
+            wire.engine.link_mbps,
             tuple(model.name for model in wire.engine.models),
         )
     return Service(wire.name, wire.max_connections, engine)
--- a/arbutusyard/platform/servers.py
+++ b/arbutusyard/platform/servers.py
@@ -7,6 +7,8 @@
 from msgspec import Struct
 from urllib3.exceptions import HTTPError
 
+from arbutusyard.const import MS_PER_S
+from arbutusyard.fleet.messages import CacheEvent, CacheSign
 from arbutusyard.platform.client import SOCKET_OPTIONS
 from arbutusyard.platform.exceptions import PlatformUnsettled
 from arbutusyard.weights.models import LoadOrder, OrderOutcome, ServerReport
@@ -18,6 +20,10 @@
 
 PATH_ORDER: Final = "/-/order"
 PATH_REPORT: Final = "/-/report"
+PATH_EVENTS: Final = "/-/kv-events"
+# Calls that wait less are priced like health checks.
+EVENTS_WAIT_MS: Final = 1000
+EVENT_FIELDS: Final = 4
 
 OUTCOMES: Final = {
     200: OrderOutcome.HOLDS,
@@ -49,6 +55,15 @@
     born: int = 0
 
 
+class WireEvents(Struct):
+    """Decode what a cache store has taken in and dropped."""
+
+    boot_epoch: int
+    next: int
+    # Each is [number, "+" or "-", salt, part, tokens, model].
+    events: list[list[Any]] = []
+
+
 class ServerClient:
     """Call the interfaces of backend servers that serve no caller."""
 
@@ -94,15 +109,48 @@
             born_ms=wire.born,
         )
 
+    def watch_cache(self, address: str, since: int) -> CacheSign:
+        """Wait for a sign of life of a cache store; raise PlatformUnsettled on none."""
+        path = f"{PATH_EVENTS}?since={since}"
+        headers = {"Wait-Ms": str(EVENTS_WAIT_MS)}
+        wait_s = EVENTS_WAIT_MS / MS_PER_S
+        resp = self._request("GET", address, path, headers, None, wait_s)
+        if resp.status != 200:
+            raise PlatformUnsettled(f"events of {address}: status {resp.status}")
+        try:
+            wire = msgspec.json.decode(resp.data, type=WireEvents)
+        except msgspec.DecodeError as exc:
+            raise PlatformUnsettled(f"events cannot be read: {exc}") from exc
+        events = tuple(
+            CacheEvent(item[1] == "+", str(item[2]), str(item[3]))
+            for item in wire.events
+            if len(item) >= EVENT_FIELDS
+        )
+        return CacheSign(wire.boot_epoch, wire.next, events)
+
     def _call(
         self, method: str, address: str, path: str, server_id: str, body: Any
     ) -> urllib3.BaseHTTPResponse:
-        headers = {"Expect-Instance": server_id}
+        return self._request(
+            method, address, path, {"Expect-Instance": server_id}, body, 0.0
+        )
+
+    def _request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        headers: dict[str, str],
+        body: Any,
+        wait_s: float,
+    ) -> urllib3.BaseHTTPResponse:
         data = None
         if body is not None:
             headers["Content-Type"] = "application/json"
             data = msgspec.json.encode(body)
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=CALL_TIMEOUT_S)
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S, read=CALL_TIMEOUT_S + wait_s
+        )
         try:
             return self._pool.request(
                 method,
--- /dev/null
+++ b/arbutusyard/routing/parts.py
@@ -0,0 +1,132 @@
+"""Remember who holds which parts of prompts, and where to fetch them from."""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Final
+
+from arbutusyard.routing.index import PrefixIndex
+
+# An engine is believed to keep a part so long after its last use, in seconds.
+KEEP_S: Final = 12.0
+# Others fetch a part from an engine only so long after it was read there; later the
+# cache store is the surer source.
+SOURCE_KEEP_S: Final = 4.0
+# A cache store has room for all shared parts and keeps them much longer.
+STORE_KEEP_S: Final = 300.0
+# Fetching fewer tokens than that saves nothing.
+FETCH_TOKENS_MIN: Final = 512
+# Another failure domain is at the end of a link half as fast.
+CROSS_DOMAIN_FACTOR: Final = 2.0
+BITS_PER_MB: Final = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Describe who may hand parts over, and the speed of its link in Mbit/s."""
+
+    name: str
+    address: str
+    failure_domain: str
+    link_mbps: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Say from where parts come, how many tokens of them and how long it takes."""
+
+    address: str
+    tokens: int
+    expected_s: float
+
+
+def part_key(salt: str, part_id: str) -> bytes:
+    """Return the key of a part that is kept under a salt."""
+    return blake2b(f"{salt}/{part_id}".encode(), digest_size=12).digest()
+
+
+class PartMap:
+    """Keep who was sent parts, who has read them, and what cache stores hold."""
+
+    __slots__ = ("_engines", "_sent", "_stores")
+
+    def __init__(self) -> None:
+        self._sent = PrefixIndex(keep_s=KEEP_S)
+        self._engines = PrefixIndex(keep_s=SOURCE_KEEP_S)
+        self._stores = PrefixIndex(keep_s=STORE_KEEP_S)
+
+    def learn_engine(
+        self,
+        server_id: str,
+        born_ms: int,
+        pieces: tuple[bytes, ...],
+        read: bool,
+        now: float,
+    ) -> None:
+        """Take note that a lifetime of an engine was sent parts, or has read them."""
+        incarnation = str(born_ms)
+        for index in (self._sent, self._engines) if read else (self._sent,):
+            if index.incarnation(server_id) != incarnation:
+                index.set_incarnation(server_id, incarnation)
+            index.learn(server_id, incarnation, pieces, now)
+
+    def forget_engine(self, server_id: str, pieces: tuple[bytes, ...]) -> None:
+        """Take note that an engine has not read parts after all."""
+        self._sent.unlearn(server_id, pieces)
+
+    def see_store(self, address: str, epoch: int) -> None:
+        """Take note of a cache store's lifetime; 0 when it does not answer."""
+        if epoch == 0:
+            self._stores.forget(address)
+        elif self._stores.incarnation(address) != str(epoch):
+            self._stores.set_incarnation(address, str(epoch))
+
+    def store_epoch(self, address: str) -> int:
+        """Return the lifetime of a cache store; 0 when it does not answer."""
+        return int(self._stores.incarnation(address) or 0)
+
+    def learn_store(self, address: str, pieces: tuple[bytes, ...], now: float) -> None:
+        """Take note that a cache store was given parts."""
+        epoch = self._stores.incarnation(address)
+        if epoch is not None:
+            self._stores.learn(address, epoch, pieces, now)
+
+    def forget_store(self, address: str, pieces: tuple[bytes, ...]) -> None:
+        """Take note that a cache store has dropped parts."""
+        self._stores.unlearn(address, pieces)
+
+    def sent_to_engines(self, pieces: tuple[bytes, ...], now: float) -> dict[str, int]:
+        """Count the leading pieces that each engine holds or is about to read."""
+        return self._sent.match(pieces, now)
+
+    def kept_by_engines(self, pieces: tuple[bytes, ...], now: float) -> dict[str, int]:
+        """Count the leading pieces that each engine has read lately."""
+        return self._engines.match(pieces, now)
+
+    def kept_by_stores(self, pieces: tuple[bytes, ...], now: float) -> dict[str, int]:
+        """Count the leading pieces that each cache store holds."""
+        return self._stores.match(pieces, now)
+
+
+def best_fetch(
+    sources: list[tuple[Source, int]],
+    kept_tokens: int,
+    token_bytes: int,
+    failure_domain: str,
+) -> Fetch | None:
+    """Return the quickest source of the most tokens beyond those kept, if any.
+
+    Each source comes with the number of leading tokens that it holds.
+    """
+    best: Fetch | None = None
+    for source, tokens in sources:
+        gain = tokens - kept_tokens
+        if gain < FETCH_TOKENS_MIN or source.link_mbps <= 0:
+            continue
+        bits = gain * token_bytes * 8
+        expected_s = bits / (source.link_mbps * BITS_PER_MB)
+        if source.failure_domain != failure_domain:
+            expected_s *= CROSS_DOMAIN_FACTOR
+        fetch = Fetch(source.address, gain, expected_s)
+        if best is None or (-gain, expected_s) < (-best.tokens, best.expected_s):
+            best = fetch
+    return best
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from arbutusyard.routing.chain import rank
+
 # Prompt tokens that an engine reads in a second, until answers teach better.
 PREFILL_TOKENS_PER_S: Final = 40_000.0
 # Each request that runs beside slows an engine's tokens by about so much.
@@ -16,6 +18,16 @@
 HOME_HIT: Final = 0.6
 # Weights one version behind cost a part of the answer's worth.
 OLD_WEIGHTS_COST_S: Final = 0.4
+# Reading a token again that another engine has in hand costs so much besides the
+# time: it takes room and time from all others there.
+READ_AGAIN_COST_S: Final = 1 / 40_000
+# Reading more tokens than that holds up the small prompts behind it.
+LARGE_TOKENS: Final = 4096
+# Large prompts leave the express lane to small ones until the others wait so long.
+EXPRESS_COST_S: Final = 0.4
+# One engine in so many is an express lane; fewer than three have none.
+EXPRESS_SHARE: Final = 5
+EXPRESS_ENGINES_MIN: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +52,10 @@
     home: bool
     failures: float
     old_weights: bool = False
+    fetch_tokens: int = 0
+    fetch_s: float = 0.0
+    express: bool = False
+    read_again_tokens: int = 0
 
 
 def expected_s(work: Work, view: ServerView) -> float:
@@ -52,14 +68,24 @@
     full = max(0, view.in_flight + 1 - view.slots) / view.slots
     if not work.prompt_tokens:
         return cost + PLAIN_WORK_S * (full + 0.2 * view.in_flight / view.slots)
-    kept = float(view.cached_tokens)
+    kept = view.cached_tokens + view.fetch_tokens
     if view.home:
         kept = max(kept, HOME_HIT * work.shared_tokens)
     to_read = max(0.0, work.prompt_tokens - kept) + view.prompt_tokens
-    cost += to_read / PREFILL_TOKENS_PER_S + RUNNING_COST_S * view.in_flight
+    cost += (
+        view.fetch_s + to_read / PREFILL_TOKENS_PER_S + RUNNING_COST_S * view.in_flight
+    )
     return cost + full
 
 
+def express_lane(server_ids: list[str]) -> frozenset[str]:
+    """Return the engines that large prompts avoid, the same ones on every node."""
+    if len(server_ids) < EXPRESS_ENGINES_MIN:
+        return frozenset()
+    count = max(1, len(server_ids) // EXPRESS_SHARE)
+    return frozenset(rank(b"express", server_ids)[:count])
+
+
 def choose(work: Work, views: list[ServerView]) -> ServerView:
     """Return the server with the least expected cost; there is at least one."""
     return min(views, key=lambda view: (expected_s(work, view), view.server_id))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,17 +4,20 @@
 
 monkey.patch_all()
 
+import base64
 import json
 import time
 
 import bottle
 import gevent
 import msgspec
+from gevent.event import Event
 from gevent.lock import Semaphore
 
 from standins.common import parser, reply, serve
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_ROWS = 500
 WEIGHT_STREAMS = 2
 bottle.BaseRequest.MEMFILE_MAX = MAX_BODY_BYTES
 
@@ -24,11 +27,11 @@
 
     def __init__(self, list_lag_s: float, weights_s: float) -> None:
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
-        self.versions = 0
+        self.version = 0
+        self.history: list[dict] = []
+        self.history_from = 0
+        self.changed = Event()
         self.objects: dict[str, bytes] = {}
-        self.vms: dict[str, dict] = {}
-        self.vm_changes: list[tuple[float, str, dict | None]] = []
-        self.listed: dict[str, dict] = {}
         self.list_lag_s = list_lag_s
         self.weights_s = weights_s
         self.weight_slots = Semaphore(WEIGHT_STREAMS)
@@ -38,49 +41,79 @@
         self.reads = 0
         self.writes = 0
 
-    def commit(self, ops: list[dict]) -> dict:
-        """Apply operations together or not at all; name the new versions."""
-        for op in ops:
-            _, version = self.rows.get((op["table"], op["key"]), (b"", 0))
-            if version != op["if_version"]:
-                return {"committed": False, "versions": []}
-        versions = []
-        for op in ops:
-            place = (op["table"], op["key"])
-            if op["type"] == "put":
-                self.versions += 1
-                self.rows[place] = (op["value"], self.versions)
-            elif op["type"] == "delete":
-                self.rows.pop(place, None)
-            versions.append(self.rows.get(place, (b"", 0))[1])
-        return {"committed": True, "versions": versions}
-
-    def set_vm(self, now: float, vm_id: str, vm: dict | None) -> None:
+    def commit(self, body: dict) -> bool:
+        """Apply a transaction whole or not at all."""
+        for row in body.get("if_revision", []):
+            _, version = self.rows.get((row["table"], row["key"]), (b"", 0))
+            if version != row["ver"]:
+                return False
+        self.version += 1
+        for row in body.get("puts", []):
+            value = base64.b64decode(row["value"])
+            self.rows[row["table"], row["key"]] = (value, self.version)
+            self._remember(row["table"], row["key"], False)
+        for row in body.get("remove", []):
+            if self.rows.pop((row["table"], row["key"]), None) is not None:
+                self._remember(row["table"], row["key"], True)
+        self.changed.set()
+        self.changed = Event()
+        return True
+
+    def _remember(self, table: str, key: str, removed: bool) -> None:
+        change = {"table": table, "key": key, "ver": self.version}
+        self.history.append({**change, "removed": True} if removed else change)
+
+    def read(self, table: str, start: str, end: str, limit: int) -> dict:
+        """Return the rows of a key range as of now."""
+        keys = sorted(
+            key
+            for name, key in self.rows
+            if name == table and key >= start and (not end or key < end)
+        )
+        rows = [self._row(table, key) for key in keys[:limit]]
+        more = len(keys) > limit
+        return {"rows": rows, "more_pages": more, "ver": self.version, "now_ms": 0}
+
+    def _row(self, table: str, key: str) -> dict:
+        value, version = self.rows[table, key]
+        text = base64.b64encode(value).decode()
+        return {"table": table, "part": "", "key": key, "value": text, "ver": version}
+
+    def changes(self, table: str, after: int) -> list[dict]:
+        """Return the newest state of the rows that changed after a version."""
+        newest = {
+            change["key"]: change
+            for change in self.history
+            if change["table"] == table and change["ver"] > after
+        }
+        return [
+            change if change.get("removed") else self._row(table, key)
+            for key, change in newest.items()
+            if change.get("removed") or (table, key) in self.rows
+        ]
+
+    def drop_history(self) -> None:
+        """Forget every change so far."""
+        self.history.clear()
+        self.history_from = self.version
+
+    def set_vm(self, vm_id: str, vm: dict | None) -> None:
         """Change the VM list; readers see the change after the lag."""
-        self.vm_changes.append((now + self.list_lag_s, vm_id, vm))
-
-    def list_vms(self, now: float) -> list[dict]:
-        """Return the list as it was one lag ago."""
-        waiting = []
-        for due, vm_id, vm in self.vm_changes:
-            if due > now:
-                waiting.append((due, vm_id, vm))
-            elif vm is None:
-                self.listed.pop(vm_id, None)
-            else:
-                self.listed[vm_id] = vm
-        self.vm_changes = waiting
-        return list(self.listed.values())
+        gevent.spawn_later(self.list_lag_s, self._list_vm, vm_id, vm)
+
+    def _list_vm(self, vm_id: str, vm: dict | None) -> None:
+        row = {"table": "vms", "key": vm_id}
+        if vm is None:
+            self.commit({"remove": [row]})
+            return
+        value = base64.b64encode(msgspec.msgpack.encode(vm)).decode()
+        self.commit({"puts": [{**row, "value": value}]})
 
 
 def build(platform: Platform) -> bottle.Bottle:
     """Build the HTTP application."""
     app = bottle.Bottle()
 
-    def pack(data: object) -> bytes:
-        bottle.response.content_type = "application/msgpack"
-        return msgspec.msgpack.encode(data)
-
     def gate() -> None:
         if platform.down:
             raise bottle.HTTPError(503, "down")
@@ -93,50 +126,59 @@
         platform.lose_answers -= 1
         return True
 
-    @app.post("/table/txn")
-    def txn() -> bytes:
+    @app.post("/-/rows-tx")
+    def transact() -> bottle.HTTPResponse:
         gate()
         platform.writes += 1
-        ops = msgspec.msgpack.decode(bottle.request.body.read())["ops"]
-        result = platform.commit(ops)
+        committed = platform.commit(json.loads(bottle.request.body.read()))
         if lost():
             raise bottle.HTTPError(504, "answer lost")
-        return pack(result)
+        status = 200 if committed else 412
+        return reply({"ver": platform.version, "now_ms": 0}, status)
 
-    @app.get("/table/<table>/row/<key:path>")
-    def row(table: str, key: str) -> bytes:
+    @app.get("/-/rows-get")
+    def read() -> bottle.HTTPResponse:
         gate()
         platform.reads += 1
-        value, version = platform.rows.get((table, key), (b"", 0))
-        return pack({"key": key, "value": value, "version": version})
+        query = bottle.request.query
+        return reply(
+            platform.read(
+                query["table"],
+                query.get("from", ""),
+                query.get("to", ""),
+                int(query.get("limit", MAX_ROWS)),
+            )
+        )
 
-    @app.get("/table/<table>/scan/<prefix:re:.*>")
-    def scan(table: str, prefix: str) -> bytes:
+    @app.get("/-/rows-feed")
+    def follow() -> bottle.HTTPResponse:
         gate()
         platform.reads += 1
-        rows = [
-            {"key": key, "value": value, "version": version}
-            for (name, key), (value, version) in sorted(platform.rows.items())
-            if name == table and key.startswith(prefix)
-        ]
-        return pack({"rows": rows})
+        query = bottle.request.query
+        table, after = query["table"], int(query["after"])
+        if after < platform.history_from:
+            return reply({"error": "history is gone"}, 410)
+        until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        while not (rows := platform.changes(table, after)):
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                break
+            platform.changed.wait(left_s)
+        gate()
+        return reply({"rows": rows, "ver": platform.version, "now_ms": 0})
 
-    @app.put("/objects/<key:path>")
+    @app.put("/-/blob-put/<key:path>")
     def put_object(key: str) -> bytes:
         gate()
         platform.objects[key] = bottle.request.body.read()
         return b""
 
-    @app.get("/objects/<key:path>")
+    @app.get("/-/blob-get/<key:path>")
     def get_object(key: str) -> bytes:
         gate()
-        return platform.objects.get(key, b"")
-
-    @app.get("/vms")
-    def vms() -> bytes:
-        gate()
-        platform.reads += 1
-        return pack({"vms": platform.list_vms(time.monotonic())})
+        if key not in platform.objects:
+            raise bottle.HTTPError(404, "no such object")
+        return platform.objects[key]
 
     @app.get("/weights/<model>/<version>")
     def weights(model: str, version: str) -> bytes:
@@ -146,7 +188,7 @@
             wait_s *= 2
         with platform.weight_slots:
             gevent.sleep(wait_s)
-        return pack({"model": model, "version": version})
+        return reply({"model": model, "version": version})
 
     @app.post("/_control")
     def control() -> bottle.HTTPResponse:
@@ -154,10 +196,12 @@
         platform.down = order.get("down", platform.down)
         platform.delay_s = order.get("delay_s", platform.delay_s)
         platform.lose_answers = order.get("lose_answers", platform.lose_answers)
+        if order.get("drop_history"):
+            platform.drop_history()
         for vm in order.get("vms", []):
-            platform.set_vm(time.monotonic(), vm["vm_id"], vm)
+            platform.set_vm(vm["vm_id"], vm)
         for vm_id in order.get("gone", []):
-            platform.set_vm(time.monotonic(), vm_id, None)
+            platform.set_vm(vm_id, None)
         return reply({"reads": platform.reads, "writes": platform.writes})
 
     @app.get("/_rows/<table>")
