Refuse two lengths and oversized heads; read past stray answers; first tests

Cause, found by tests over real sockets: a request with both a length and chunks was passed on; a head larger than the limit passed when it came in one piece; after a stray answer the reader's own request could not be restated when it had a body, so the right answer was given up as broken.

--- a/arbutusyard/cli/main.py
+++ b/arbutusyard/cli/main.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from arbutusyard.cli.node import node
 from arbutusyard.cli.settings import (
     CONTROL_CHECKS,
     ENTRY_CHECKS,
@@ -25,6 +26,7 @@
     add_completion=False,
 )
 app.add_typer(workload_app, name="workload")
+app.command()(node)
 app.command()(status)
 app.command()(drain)
 
@@ -118,25 +120,6 @@
     run_entry(cfg)
 
 
-@app.command()
-def node(
-    config: Annotated[
-        str, setting("config", "Path of the platform's settings file of this VM.")
-    ] = "",
-) -> None:
-    """Run a node on the users' platform, as its settings file says."""
-    from arbutusyard.cli.node_daemon import run_node
-    from arbutusyard.exceptions import SetupFailed
-    from arbutusyard.platform.settings import read_settings
-
-    try:
-        cfg = read_settings(config)
-    except SetupFailed as exc:
-        typer.echo(f"error: {exc}", err=True)
-        sys.exit(EXIT_USAGE)
-    run_node(cfg)
-
-
 def _checked(kind: type, checks: dict, values: dict[str, str]) -> Any:
     result = check(kind, checks, values)
     if result.is_ok():
--- /dev/null
+++ b/arbutusyard/cli/node.py
@@ -0,0 +1,41 @@
+"""Run a node; as a module of its own, without the imports of other commands."""
+
+if __name__ == "__main__":
+    from gevent import monkey
+
+    monkey.patch_all()
+
+import sys
+from typing import Annotated
+
+import typer
+
+from arbutusyard.const import ENV_PREFIX
+from arbutusyard.exceptions import SetupFailed
+
+EXIT_USAGE = 2
+
+
+def node(
+    config: Annotated[
+        str,
+        typer.Option(
+            envvar=ENV_PREFIX + "CONFIG",
+            help="Path of the platform's settings file of this VM.",
+        ),
+    ] = "",
+) -> None:
+    """Run a node on the users' platform, as its settings file says."""
+    from arbutusyard.cli.node_daemon import run_node
+    from arbutusyard.platform.settings import read_settings
+
+    try:
+        cfg = read_settings(config)
+    except SetupFailed as exc:
+        typer.echo(f"error: {exc}", err=True)
+        sys.exit(EXIT_USAGE)
+    run_node(cfg)
+
+
+if __name__ == "__main__":
+    typer.run(node)
--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -21,6 +21,8 @@
 OUTAGE_AFTER_S: Final = 4.0
 
 BEAT_INTERVAL_S: Final = 0.25
+# News is sent at once, but not more often than that.
+BEAT_PAUSE_S: Final = 0.03
 # Above so many nodes each beat goes to a part of them, in turn.
 BEAT_FANOUT: Final = 24
 PEER_SILENT_S: Final = 1.25
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -8,12 +8,14 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 
 from arbutusyard import clock
 from arbutusyard.app import Application
 from arbutusyard.fleet.const import (
     BEAT_FANOUT,
     BEAT_INTERVAL_S,
+    BEAT_PAUSE_S,
     MAX_DATAGRAM_BYTES,
     PEER_FORGET_S,
     PEER_REGISTER_RETRY_S,
@@ -114,6 +116,7 @@
         "_client",
         "_describe",
         "_incarnation",
+        "_news",
         "_registered",
         "_rng",
         "_seq",
@@ -140,6 +143,7 @@
         self._client = client
         self._describe = describe
         self._incarnation = incarnation
+        self._news = Event()
         self._registered = False
         self._rng = random.Random(name)
         self._seq = 0
@@ -187,13 +191,19 @@
             except OSError as exc:
                 _LOGGER.debug("Datagram to %s was not sent: %s", address, exc)
 
+    def send_soon(self) -> None:
+        """Send this node's next datagram ahead of its time."""
+        self._news.set()
+
     def _send_forever(self) -> None:
         while True:
+            self._news.clear()
             now = clock.now()
             self.table.sweep(now)
             self.on_tick(now)
             self.send()
-            gevent.sleep(BEAT_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+            gevent.sleep(BEAT_PAUSE_S)
+            self._news.wait(BEAT_INTERVAL_S * self._rng.uniform(0.9, 1.1))
 
     def _receive_forever(self) -> None:
         while True:
--- a/arbutusyard/gateway/caller.py
+++ b/arbutusyard/gateway/caller.py
@@ -126,6 +126,7 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
+                self._check_head(event)
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -139,6 +140,16 @@
                     return None
                 raise BadRequest(408, "the request's head came too slowly")
 
+    def _check_head(self, head: h11.Request) -> None:
+        size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+        if size > self._limits.header_bytes:
+            raise BadRequest(431, "the request's head is too large")
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            raise BadRequest(400, "the request's body has two lengths")
+        if names.count(b"host") != 1:
+            raise BadRequest(400, "the request names no single host")
+
     def _read_body(self) -> bytes:
         parts: list[bytes] = []
         size = 0
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -227,6 +227,7 @@
             whole = head
         except NotSent as exc:
             server.suspect(clock.now())
+            self._router.on_news()
             self._router.not_run(placement)
             result = self._failed(exchange, placement, TryResult.NOT_SENT, exc)
         except AnswerBroken as exc:
@@ -268,6 +269,7 @@
             return False
         if not server.suspected:
             server.suspect(now)
+            self._router.on_news()
             _LOGGER.warning(
                 "Server %s is silent",
                 server.entry.server_id,
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -87,6 +87,7 @@
         self._weights = weights
         peers.on_tick = self._tick
         peers.on_beat = self._take_beat
+        self._router.on_news = peers.send_soon
         weights.bind(self.ready)
         self._knowledge.on_weights = weights.wake
 
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -36,6 +36,7 @@
     """Hold one connection to a backend server, for one request at a time."""
 
     __slots__ = (
+        "_body",
         "_h11",
         "_request",
         "_server",
@@ -50,6 +51,7 @@
         self._server = server
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._body = b""
         self.address = server.entry.address
         self.idle_until = 0.0
         self.on_quiet: Callable[[], bool] = lambda: False
@@ -65,10 +67,8 @@
             headers = [*headers, (b"content-length", b"%d" % len(body))]
         try:
             self._request = h11.Request(method=method, target=target, headers=headers)
-            data = self._h11.send(self._request)
-            if body:
-                data += self._h11.send(h11.Data(data=body))
-            data += self._h11.send(h11.EndOfMessage())
+            self._body = body
+            data = self._encode()
         except h11.LocalProtocolError as exc:
             raise NotSent(f"request cannot be passed on: {exc}") from exc
         self._sock.settimeout(CONNECT_S)
@@ -80,6 +80,12 @@
             # A server may answer before it has read everything.
             gevent.spawn(self._send_rest, data[sent:])
 
+    def _encode(self) -> bytes:
+        data = self._h11.send(self._request)
+        if self._body:
+            data += self._h11.send(h11.Data(data=self._body))
+        return data + self._h11.send(h11.EndOfMessage())
+
     def _send_rest(self, data: bytes) -> None:
         try:
             self._sock.settimeout(None)
@@ -154,8 +160,7 @@
             pass
         try:
             self._h11.start_next_cycle()
-            self._h11.send(self._request)
-            self._h11.send(h11.EndOfMessage())
+            self._encode()
         except h11.LocalProtocolError as exc:
             raise AnswerBroken(f"{self.address} sent a stray answer: {exc}") from exc
 
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -1,6 +1,7 @@
 """Find a server for a request and remember what is under way there."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -20,6 +21,7 @@
     part_key,
 )
 from arbutusyard.routing.placement import (
+    LARGE_TOKENS,
     PREFILL_TOKENS_PER_S,
     ServerView,
     Work,
@@ -35,7 +37,8 @@
 # A server that works answers something within so long, besides the time in which
 # it may be reading the prompts that wait there, estimated with room to spare.
 QUIET_S = 0.7
-QUIET_READ_FACTOR = 2.5
+QUIET_READ_FACTOR = 2.0
+QUIET_MAX_S = 1.5
 
 
 @dataclass(slots=True)
@@ -79,6 +82,7 @@
         "_notes",
         "_peers",
         "_weights_margin_s",
+        "on_news",
         "parts",
     )
 
@@ -95,6 +99,7 @@
         self._weights_margin_s = weights_margin_s
         self._notes: deque[list] = deque(maxlen=PART_NOTES_MAX)
         self.parts = PartMap()
+        self.on_news: Callable[[], None] = lambda: None
 
     def place(
         self,
@@ -303,6 +308,8 @@
         """Count a try as under way."""
         server = placement.server
         server.begin(placement.to_read, now)
+        if placement.to_read > LARGE_TOKENS:
+            self.on_news()
         if placement.shared_pieces:
             self._note_parts(placement, False, now)
 
@@ -348,7 +355,7 @@
         _, prompt_tokens = self._peers.load(server.entry.server_id)
         tokens = prompt_tokens + server.prompt_tokens
         limit_s = QUIET_S + QUIET_READ_FACTOR * tokens / PREFILL_TOKENS_PER_S
-        return server.quiet_s(now) > limit_s
+        return server.quiet_s(now) > min(limit_s, QUIET_MAX_S)
 
     def silent(self) -> tuple[str, ...]:
         """Return the servers that this node has found silent or out of reach."""
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -24,7 +24,7 @@
 # Reading more tokens than that holds up the small prompts behind it.
 LARGE_TOKENS: Final = 4096
 # Large prompts leave the express lane to small ones until the others wait so long.
-EXPRESS_COST_S: Final = 0.4
+EXPRESS_COST_S: Final = 1.5
 # One engine in so many is an express lane; fewer than three have none.
 EXPRESS_SHARE: Final = 5
 EXPRESS_ENGINES_MIN: Final = 3
--- a/arbutusyard/weights/const.py
+++ b/arbutusyard/weights/const.py
@@ -8,11 +8,13 @@
 LEASE_MARGIN_S: Final = 0.4
 ORDER_DELIVERY_S: Final = 0.4
 STEP_S: Final = 0.1
-# Engines of a service that may load at a time; more make each load longer.
-LOADS_AT_ONCE_MIN: Final = 2
+# Part of a service's usable engines that may load at a time; the others must carry
+# all requests meanwhile.
 LOADS_AT_ONCE_PART: Final = 0.4
-# An engine's runs get so long to end before it is ordered to load.
+# An engine's runs get so long to end before it is ordered to load, and prompts that
+# wait there so long to begin, since an order would turn them away.
 DRAIN_S: Final = 0.5
+DRAIN_WAITING_S: Final = 1.2
 DRAIN_STEP_S: Final = 0.02
 # Time of a load, until loads teach better; and when it is given up.
 LOAD_S: Final = 0.5
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -20,6 +20,7 @@
 from arbutusyard.weights.const import (
     DRAIN_S,
     DRAIN_STEP_S,
+    DRAIN_WAITING_S,
     LEASE_GROUP,
     LEASE_MARGIN_S,
     LOAD_MAX_S,
@@ -159,7 +160,9 @@
             server.weights.get(model, 0),
             in_flight + server.in_flight,
             server.lifetime in self._loading,
-            fit and now >= self._retry_at.get(server.lifetime, 0.0),
+            fit
+            and not server.suspected
+            and now >= self._retry_at.get(server.lifetime, 0.0),
         )
 
     def _leads(self, now: float) -> bool:
@@ -195,7 +198,7 @@
             self._wake.set()
 
     def _note_loading(self, model: str, server: Server) -> None:
-        until = clock.now() + DRAIN_S + self._load_s + LOADING_SLACK_S
+        until = clock.now() + DRAIN_WAITING_S + self._load_s + LOADING_SLACK_S
         server.loading_until = until
         server_id = server.entry.server_id
         note = EngineNote(server_id, model, 0, 1.0)
@@ -203,12 +206,14 @@
         self._peers.send()
 
     def _wait_idle(self, server: Server) -> None:
-        until = clock.now() + DRAIN_S
-        while clock.now() < until:
+        started_at = clock.now()
+        while (waited_s := clock.now() - started_at) < DRAIN_WAITING_S:
             gevent.sleep(DRAIN_STEP_S)
-            in_flight, _ = self._peers.table.load(server.entry.server_id)
+            in_flight, tokens = self._peers.table.load(server.entry.server_id)
             if in_flight + server.in_flight <= 0:
                 return
+            if waited_s > DRAIN_S and tokens + server.prompt_tokens <= 0:
+                return
 
     def _order_until_done(self, model: str, server: Server) -> bool:
         give_up_at = clock.now() + LOAD_MAX_S
--- a/arbutusyard/weights/planner.py
+++ b/arbutusyard/weights/planner.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from arbutusyard.weights.const import LOADS_AT_ONCE_MIN, LOADS_AT_ONCE_PART
+from arbutusyard.weights.const import LOADS_AT_ONCE_PART
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,14 +16,15 @@
     reachable: bool
 
 
-def loads_at_once(engines: int) -> int:
-    """Return how many engines of a service may load at a time."""
-    return max(LOADS_AT_ONCE_MIN, int(engines * LOADS_AT_ONCE_PART))
+def loads_at_once(usable: int) -> int:
+    """Return how many of a service's usable engines may load at a time."""
+    return max(1, int(usable * LOADS_AT_ONCE_PART))
 
 
 def plan_loads(engines: list[EngineView], target: int) -> list[str]:
     """Return the engines to order to load now, those with least to lose first."""
-    free = loads_at_once(len(engines)) - sum(engine.loading for engine in engines)
+    usable = sum(engine.reachable or engine.loading for engine in engines)
+    free = loads_at_once(usable) - sum(engine.loading for engine in engines)
     waiting = [
         engine
         for engine in engines
--- /dev/null
+++ b/tests/fleet/test_servers.py
@@ -0,0 +1,78 @@
+"""Follow backend servers through lifetimes, drains and outages of the store."""
+
+from dataclasses import replace
+
+import pytest
+
+from arbutusyard.fleet.const import RETURN_GRACE_S
+from arbutusyard.fleet.servers import ServerTable
+from arbutusyard.gateway.models import ServerEntry, ServerState
+
+ENTRY = ServerEntry(
+    "i-1", 10, "svc", "10.0.0.1:80", "z", ServerState.READY, 4, {"m": 1}
+)
+
+
+def table(*entries):
+    result = ServerTable()
+    result.replace({entry.server_id: entry for entry in entries}, 100.0)
+    return result
+
+
+def test_a_draining_server_takes_nothing_new():
+    servers = table(ENTRY)
+    assert servers.get("i-1").usable(100.0)
+    servers.update(replace(ENTRY, state=ServerState.DRAINING))
+    assert not servers.get("i-1").usable(100.0)
+
+
+def test_an_entry_that_goes_is_gone_at_once_while_the_store_is_well():
+    servers = table(ENTRY)
+    server = servers.get("i-1")
+    servers.remove("i-1", 101.0)
+    assert server.dead
+    assert servers.of_service("svc") == []
+
+
+def test_an_entry_that_lapsed_in_an_outage_is_waited_for_then_gone():
+    servers = table(ENTRY, replace(ENTRY, server_id="i-2"))
+    servers.outage_ended(200.0)
+    servers.remove("i-1", 200.1)
+    servers.remove("i-2", 200.1)
+    assert len(servers.of_service("svc")) == 2
+    servers.update(replace(ENTRY, server_id="i-2"))
+    servers.sweep(200.0 + RETURN_GRACE_S)
+    assert [s.entry.server_id for s in servers.of_service("svc")] == ["i-2"]
+
+
+def test_a_restart_under_the_same_id_is_a_new_lifetime():
+    servers = table(ENTRY)
+    old = servers.get("i-1")
+    old.weights["m"] = 5
+    servers.update(replace(ENTRY, born_ms=20))
+    assert old.dead
+    assert servers.get("i-1").weights == {"m": 1}
+
+
+def test_a_late_entry_does_not_take_weights_back():
+    servers = table(ENTRY)
+    servers.get("i-1").weights["m"] = 3
+    servers.update(replace(ENTRY, weights={"m": 2}))
+    assert servers.get("i-1").weights == {"m": 3}
+
+
+def test_a_suspect_is_left_alone_for_longer_each_time():
+    server = table(ENTRY).get("i-1")
+    server.suspect(100.0)
+    first = server.suspect_until - 100.0
+    assert not server.usable(100.0)
+    server.suspect(110.0)
+    assert server.suspect_until - 110.0 == pytest.approx(2 * first)
+
+
+def test_a_failing_server_is_forgiven_with_time():
+    server = table(ENTRY).get("i-1")
+    for _ in range(20):
+        server.count_outcome(True, 100.0)
+    assert server.failures(100.0) > 0.7
+    assert server.failures(120.0) < 0.05
--- /dev/null
+++ b/tests/gateway/support.py
@@ -0,0 +1,260 @@
+"""Run the gateway in this process against scripted backend servers."""
+
+import socket
+from types import SimpleNamespace
+
+import gevent
+from gevent.server import StreamServer
+
+from arbutusyard import clock
+from arbutusyard.app import Application
+from arbutusyard.fleet.catalog import Catalog
+from arbutusyard.fleet.knowledge import Knowledge
+from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.gateway.exchange import Relay
+from arbutusyard.gateway.ingress import Ingress
+from arbutusyard.gateway.models import (
+    Account,
+    Configuration,
+    IngressLimits,
+    Repeat,
+    Route,
+    ServerEntry,
+    ServerState,
+    Service,
+    ServiceShare,
+)
+from arbutusyard.gateway.pool import ServerPool
+from arbutusyard.gateway.router import PlacementRouter
+from arbutusyard.gateway.settings import NodeSettings
+from arbutusyard.metrics.registry import EntryMetrics
+
+STAMP = "Response-Stamp: s\r\n"
+SETTINGS = NodeSettings(
+    name="n1",
+    failure_domain="z",
+    region="r",
+    callers_address="127.0.0.1:0",
+    ready_address="127.0.0.1:0",
+    directory_address="127.0.0.1:0",
+    peer_address="127.0.0.1:0",
+    seeds=(),
+    store_address="127.0.0.1:1",
+    revoke_s=5.0,
+    drain_s=2.0,
+    grace_s=8.0,
+    apply_s=2.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_slack=50.0,
+    lease_s=3.0,
+    weights_s=8.0,
+    contact_s=3.0,
+    cache_reuse_s=10.0,
+    directory_keep_max_s=5.0,
+    server_beat_s=1.2,
+    max_fds=1024,
+)
+# The metrics library keeps one registry a process.
+METRICS = EntryMetrics()
+
+
+class ScriptedServer:
+    """Answer each request by a function that yields bytes; keep what came."""
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.closed = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def _serve(self, sock, _):
+        reader = sock.makefile("rb")
+        while request := read_message(reader):
+            self.requests.append(request)
+            try:
+                for data in self.script(request):
+                    if data is None:
+                        # A caller that is gone shows as the end of the connection.
+                        if not sock.recv(1):
+                            self.closed += 1
+                        return
+                    sock.sendall(data)
+            except OSError:
+                self.closed += 1
+                return
+            if request.last:
+                break
+        sock.close()
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
+def read_message(reader):
+    first = reader.readline()
+    if not first:
+        return None
+    headers = {}
+    while line := reader.readline().strip():
+        name, _, value = line.decode().partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = b""
+    if headers.get("transfer-encoding") == "chunked":
+        while size := int(reader.readline(), 16):
+            body += reader.read(size + 2)[:-2]
+        reader.readline()
+    else:
+        body = reader.read(int(headers.get("content-length", 0)))
+    return SimpleNamespace(
+        first=first.decode().strip(), headers=headers, body=body, last=False
+    )
+
+
+def answer(request, status="200 OK", body=b"ok", headers=STAMP, request_id=None):
+    """Build a whole answer to a request."""
+    name = request.headers.get("request-id") if request_id is None else request_id
+    head = f"HTTP/1.1 {status}\r\nRequest-Id: {name}\r\n{headers}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def not_run(request, status="503 Service Unavailable", headers=""):
+    return answer(request, status, b"", f"Not-Executed: 1\r\n{headers}")
+
+
+def event(n, text="x"):
+    return f"id: {n}\ndata: {text}\n\n".encode()
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def stream_head(request, headers=STAMP):
+    return (
+        f"HTTP/1.1 200 OK\r\nRequest-Id: {request.headers['request-id']}\r\n"
+        f"{headers}Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+class Gateway:
+    """Serve callers on a port of this process."""
+
+    def __init__(self, *servers, repeat=Repeat.ANY, streaming=False, **changes):
+        route = {
+            "name": "r",
+            "host": "h.test",
+            "path_prefix": "/a/",
+            "shares": (ServiceShare("svc", 1.0),),
+            "repeat": repeat,
+            "streaming": streaming,
+            "timeout_s": 2.0,
+            "objective_s": 0.2,
+            "gap_s": 0.25,
+            "priority": 1,
+            "max_attempts": 2,
+            "public": False,
+            **changes,
+        }
+        self.knowledge = Knowledge(None)
+        self.configure(Route(**route))
+        entries = {}
+        for n, server in enumerate(servers):
+            name = f"s{n}"
+            entries[name] = ServerEntry(
+                name, 1, "svc", server.address, "z", ServerState.READY, 8, {"m": 1}
+            )
+        self.knowledge.servers.replace(entries, clock.now())
+        self.confirm()
+        peers = PeerTable("n1")
+        self.router = PlacementRouter(self.knowledge, peers, "z", 6.5)
+        self.pool = ServerPool()
+        self.relay = Relay(
+            SETTINGS, self.knowledge, peers, self.router, self.pool, METRICS
+        )
+        self.ingress = Ingress("127.0.0.1:0", self.knowledge, self.relay, 1024)
+        self.ingress.setup(Application("test"))
+
+    def configure(self, *routes, version=1, accounts=None, limits=None):
+        accounts = accounts or (Account("acc", ("key",), None, False),)
+        services = {"svc": Service("svc", 100)}
+        self.knowledge.catalog = Catalog(
+            Configuration(
+                version, routes, services, (), accounts, limits or IngressLimits()
+            )
+        )
+
+    def confirm(self, age_s=0.0):
+        """Let the configuration have been confirmed so long ago."""
+        self.knowledge._config_rows.confirmed_at = clock.now() - age_s
+
+    def connect(self):
+        host, port = self.ingress.address.rsplit(":", 1)
+        return socket.create_connection((host, int(port)), timeout=5)
+
+    def call(self, raw=None, **headers):
+        """Send one request; return its answer, or None without a whole one."""
+        sock = self.connect()
+        sock.sendall(raw if raw is not None else request_bytes(**headers))
+        try:
+            return read_answer(sock)
+        finally:
+            sock.close()
+
+    def stop(self):
+        self.ingress.unload()
+
+
+def request_bytes(path="/a/x", method="POST", body=b"body", **headers):
+    fields = {
+        "Host": "h.test",
+        "Request-Id": "r1",
+        "Api-Key": "key",
+        "Deadline-Ms": "1500",
+        "Content-Length": str(len(body)),
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items() if value is not None]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def read_answer(sock, reader=None):
+    """Read an answer; `complete` tells whether it ended as it should."""
+    reader = reader or sock.makefile("rb")
+    first = reader.readline().decode().strip()
+    if not first:
+        return None
+    headers = {}
+    while line := reader.readline().strip():
+        name, _, value = line.decode().partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body, complete = b"", True
+    if headers.get("transfer-encoding") == "chunked":
+        while True:
+            size = reader.readline().strip()
+            if not size:
+                complete = False
+                break
+            data = reader.read(int(size, 16) + 2)[:-2]
+            if not int(size, 16):
+                break
+            body += data
+    else:
+        body = reader.read(int(headers.get("content-length", 0)))
+    return SimpleNamespace(
+        status=int(first.split()[1]), headers=headers, body=body, complete=complete
+    )
+
+
+def wait_for(condition, timeout_s=3.0):
+    """Wait until a condition holds; fail after the time-out."""
+    with gevent.Timeout(timeout_s):
+        while not condition():
+            gevent.sleep(0.005)
--- /dev/null
+++ b/tests/gateway/test_exchange.py
@@ -0,0 +1,437 @@
+"""Serve requests through servers that fail in every way they may."""
+
+import gevent
+import pytest
+
+from arbutusyard.gateway.models import Account, IngressLimits, Repeat
+from tests.gateway.support import (
+    STAMP,
+    Gateway,
+    ScriptedServer,
+    answer,
+    chunk,
+    event,
+    not_run,
+    read_answer,
+    request_bytes,
+    stream_head,
+    wait_for,
+)
+
+
+@pytest.fixture
+def run():
+    """Start servers and a gateway before them, and stop them all in the end."""
+    started = []
+
+    def start(*scripts, **route):
+        servers = [ScriptedServer(script) for script in scripts]
+        gateway = Gateway(*servers, **route)
+        started.extend([*servers, gateway])
+        return gateway, servers
+
+    yield start
+    for item in started:
+        item.stop()
+
+
+def good(request):
+    yield answer(request)
+
+
+def total(servers):
+    return sum(len(server.requests) for server in servers)
+
+
+def test_an_answer_comes_back_as_the_server_gave_it(run):
+    gateway, (server,) = run(good)
+    got = gateway.call()
+    assert (got.status, got.body, got.headers["response-stamp"]) == (200, b"ok", "s")
+    sent = server.requests[0]
+    assert sent.first == "POST /a/x HTTP/1.1"
+    assert sent.headers["tenant"] == "acc"
+    assert sent.headers["expect-instance"] == "s0"
+    assert "api-key" not in sent.headers
+    assert int(sent.headers["deadline-ms"]) <= 1500
+    assert sent.body == b"body"
+
+
+def test_method_target_and_body_go_on_unchanged(run):
+    gateway, (server,) = run(good)
+    gateway.call(request_bytes("/a/%7Ex/../y?q=%20&z", "PUT", b"\x00\r\n\xff"))
+    assert server.requests[0].first == "PUT /a/%7Ex/../y?q=%20&z HTTP/1.1"
+    assert server.requests[0].body == b"\x00\r\n\xff"
+
+
+def test_a_chunked_body_arrives_whole(run):
+    gateway, (server,) = run(good)
+    raw = request_bytes(body=b"", Content_Length=None, Transfer_Encoding="chunked")
+    assert gateway.call(raw + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n").status == 200
+    assert server.requests[0].body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        request_bytes(Transfer_Encoding="chunked"),
+        request_bytes(Content_Length="4, 5"),
+        request_bytes(X="a\r\n b: c\x00"),
+        b"GET /a/x\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\r\n\r\n",
+    ],
+)
+def test_ambiguous_bytes_reach_no_server(run, raw):
+    gateway, (server,) = run(good)
+    got = gateway.call(raw)
+    assert got.status in (400, 501)
+    assert server.requests == []
+
+
+def test_too_large_heads_and_bodies_are_refused_for_good(run):
+    gateway, (server,) = run(good)
+    routes = gateway.knowledge.catalog.cfg.routes
+    gateway.configure(*routes, version=2, limits=IngressLimits(2048, 100))
+    assert gateway.call(X="y" * 5000).status == 431
+    assert gateway.call(request_bytes(body=b"z" * 200)).status == 413
+    assert server.requests == []
+
+
+def test_pipelined_requests_are_answered_in_order(run):
+    gateway, (server,) = run(good)
+    sock = gateway.connect()
+    sock.sendall(request_bytes() + request_bytes(Request_Id="r2"))
+    answers = [read_answer(sock, reader) for reader in [sock.makefile("rb")] * 2]
+    sock.close()
+    assert [got.headers["request-id"] for got in answers] == ["r1", "r2"]
+    assert [r.headers["request-id"] for r in server.requests] == ["r1", "r2"]
+
+
+def test_a_request_that_did_not_run_goes_to_another_server(run):
+    def full(request):
+        yield not_run(request)
+
+    gateway, servers = run(full, good, repeat=Repeat.ONCE)
+    assert {gateway.call().status for _ in range(4)} == {200}
+    assert total(servers) >= 4
+
+
+def test_when_nobody_runs_it_the_refusal_is_true_and_says_when_to_come_back(run):
+    def full(request):
+        yield not_run(request)
+
+    gateway, _ = run(full, full, repeat=Repeat.ONCE)
+    got = gateway.call()
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+
+
+def test_an_unrepeatable_request_is_sent_once_when_its_connection_breaks(run):
+    def broken(request):
+        request.last = True
+        return iter(())
+
+    gateway, servers = run(broken, broken, repeat=Repeat.ONCE)
+    assert gateway.call().status == 502
+    assert total(servers) == 1
+
+
+def test_an_unrepeatable_request_is_sent_once_when_its_answer_never_comes(run):
+    def mute(request):
+        yield None
+
+    gateway, servers = run(mute, good, mute, repeat=Repeat.ONCE, timeout_s=0.4)
+    statuses = [gateway.call().status for _ in range(3)]
+    assert set(statuses) <= {200, 504}
+    assert total(servers) == 3
+
+
+def test_an_idempotent_request_is_repeated_within_its_attempts(run):
+    def failing(request):
+        yield answer(request, "500 Internal Server Error", b"no")
+
+    gateway, servers = run(failing, failing, failing, repeat=Repeat.ANY)
+    got = gateway.call()
+    assert (got.status, got.body, got.headers["response-stamp"]) == (500, b"no", "s")
+    assert total(servers) == 2
+
+
+def test_a_servers_own_failure_of_an_unrepeatable_request_is_passed_on(run):
+    def failing(request):
+        yield answer(request, "500 Internal Server Error", b"no")
+
+    gateway, servers = run(failing, good, repeat=Repeat.ONCE)
+    assert {gateway.call().status for _ in range(6)} <= {200, 500}
+    assert total(servers) == 6
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda request: answer(request)[:-1],
+        lambda request: answer(request, headers=STAMP + "Content-Encoding: gzip\r\n"),
+        lambda request: answer(request, headers=""),
+        lambda request: b"nonsense\r\n\r\n",
+    ],
+)
+def test_a_spoiled_answer_is_no_success(run, spoil):
+    def spoiled(request):
+        request.last = True
+        yield spoil(request)
+
+    gateway, servers = run(spoiled, repeat=Repeat.ONCE)
+    assert gateway.call().status == 502
+    assert total(servers) == 1
+
+
+def test_a_stray_answer_belongs_to_nobody(run):
+    def stray(request):
+        yield answer(request, body=b"other", request_id="r0") + answer(request)
+
+    gateway, _ = run(stray, repeat=Repeat.ONCE)
+    assert gateway.call().body == b"ok"
+
+
+def test_bytes_after_an_answer_end_the_connection_not_the_next_request(run):
+    def extra(request):
+        yield answer(request) + answer(request, body=b"again")
+
+    gateway, _ = run(extra, repeat=Repeat.ONCE)
+    assert [gateway.call(Request_Id=f"r{n}").body for n in range(3)] == [b"ok"] * 3
+
+
+def test_an_answer_without_a_length_ends_with_its_connection(run):
+    def unframed(request):
+        request.last = True
+        yield f"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n{STAMP}\r\nwhole".encode()
+
+    gateway, _ = run(unframed)
+    assert gateway.call().body == b"whole"
+
+
+def test_another_server_at_the_address_is_used_no_more(run):
+    def other(request):
+        yield answer(request, "421 Misdirected Request", b"", "Instance-Id: x\r\n")
+
+    gateway, (stranger, _) = run(other, good, repeat=Repeat.ONCE)
+    assert {gateway.call().status for _ in range(4)} == {200}
+    assert len(stranger.requests) <= 1
+
+
+def test_a_server_that_cannot_be_reached_costs_nobody_an_answer(run):
+    gateway, (gone, _) = run(good, good, repeat=Repeat.ONCE)
+    gone.stop()
+    assert {gateway.call().status for _ in range(4)} == {200}
+
+
+def test_work_ends_when_its_caller_leaves(run):
+    def slow(request):
+        yield None
+
+    gateway, (server,) = run(slow, repeat=Repeat.ONCE)
+    sock = gateway.connect()
+    sock.sendall(request_bytes())
+    wait_for(lambda: server.requests)
+    sock.close()
+    wait_for(lambda: server.closed == 1, timeout_s=0.5)
+    wait_for(lambda: gateway.knowledge.servers.get("s0").in_flight == 0)
+
+
+def test_a_request_is_answered_at_its_routes_time_limit(run):
+    def mute(request):
+        yield None
+
+    gateway, _ = run(mute, repeat=Repeat.ONCE, timeout_s=0.3)
+    with gevent.Timeout(0.8):
+        assert gateway.call().status == 504
+
+
+def test_unknown_routes_and_keys_are_refused_for_good_only_from_knowledge(run):
+    gateway, _ = run(good)
+    assert gateway.call(request_bytes("/b/x")).status == 404
+    assert gateway.call(Api_Key="wrong").status == 401
+    gateway.confirm(age_s=3.0)
+    assert gateway.call(request_bytes("/b/x")).status == 503
+    assert gateway.call(Api_Key="wrong").status == 503
+    assert gateway.call().status == 200
+
+
+def test_no_key_is_good_after_the_time_in_which_it_may_have_been_taken_away(run):
+    gateway, (server,) = run(good)
+    gateway.confirm(age_s=5.0)
+    assert gateway.call().status == 503
+    assert server.requests == []
+
+
+def test_a_public_route_needs_no_key_and_no_fresh_configuration(run):
+    gateway, (server,) = run(good, public=True)
+    gateway.confirm(age_s=60.0)
+    assert gateway.call(Api_Key=None).status == 200
+    assert "tenant" not in server.requests[0].headers
+
+
+def test_an_account_has_several_keys_and_none_is_passed_on(run):
+    gateway, (server,) = run(good)
+    account = Account("acc", ("key", "key2"), None, False)
+    gateway.configure(*gateway.knowledge.catalog.cfg.routes, accounts=(account,))
+    assert gateway.call(Api_Key="key2").status == 200
+    assert "key2" not in str(server.requests[0].headers)
+
+
+def test_without_a_configuration_the_answer_is_not_run(run):
+    gateway, (server,) = run(good)
+    gateway.knowledge.catalog = None
+    assert gateway.call().status == 503
+    assert server.requests == []
+
+
+def test_a_leaving_node_answers_and_closes(run):
+    gateway, _ = run(good)
+    gateway.relay.leaving = True
+    assert gateway.call().headers["connection"] == "close"
+
+
+def whole_stream(request):
+    yield stream_head(request)
+    for n in range(1, 4):
+        yield chunk(event(n))
+    yield b"0\r\n\r\n"
+
+
+def test_events_are_passed_on_as_they_come(run):
+    gate = gevent.event.Event()
+
+    def stepwise(request):
+        yield stream_head(request) + chunk(event(1))
+        gate.wait()
+        yield chunk(event(2)) + b"0\r\n\r\n"
+
+    gateway, _ = run(stepwise, repeat=Repeat.ONCE, streaming=True)
+    sock = gateway.connect()
+    sock.sendall(request_bytes())
+    seen = b""
+    while event(1) not in seen:
+        seen += sock.recv(1000)
+    gate.set()
+    while not seen.endswith(b"0\r\n\r\n"):
+        seen += sock.recv(1000)
+    assert event(2) in seen
+
+
+def test_a_broken_stream_never_looks_complete(run):
+    def cut(request):
+        request.last = True
+        yield stream_head(request) + chunk(event(1)) + chunk(b"id: 2\nda")
+
+    gateway, servers = run(cut, cut, repeat=Repeat.ONCE, streaming=True)
+    got = gateway.call()
+    assert (got.complete, got.body) == (False, event(1))
+    assert total(servers) == 1
+
+
+def test_a_broken_stream_goes_on_at_another_server_after_its_last_event(run):
+    def cut(request):
+        if "last-event-id" in request.headers:
+            yield from rest(request)
+            return
+        request.last = True
+        yield stream_head(request) + chunk(event(1)) + chunk(b"id: 2\nda")
+
+    def rest(request):
+        after = int(request.headers["last-event-id"])
+        yield stream_head(request)
+        for n in range(after + 1, 4):
+            yield chunk(event(n))
+        yield b"0\r\n\r\n"
+
+    gateway, servers = run(cut, cut, repeat=Repeat.RESUME, streaming=True)
+    got = gateway.call()
+    assert (got.complete, got.body) == (True, event(1) + event(2) + event(3))
+    assert total(servers) == 2
+
+
+def test_events_that_came_before_are_not_repeated(run):
+    def cut(request):
+        if "last-event-id" in request.headers:
+            yield from whole_stream(request)
+            return
+        request.last = True
+        yield stream_head(request) + chunk(event(1) + event(2))
+
+    gateway, _ = run(cut, cut, repeat=Repeat.RESUME, streaming=True)
+    assert gateway.call().body == event(1) + event(2) + event(3)
+
+
+def test_a_resumable_stream_leaves_a_silent_server(run):
+    def mute(request):
+        yield None
+
+    gateway, (silent, _) = run(
+        mute, whole_stream, repeat=Repeat.RESUME, streaming=True, timeout_s=5.0
+    )
+    gateway.knowledge.servers.get("s1").in_flight = 1
+    with gevent.Timeout(3):
+        assert gateway.call(Deadline_Ms="5000").complete
+    assert len(silent.requests) == 1
+    assert gateway.knowledge.servers.get("s0").suspected
+
+
+def test_a_stream_that_may_not_run_twice_stays_with_a_silent_server(run):
+    def mute(request):
+        yield None
+
+    gateway, servers = run(
+        mute, mute, repeat=Repeat.ONCE, streaming=True, timeout_s=1.2
+    )
+    assert gateway.call().status == 504
+    assert total(servers) == 1
+
+
+def test_weights_that_a_server_names_are_believed(run):
+    def newer(request):
+        yield stream_head(request, STAMP + "Weight-Versions: 4\r\n")
+        yield chunk(event(1)) + b"0\r\n\r\n"
+
+    gateway, (server,) = run(newer, repeat=Repeat.ONCE, streaming=True)
+    gateway.call(Model="m", Token_Count="10,5", Prefix_Hash="aa:10")
+    assert server.requests[0].headers["expect-version"] == "1"
+    assert gateway.knowledge.servers.get("s0").weights["m"] == 4
+
+
+def test_an_isolated_account_shares_its_salt_with_nobody(run):
+    gateway, (server,) = run(whole_stream, repeat=Repeat.ONCE, streaming=True)
+    accounts = (
+        Account("a1", ("k1",), None, True),
+        Account("a2", ("k2",), None, False),
+        Account("a3", ("k3",), None, False),
+    )
+    gateway.configure(*gateway.knowledge.catalog.cfg.routes, accounts=accounts)
+    for key in ("k1", "k2", "k3"):
+        gateway.call(Model="m", Api_Key=key, Prefix_Hash="aa:10")
+    salts = [request.headers["cache-salt"] for request in server.requests]
+    assert salts[1] == salts[2] != salts[0]
+
+
+def test_a_repeated_request_names_only_the_time_that_is_left(run):
+    def slow_then_full(request):
+        gevent.sleep(0.3)
+        yield not_run(request)
+
+    gateway, servers = run(slow_then_full, slow_then_full, repeat=Repeat.ONCE)
+    gateway.call(Deadline_Ms="1000")
+    left = [int(s.requests[0].headers["deadline-ms"]) for s in servers if s.requests]
+    assert max(left) - min(left) >= 250
+
+
+def test_two_connections_of_one_caller_do_not_wait_for_each_other(run):
+    def slow(request):
+        gevent.sleep(0.2)
+        yield answer(request)
+
+    gateway, _ = run(slow)
+    socks = [gateway.connect() for _ in range(5)]
+    with gevent.Timeout(0.8):
+        for sock in socks:
+            sock.sendall(request_bytes())
+        assert [read_answer(sock).status for sock in socks] == [200] * 5
+    for sock in socks:
+        sock.close()
--- /dev/null
+++ b/tests/limits/test_retry_budget.py
@@ -0,0 +1,30 @@
+"""Keep repeats of all nodes within the service's budget."""
+
+from arbutusyard.limits.retry_budget import RetryBudget
+
+
+def test_all_nodes_together_stay_within_the_budget():
+    nodes, requests, ratio, slack = 8, 50, 0.2, 56
+    repeats = 0
+    for _ in range(nodes):
+        budget = RetryBudget(ratio, slack, 10.0)
+        for n in range(requests):
+            budget.count_request("svc", n * 0.1)
+            while budget.take("svc", nodes, n * 0.1):
+                repeats += 1
+    assert repeats <= ratio * nodes * requests + slack
+
+
+def test_old_repeats_leave_the_window():
+    budget = RetryBudget(0.0, 10, 10.0)
+    while budget.take("svc", 1, 0.0):
+        pass
+    assert not budget.take("svc", 1, 9.9)
+    assert budget.take("svc", 1, 10.1)
+
+
+def test_services_have_budgets_of_their_own():
+    budget = RetryBudget(0.0, 10, 10.0)
+    while budget.take("a", 1, 0.0):
+        pass
+    assert budget.take("b", 1, 0.0)
--- /dev/null
+++ b/tests/platform/test_rows.py
@@ -0,0 +1,114 @@
+"""Decode rows of operators and backend servers, good and bad."""
+
+import json
+
+import pytest
+
+from arbutusyard.gateway.models import Repeat, ServerState
+from arbutusyard.platform.exceptions import WireError
+from arbutusyard.platform.rows import read_configuration, read_server, read_weights
+
+SERVER = {
+    "service": "svc",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 9,
+    "models": [{"name": "m", "version": 2, "adapters": []}],
+    "born": 17,
+}
+
+
+def server(**changes):
+    entry = {**SERVER, **changes}
+    return {key: value for key, value in entry.items() if value is not None}
+
+
+def test_a_good_entry_names_one_lifetime():
+    entry = read_server("i-1", json.dumps(SERVER).encode())
+    assert (entry.server_id, entry.born_ms, entry.state) == (
+        "i-1",
+        17,
+        ServerState.READY,
+    )
+    assert entry.weights == {"m": 2}
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        json.dumps(server(state="resting")).encode(),
+        json.dumps(server(address="nowhere")).encode(),
+        json.dumps(server(address=None)).encode(),
+        json.dumps(server(slots="4")).encode(),
+        json.dumps(server(sequence=None)).encode(),
+        json.dumps(server(born=1.5)).encode(),
+        json.dumps(server(models={"m": 2})).encode(),
+    ],
+)
+def test_a_malformed_entry_is_an_error(data):
+    with pytest.raises(WireError):
+        read_server("i-1", data)
+
+
+def route(**changes):
+    return {
+        "name": "r",
+        "host": "H.test",
+        "path_prefix": "/a/",
+        "kind": "streaming",
+        "timeout_ms": 500,
+        "service": "svc",
+        **changes,
+    }
+
+
+def test_routes_say_what_may_be_repeated():
+    cfg = read_configuration(
+        json.dumps(
+            {
+                "version": 3,
+                "routes": [
+                    route(kind="idempotent"),
+                    route(kind="non_idempotent"),
+                    route(resumable=True),
+                    route(),
+                    route(kind="non_idempotent", resumable=True),
+                    route(kind="something new"),
+                ],
+                "services": [
+                    {"name": "svc", "max_connections": 7},
+                    {"name": "kv", "kv_store_addr": "10.0.0.9:1", "zone": "z"},
+                ],
+            }
+        ).encode()
+    )
+    assert [item.repeat for item in cfg.routes] == [
+        Repeat.ANY,
+        Repeat.ONCE,
+        Repeat.RESUME,
+        Repeat.ONCE,
+        Repeat.ONCE,
+        Repeat.ONCE,
+    ]
+    assert cfg.routes[0].host == "h.test"
+    assert cfg.routes[0].timeout_s == 0.5
+    assert list(cfg.services) == ["svc"]
+    assert cfg.cache_stores[0].address == "10.0.0.9:1"
+
+
+def test_a_configuration_without_routes_is_an_error():
+    with pytest.raises(WireError):
+        read_configuration(b'{"version": 3, "services": []}')
+
+
+def test_weights_name_a_model_and_a_version():
+    assert read_weights(b'{"model": "m", "version": 2}').version == 2
+    with pytest.raises(WireError):
+        read_weights(b'{"model": "m", "version": "2"}')
--- /dev/null
+++ b/tests/weights/test_planner.py
@@ -0,0 +1,35 @@
+"""Plan loads of weights; the time plays no part in it."""
+
+from arbutusyard.weights.planner import EngineView, loads_at_once, plan_loads
+
+
+def engine(name, version=1, in_flight=0, loading=False, reachable=True):
+    return EngineView(name, version, in_flight, loading, reachable)
+
+
+def test_the_engines_with_least_in_hand_load_first():
+    engines = [engine(f"e{n}", in_flight=9 - n) for n in range(5)]
+    assert plan_loads(engines, 2) == ["e4", "e3"]
+
+
+def test_loads_under_way_count():
+    engines = [engine("a", loading=True), engine("b"), engine("c"), engine("d")]
+    engines.append(engine("e"))
+    assert plan_loads(engines, 2) == ["b"]
+
+
+def test_engines_at_the_target_and_out_of_reach_are_left_alone():
+    engines = [engine("a", version=2), engine("b", reachable=False)]
+    assert plan_loads(engines, 2) == []
+
+
+def test_half_the_engines_lost_then_one_loads_at_a_time():
+    engines = [engine("a"), engine("b"), engine("c")]
+    engines += [engine(name, reachable=False) for name in "de"]
+    assert len(plan_loads(engines, 2)) == 1
+
+
+def test_most_engines_always_carry_requests():
+    for usable in range(3, 60):
+        assert loads_at_once(usable) <= usable / 2
+    assert loads_at_once(1) == 1
