--- a/arbutusyard/cli/node.py
+++ b/arbutusyard/cli/node.py
@@ -34,7 +34,7 @@
     except SetupFailed as exc:
         typer.echo(f"error: {exc}", err=True)
         sys.exit(EXIT_USAGE)
-    run_node(cfg)
+    run_node(cfg, lambda: read_settings(config))
 
 
 if __name__ == "__main__":
--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -1,6 +1,7 @@
 """Put the components of a node on the users' platform together."""
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 from arbutusyard import clock
@@ -12,6 +13,7 @@
 from arbutusyard.gateway.ingress import Ingress
 from arbutusyard.gateway.node import Node
 from arbutusyard.gateway.pool import ServerPool
+from arbutusyard.gateway.reload import SettingsWatcher
 from arbutusyard.gateway.router import PlacementRouter
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.logs.handler import configure_node_logging
@@ -26,7 +28,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-def run_node(cfg: NodeSettings) -> None:
+def run_node(cfg: NodeSettings, reread: Callable[[], NodeSettings]) -> None:
     """Run a node until it is told to stop."""
     handler = configure_node_logging()
     incarnation = clock.wall_ms()
@@ -58,7 +60,8 @@
     )
     caches = CacheWatcher(knowledge, peers.table, router.parts, servers)
     node.bind(peers, weights, caches)
-    for component in (knowledge, peers, caches, node, ingress, weights):
+    watcher = SettingsWatcher(cfg, reread, node.reload)
+    for component in (watcher, knowledge, peers, caches, node, ingress, weights):
         app.add(component)
     app.run()
     handler.flush_queue()
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -41,21 +41,27 @@
 class PeerTable:
     """Keep the other nodes' datagrams and the sum of their loads."""
 
-    __slots__ = ("_totals", "me", "peers")
+    __slots__ = ("_past", "_totals", "me", "peers")
 
     def __init__(self, me: str) -> None:
         self.me = me
         self.peers: dict[str, Peer] = {}
+        self._past: dict[str, set[int]] = {}
         self._totals: dict[str, list[int]] = {}
 
     def take(self, beat: Beat, now: float) -> bool:
         """Take a datagram; return False when it is old or this node's own."""
         if beat.name == self.me:
             return False
+        past = self._past.setdefault(beat.name, set())
+        if beat.incarnation in past:
+            return False
         peer = self.peers.get(beat.name)
         if peer is not None:
-            known = (peer.beat.incarnation, peer.beat.seq)
-            if (beat.incarnation, beat.seq) <= known:
+            if peer.beat.incarnation != beat.incarnation:
+                # Clocks may go back, so a new number is newer whatever its size.
+                past.add(peer.beat.incarnation)
+            elif beat.seq <= peer.beat.seq:
                 return False
             self._count(peer.beat.loads, -1)
         if peer is None or peer.beat.ready is not beat.ready:
--- /dev/null
+++ b/arbutusyard/gateway/directory.py
@@ -0,0 +1,29 @@
+"""Choose the entry nodes that callers are told."""
+
+from dataclasses import dataclass
+
+from arbutusyard.gateway.const import DIRECTORY_MAX
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """Describe a node that callers may connect to."""
+
+    address: str
+    region: str
+    ready: bool
+
+
+def choose_entries(nodes: list[Entry], region: str) -> list[str]:
+    """Return the addresses of ready nodes, those of the caller's region if any.
+
+    In an outage of the store no node is ready, and all that live are returned.
+    """
+    for wanted in (
+        [node for node in nodes if node.ready and node.region == region],
+        [node for node in nodes if node.ready],
+        nodes,
+    ):
+        if wanted:
+            return sorted(node.address for node in wanted)[:DIRECTORY_MAX]
+    return []
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -120,6 +120,11 @@
         self._budget = RetryBudget(cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s)
         self.leaving = False
 
+    def reload(self, cfg: NodeSettings) -> None:
+        """Take changed settings over."""
+        self._cfg = cfg
+        self._budget.change(cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s)
+
     def serve(self, req: CallerRequest, conn: CallerConnection) -> None:
         """Answer a request; raise CallerGone when its caller left."""
         now = clock.now()
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -14,10 +14,10 @@
 from arbutusyard.gateway.const import (
     DIRECTORY_KEEP_FACTOR,
     DIRECTORY_KEEP_S,
-    DIRECTORY_MAX,
     READY_CONFIRM_PART,
     STOP_MARGIN_S,
 )
+from arbutusyard.gateway.directory import Entry, choose_entries
 from arbutusyard.gateway.exchange import Relay
 from arbutusyard.gateway.ingress import Ingress
 from arbutusyard.gateway.pool import ServerPool
@@ -95,7 +95,7 @@
         """Serve the readiness, directory and metrics calls."""
         status = make_status_app(
             lambda: self.ready(clock.now()),
-            lambda region: self.directory(clock.now()),
+            lambda region: self.directory(region, clock.now()),
             min(DIRECTORY_KEEP_S, self._cfg.directory_keep_max_s),
             self._metrics.text,
         )
@@ -132,19 +132,17 @@
         limit_s = self._cfg.revoke_s * READY_CONFIRM_PART
         return self._knowledge.config_age_s(now) < limit_s
 
-    def directory(self, now: float) -> list[str]:
-        """Return the addresses that callers may use, this node's own included."""
-        beats = [b for b in self._peers.table.alive(now) if not b.leaving]
-        ready = [beat for beat in beats if beat.ready]
-        addresses = [beat.callers_address for beat in ready]
-        if self.ready(now):
-            addresses.append(self._cfg.callers_address)
-        if not addresses:
-            # In an outage of the store nodes serve on with what they know.
-            addresses = [beat.callers_address for beat in beats]
-            if not self._relay.leaving:
-                addresses.append(self._cfg.callers_address)
-        return sorted(addresses)[:DIRECTORY_MAX]
+    def directory(self, region: str, now: float) -> list[str]:
+        """Return the addresses that callers of a region may use, own one included."""
+        nodes = [
+            Entry(beat.callers_address, beat.region, beat.ready)
+            for beat in self._peers.table.alive(now)
+            if not beat.leaving
+        ]
+        if not self._relay.leaving:
+            cfg = self._cfg
+            nodes.append(Entry(cfg.callers_address, cfg.region, self.ready(now)))
+        return choose_entries(nodes, region)
 
     def describe(self, seq: int) -> Beat:
         """Return what the other nodes should know of this one."""
@@ -175,6 +173,11 @@
         self._router.take_part_notes(beat.parts, now)
         self._router.take_silent(beat.silent, now)
 
+    def reload(self, cfg: NodeSettings) -> None:
+        """Take changed settings over; addresses need a restart."""
+        self._cfg = cfg
+        self._relay.reload(cfg)
+
     def _tick(self, now: float) -> None:
         self._knowledge.servers.sweep(now)
         self._pool.sweep(now)
--- a/arbutusyard/limits/retry_budget.py
+++ b/arbutusyard/limits/retry_budget.py
@@ -19,6 +19,12 @@
         self._requests: dict[str, deque[float]] = {}
         self._repeats: dict[str, deque[float]] = {}
 
+    def change(self, ratio: float, slack: float, window_s: float) -> None:
+        """Change the budget; what was counted stays."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+
     def count_request(self, service: str, now: float) -> None:
         """Count a caller's request for a service."""
         self._recent(self._requests, service, now).append(now)
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -71,11 +71,12 @@
     kept = view.cached_tokens + view.fetch_tokens
     if view.home:
         kept = max(kept, HOME_HIT * work.shared_tokens)
-    to_read = max(0.0, work.prompt_tokens - kept) + view.prompt_tokens
-    cost += (
-        view.fetch_s + to_read / PREFILL_TOKENS_PER_S + RUNNING_COST_S * view.in_flight
-    )
-    return cost + full
+    own = max(0.0, work.prompt_tokens - kept)
+    if view.express and own > LARGE_TOKENS:
+        cost += EXPRESS_COST_S
+    cost += READ_AGAIN_COST_S * view.read_again_tokens + view.fetch_s
+    cost += (own + view.prompt_tokens) / PREFILL_TOKENS_PER_S
+    return cost + RUNNING_COST_S * view.in_flight + full
 
 
 def express_lane(server_ids: list[str]) -> frozenset[str]:
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -30,6 +30,14 @@
     assert table.load("s") == (0, 0)
 
 
+def test_a_node_restarted_with_its_clock_set_back_is_heard():
+    table = PeerTable("me")
+    table.take(beat(50, ServerLoad("s", 2, 0), incarnation=7), 0.0)
+    assert table.take(beat(1, incarnation=3), 0.1)
+    assert not table.take(beat(51, ServerLoad("s", 2, 0), incarnation=7), 0.2)
+    assert table.load("s") == (0, 0)
+
+
 def test_a_silent_peer_is_not_alive_and_its_load_no_longer_counts():
     table = PeerTable("me")
     table.take(beat(1, ServerLoad("s", 2, 0)), 0.0)
--- /dev/null
+++ b/tests/routing/test_placement.py
@@ -0,0 +1,140 @@
+"""Drive the choice of a server with the load patterns that it answers."""
+
+import pytest
+
+from arbutusyard.routing.parts import PartMap, Source, best_fetch, part_key
+from arbutusyard.routing.placement import (
+    LARGE_TOKENS,
+    ServerView,
+    Work,
+    choose,
+    expected_s,
+    express_lane,
+)
+
+NAMES = ["e1", "e2", "e3", "e4", "e5"]
+
+
+def view(name, **changes):
+    fields = {
+        "failure_domain": "z",
+        "slots": 64,
+        "in_flight": 0,
+        "prompt_tokens": 0,
+        "cached_tokens": 0,
+        "home": False,
+        "failures": 0.0,
+        **changes,
+    }
+    return ServerView(name, **fields)
+
+
+SMALL = Work("z", 383, 92)
+LARGE = Work("z", 17_000, 13_300)
+
+
+def test_hot_key_goes_where_its_parts_are_kept_until_the_wait_costs_more():
+    kept = view("e1", cached_tokens=13_300)
+    assert choose(LARGE, [kept, view("e2")]).server_id == "e1"
+    crowded = view("e1", cached_tokens=13_300, prompt_tokens=60_000)
+    assert choose(LARGE, [crowded, view("e2")]).server_id == "e2"
+
+
+def test_parts_that_can_be_fetched_are_not_read_again():
+    fetches = view("e2", fetch_tokens=13_300, fetch_s=0.08)
+    assert choose(LARGE, [view("e1"), fetches]).server_id == "e2"
+
+
+def test_parts_that_another_engine_is_reading_are_waited_for_there():
+    reading = view("e1", cached_tokens=13_300, prompt_tokens=14_000)
+    again = view("e2", read_again_tokens=13_300)
+    assert choose(LARGE, [reading, again]).server_id == "e1"
+
+
+def test_burst_of_large_prompts_leaves_room_for_small_ones():
+    lane = express_lane(NAMES)
+    assert len(lane) == 1
+    engines = {name: view(name, express=name in lane) for name in NAMES}
+    for _ in range(8):
+        best = choose(LARGE, list(engines.values()))
+        assert best.server_id not in lane
+        loaded = best.prompt_tokens + LARGE.prompt_tokens
+        engines[best.server_id] = view(best.server_id, prompt_tokens=loaded)
+    assert choose(SMALL, list(engines.values())).server_id in lane
+
+
+def test_large_prompts_may_use_the_lane_when_all_others_are_far_behind():
+    lane = next(iter(express_lane(NAMES)))
+    engines = [view(name, prompt_tokens=200_000) for name in NAMES if name != lane]
+    assert choose(LARGE, [*engines, view(lane, express=True)]).server_id == lane
+
+
+def test_every_node_sees_the_same_lane_and_two_engines_have_none():
+    assert express_lane(NAMES) == express_lane(NAMES[::-1])
+    assert express_lane(NAMES[:2]) == frozenset()
+    assert SMALL.prompt_tokens < LARGE_TOKENS
+
+
+def test_a_server_that_fails_a_share_of_its_requests_is_avoided():
+    failing = view("a", failures=0.4)
+    assert choose(Work("z"), [failing, view("b", failure_domain="y")]).server_id == "b"
+
+
+def test_a_service_short_of_slots_spreads_over_failure_domains():
+    full = view("a", slots=6, in_flight=9)
+    assert (
+        choose(Work("z"), [full, view("b", slots=6, failure_domain="y")]).server_id
+        == "b"
+    )
+    assert (
+        choose(Work("z"), [view("a"), view("b", failure_domain="y")]).server_id == "a"
+    )
+
+
+def test_new_weights_are_preferred_to_a_short_wait():
+    old = view("a", old_weights=True)
+    assert choose(SMALL, [old, view("b", prompt_tokens=8_000)]).server_id == "b"
+
+
+def test_expected_time_grows_with_what_is_ahead():
+    assert expected_s(SMALL, view("a")) < expected_s(SMALL, view("a", in_flight=5))
+    ahead = view("a", prompt_tokens=17_000)
+    assert expected_s(SMALL, ahead) - expected_s(SMALL, view("a")) == pytest.approx(
+        17_000 / 40_000
+    )
+
+
+def test_the_nearest_holder_hands_parts_over():
+    near = Source("e1", "a:1", "z", 280_000)
+    far = Source("e2", "a:2", "y", 280_000)
+    slow = Source("store", "a:3", "z", 210_000)
+    fetch = best_fetch([(far, 13_300), (near, 13_300), (slow, 13_300)], 0, 163_840, "z")
+    assert (fetch.address, fetch.tokens) == ("a:1", 13_300)
+    assert fetch.expected_s == pytest.approx(0.0623, rel=0.01)
+    assert best_fetch([(near, 13_300)], 13_000, 163_840, "z") is None
+
+
+def test_only_parts_that_were_read_are_fetched_and_only_from_a_living_holder():
+    parts = PartMap()
+    keys = (part_key("s", "a"), part_key("s", "b"))
+    parts.learn_engine("e1", 7, keys, False, 0.0)
+    assert parts.sent_to_engines(keys, 1.0) == {"e1": 2}
+    assert parts.kept_by_engines(keys, 1.0) == {}
+    parts.learn_engine("e1", 7, keys, True, 1.0)
+    assert parts.kept_by_engines(keys, 1.0) == {"e1": 2}
+    parts.learn_engine("e1", 8, (part_key("s", "c"),), True, 2.0)
+    assert parts.kept_by_engines(keys, 2.0) == {}
+
+
+def test_a_restarted_cache_store_holds_nothing():
+    parts = PartMap()
+    keys = (part_key("s", "a"),)
+    parts.learn_store("st", keys, 0.0)
+    assert parts.kept_by_stores(keys, 0.0) == {}
+    parts.see_store("st", 1)
+    parts.learn_store("st", keys, 0.0)
+    assert parts.kept_by_stores(keys, 1.0) == {"st": 1}
+    parts.see_store("st", 0)
+    assert parts.kept_by_stores(keys, 1.0) == {}
+    parts.see_store("st", 2)
+    assert parts.kept_by_stores(keys, 1.0) == {}
