--- a/arbutusyard/fleet/caches.py
+++ b/arbutusyard/fleet/caches.py
@@ -1,14 +1,22 @@
 """Watch the cache stores, so that nobody fetches from one that is gone."""
 
 import logging
+from collections import deque
 
 import gevent
 
 from arbutusyard import clock
 from arbutusyard.app import Application
-from arbutusyard.fleet.const import CACHE_PACE_S, CACHE_RETRY_S, CACHE_WATCHERS
+from arbutusyard.fleet.const import (
+    CACHE_PACE_S,
+    CACHE_RETRY_S,
+    CACHE_TELLERS,
+    CACHE_WATCHERS,
+    PART_NOTE_BEATS,
+    STORE_NOTES_MAX,
+)
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.messages import CacheNote, CacheSign
+from arbutusyard.fleet.messages import CacheNote, CacheSign, StoreNote
 from arbutusyard.fleet.peers import PeerTable
 from arbutusyard.platform.exceptions import PlatformUnsettled
 from arbutusyard.platform.servers import ServerClient
@@ -23,7 +31,15 @@
 
     name = "caches"
 
-    __slots__ = ("_client", "_epochs", "_knowledge", "_parts", "_peers", "_supervisor")
+    __slots__ = (
+        "_client",
+        "_epochs",
+        "_knowledge",
+        "_news",
+        "_parts",
+        "_peers",
+        "_supervisor",
+    )
 
     def __init__(
         self,
@@ -37,6 +53,7 @@
         self._parts = parts
         self._client = client
         self._epochs: dict[str, int] = {}
+        self._news: deque[list] = deque(maxlen=STORE_NOTES_MAX)
         self._supervisor: Supervisor | None = None
 
     def setup(self, app: Application) -> None:
@@ -65,7 +82,7 @@
         position = 0
         while True:
             address = self._address()
-            if address is None or not self._watches(clock.now()):
+            if address is None or self._place(clock.now()) >= CACHE_WATCHERS:
                 self._epochs.clear()
                 gevent.sleep(CACHE_RETRY_S)
                 continue
@@ -84,12 +101,31 @@
 
     def _apply(self, address: str, sign: CacheSign) -> None:
         now = clock.now()
+        kept, dropped = [], []
         for event in sign.events:
-            piece = (part_key(event.salt, event.part_id),)
-            if event.kept:
-                self._parts.learn_store(address, piece, now)
-            else:
-                self._parts.forget_store(address, piece)
+            key = part_key(event.salt, event.part_id)
+            (kept if event.kept else dropped).append(key)
+        self._parts.forget_store(address, tuple(dropped))
+        self._parts.learn_store(address, tuple(kept), now)
+        if (kept or dropped) and self._place(now) < CACHE_TELLERS:
+            note = StoreNote(address, tuple(kept), tuple(dropped))
+            self._news.append([note, PART_NOTE_BEATS])
+
+    def store_notes(self) -> tuple[StoreNote, ...]:
+        """Return the news of cache stores, each for a few datagrams."""
+        notes = tuple(item[0] for item in self._news)
+        for item in self._news:
+            item[1] -= 1
+        while self._news and self._news[0][1] <= 0:
+            self._news.popleft()
+        return notes
+
+    def take_store_notes(self, notes: tuple[StoreNote, ...], now: float) -> None:
+        """Take over what another node has read, unless this one reads itself."""
+        for note in notes:
+            if note.address not in self._epochs:
+                self._parts.forget_store(note.address, note.dropped)
+                self._parts.learn_store(note.address, note.kept, now)
 
     def _address(self) -> str | None:
         catalog = self._knowledge.catalog
@@ -97,10 +133,9 @@
             return None
         return catalog.cfg.cache_stores[0].address
 
-    def _watches(self, now: float) -> bool:
-        """Tell whether this node is among the few that watch."""
-        names = [beat.name for beat in self._peers.alive(now)]
-        return sum(name < self._peers.me for name in names) < CACHE_WATCHERS
+    def _place(self, now: float) -> int:
+        """Return this node's place in the order of names."""
+        return sum(beat.name < self._peers.me for beat in self._peers.alive(now))
 
     def _see(self, address: str, epoch: int, cause: str) -> None:
         if self._epochs.get(address) != epoch:
--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -11,6 +11,11 @@
 SERVERS_WAIT_S: Final = 1.0
 # Servers write several times a second; changes are read in batches.
 SERVERS_PACE_S: Final = 0.5
+# Every call is paid for, so in a large fleet each node reads less often: the pause
+# grows by so much a node, up to a part of the time in which a drain must be seen.
+PACE_NODE_S: Final = 0.014
+PACE_PART: Final = 0.4
+CONFIG_WAIT_MAX_S: Final = 1.8
 FOLLOW_RETRY_S: Final = 0.2
 FOLLOW_RETRY_MAX_S: Final = 1.0
 
@@ -40,7 +45,10 @@
 
 # Nodes that watch a cache store themselves; the others take their word.
 CACHE_WATCHERS: Final = 8
+# Of those, so many tell the others what they read.
+CACHE_TELLERS: Final = 2
 CACHE_PACE_S: Final = 0.3
 CACHE_RETRY_S: Final = 0.5
 # Notes on parts are repeated so often, since datagrams may be lost.
 PART_NOTE_BEATS: Final = 3
+STORE_NOTES_MAX: Final = 32
--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -9,10 +9,13 @@
 from arbutusyard.app import Application
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.const import (
+    CONFIG_WAIT_MAX_S,
     CONFIG_WAIT_S,
     FOLLOW_RETRY_MAX_S,
     FOLLOW_RETRY_S,
     OUTAGE_AFTER_S,
+    PACE_NODE_S,
+    PACE_PART,
     SERVERS_PACE_S,
     SERVERS_WAIT_S,
 )
@@ -41,14 +44,14 @@
     __slots__ = (
         "_apply",
         "_client",
-        "_pace_s",
         "_replace",
         "_table",
         "_version",
-        "_wait_s",
         "confirmed_at",
         "lost",
         "on_return",
+        "pace_s",
+        "wait_s",
     )
 
     def __init__(
@@ -62,8 +65,8 @@
     ) -> None:
         self._client = client
         self._table = table
-        self._wait_s = wait_s
-        self._pace_s = pace_s
+        self.wait_s = wait_s
+        self.pace_s = pace_s
         self._replace = replace
         self._apply = apply
         self._version: int | None = None
@@ -88,7 +91,7 @@
                 retry_s = min(FOLLOW_RETRY_MAX_S, retry_s * 2)
                 continue
             retry_s = FOLLOW_RETRY_S
-            gevent.sleep(self._pace_s)
+            gevent.sleep(self.pace_s)
 
     @property
     def started(self) -> bool:
@@ -102,7 +105,7 @@
             self._replace(snapshot.rows)
             self._version = snapshot.version
             return
-        changes = self._client.follow(self._table, self._version, self._wait_s)
+        changes = self._client.follow(self._table, self._version, self.wait_s)
         self._confirm(sent_at)
         if changes.rows:
             self._apply(changes.rows)
@@ -190,6 +193,13 @@
         """Return how old the last confirmed read of the servers' entries is."""
         return now - self._server_rows.confirmed_at
 
+    def set_pace(self, nodes: int, drain_s: float) -> None:
+        """Read less often in a large fleet, but in time for every drain."""
+        extra_s = PACE_NODE_S * nodes
+        longest_s = max(SERVERS_PACE_S, PACE_PART * drain_s)
+        self._server_rows.pace_s = min(longest_s, SERVERS_PACE_S + extra_s)
+        self._config_rows.wait_s = min(CONFIG_WAIT_MAX_S, CONFIG_WAIT_S + extra_s)
+
     def complete(self) -> bool:
         """Tell whether enough is known to serve requests."""
         return self.catalog is not None and self.servers.known
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -43,6 +43,14 @@
     epoch: int
 
 
+class StoreNote(Struct, frozen=True, array_like=True):
+    """Say that a cache store has taken parts in, or dropped them."""
+
+    address: str
+    kept: tuple[bytes, ...]
+    dropped: tuple[bytes, ...]
+
+
 class PartNote(Struct, frozen=True, array_like=True):
     """Say that a server was sent a chain of parts, or has read it by now."""
 
@@ -70,6 +78,7 @@
     caches: tuple[CacheNote, ...] = ()
     silent: tuple[str, ...] = ()
     parts: tuple[PartNote, ...] = ()
+    stores: tuple[StoreNote, ...] = ()
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -44,7 +44,7 @@
 # Part of the time for revoked keys after which a node without the store is not ready.
 READY_CONFIRM_PART: Final = 0.55
 # Unknown routes and keys are only refused for good by a node so well informed.
-KNOWN_MAX_AGE_S: Final = 1.8
+KNOWN_MAX_AGE_S: Final = 2.4
 # Time that a stopping node leaves itself to end before it is killed.
 STOP_MARGIN_S: Final = 0.7
 # Steps in which a reader checks whether its server has fallen silent.
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -165,12 +165,14 @@
             caches=self._caches.notes(),
             silent=self._router.silent(),
             parts=self._router.part_notes(),
+            stores=self._caches.store_notes(),
         )
 
     def _take_beat(self, beat: Beat, now: float) -> None:
         self._router.take_engine_notes(beat.engines, now)
         self._caches.take_notes(beat.caches)
         self._router.take_part_notes(beat.parts, now)
+        self._caches.take_store_notes(beat.stores, now)
         self._router.take_silent(beat.silent, now)
 
     def reload(self, cfg: NodeSettings) -> None:
@@ -180,6 +182,8 @@
 
     def _tick(self, now: float) -> None:
         self._knowledge.servers.sweep(now)
+        nodes = len(self._peers.table.peers) + 1
+        self._knowledge.set_pace(nodes, self._cfg.drain_s)
         self._pool.sweep(now)
         for server in self._knowledge.servers.suspects(now):
             gevent.spawn(self._pool.probe, server)
