Test following the store and rolling weights out; explain a request from logs

Finding: test_lost_history_is_made_up_for_by_reading_the_table failed once. Cause: the stand-in's feed that waited while history was dropped answered with no rows and the newest version, so the change was lost; it now answers 410 to waiting calls as well. Change: arbutusyard explain, node names in log lines, tests of both.

--- a/arbutusyard/cli/main.py
+++ b/arbutusyard/cli/main.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from arbutusyard.cli.explain import explain
 from arbutusyard.cli.node import node
 from arbutusyard.cli.settings import (
     CONTROL_CHECKS,
@@ -27,6 +28,7 @@
 )
 app.add_typer(workload_app, name="workload")
 app.command()(node)
+app.command()(explain)
 app.command()(status)
 app.command()(drain)
 
--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -34,7 +34,7 @@
 
 def run_node(cfg: NodeSettings, reread: Callable[[], NodeSettings]) -> None:
     """Run a node until it is told to stop."""
-    handler = configure_node_logging()
+    handler = configure_node_logging(cfg.name)
     incarnation = clock.wall_ms()
     app = Application(f"node.{cfg.name}")
     store = PlatformClient(cfg.store_address)
--- a/arbutusyard/logs/handler.py
+++ b/arbutusyard/logs/handler.py
@@ -22,9 +22,9 @@
 class BoundedHandler(logging.Handler):
     """Keep a bounded number of records until a task writes them."""
 
-    def __init__(self, fd: int) -> None:
+    def __init__(self, fd: int, node: str) -> None:
         super().__init__()
-        self.setFormatter(JsonFormatter(LOG_FIELDS))
+        self.setFormatter(JsonFormatter(LOG_FIELDS, static_fields={"node": node}))
         self._fd = fd
         self._queue: deque[logging.LogRecord] = deque()
         self._wake = Event()
@@ -86,9 +86,9 @@
         return True
 
 
-def configure_node_logging() -> BoundedHandler:
+def configure_node_logging(node: str) -> BoundedHandler:
     """Send all log lines of a node to standard output."""
-    handler = BoundedHandler(sys.stdout.fileno())
+    handler = BoundedHandler(sys.stdout.fileno(), node)
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
     logging.getLogger("urllib3").setLevel(logging.ERROR)
     logging.raiseExceptions = False
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -156,10 +156,12 @@
         platform.reads += 1
         query = bottle.request.query
         table, after = query["table"], int(query["after"])
-        if after < platform.history_from:
-            return reply({"error": "history is gone"}, 410)
         until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
-        while not (rows := platform.changes(table, after)):
+        while True:
+            if after < platform.history_from:
+                return reply({"error": "history is gone"}, 410)
+            if rows := platform.changes(table, after):
+                break
             left_s = until - time.monotonic()
             if left_s <= 0:
                 break
--- /dev/null
+++ b/tests/fleet/test_knowledge.py
@@ -0,0 +1,120 @@
+"""Follow the store through lost history, outages and rows that can't be read."""
+
+import gevent
+import pytest
+
+from arbutusyard import clock
+from arbutusyard.app import Application
+from arbutusyard.fleet.knowledge import Knowledge
+from arbutusyard.platform.client import PlatformClient
+from arbutusyard.platform.exceptions import HistoryGone
+from arbutusyard.platform.models import Delete, Put
+from tests.fleet.support import CONFIG, Store, entry
+from tests.gateway.support import wait_for
+
+
+@pytest.fixture
+def store():
+    running = Store()
+    yield running
+    running.stop()
+
+
+@pytest.fixture
+def knowledge(store):
+    store.write("op", "config", CONFIG)
+    store.write("servers", "s1", entry())
+    known = Knowledge(PlatformClient(store.address))
+    app = Application("test")
+    known.setup(app)
+    wait_for(known.complete)
+    yield known
+    known.unload()
+
+
+def test_a_change_is_known_at_once(store, knowledge):
+    store.write("op", "config", {**CONFIG, "version": 9})
+    wait_for(lambda: knowledge.catalog.cfg.version == 9, 0.5)
+    store.write("op", "version/m", {"model": "m", "version": 2})
+    wait_for(lambda: knowledge.target("m") == 2, 0.5)
+    assert knowledge.weights_age_s("m", clock.now()) < 0.5
+
+
+def test_versions_only_rise(store, knowledge):
+    store.write("op", "config", {**CONFIG, "version": 2})
+    store.write("op", "version/m", {"model": "m", "version": 4})
+    wait_for(lambda: knowledge.target("m") == 4)
+    store.write("op", "version/m", {"model": "m", "version": 3})
+    gevent.sleep(0.1)
+    assert knowledge.catalog.cfg.version == 3
+    assert knowledge.target("m") == 4
+
+
+def test_lost_history_is_made_up_for_by_reading_the_table(store, knowledge):
+    store.platform.down = True
+    wait_for(lambda: knowledge.config_age_s(clock.now()) > 0.3)
+    store.write("op", "config", {**CONFIG, "version": 5})
+    store.write("servers", "s2", entry())
+    store.platform.drop_history()
+    store.platform.down = False
+    wait_for(lambda: knowledge.catalog.cfg.version == 5)
+    wait_for(lambda: knowledge.servers.get("s2") is not None)
+
+
+def test_weights_named_before_the_start_have_no_known_age(store):
+    store.write("op", "config", CONFIG)
+    store.write("op", "version/m", {"model": "m", "version": 4})
+    known = Knowledge(PlatformClient(store.address))
+    known.setup(Application("test"))
+    wait_for(lambda: known.target("m") == 4)
+    assert known.weights_age_s("m", clock.now()) is None
+    known.unload()
+
+
+def test_an_entry_that_lapsed_in_an_outage_is_waited_for(store, knowledge):
+    store.platform.down = True
+    wait_for(lambda: knowledge.servers_age_s(clock.now()) > 1.7, 5)
+    store.remove("servers", "s1")
+    store.platform.down = False
+    wait_for(lambda: knowledge.servers_age_s(clock.now()) < 0.5)
+    assert knowledge.servers.get("s1") is not None
+    store.write("servers", "s1", entry())
+    gevent.sleep(0.8)
+    knowledge.servers.sweep(clock.now() + 10)
+    assert knowledge.servers.get("s1") is not None
+
+
+def test_rows_that_cannot_be_read_harm_no_others(store, knowledge):
+    store.write("servers", "bad", b"\xff")
+    store.write("op", "version/m", b"[]")
+    store.write("op", "config", {"version": 99})
+    store.write("servers", "s3", entry())
+    wait_for(lambda: knowledge.servers.get("s3") is not None)
+    assert knowledge.servers.get("bad") is None
+    assert knowledge.catalog.cfg.version == 3
+
+
+def test_a_transaction_holds_whole_or_not_at_all(store):
+    client = PlatformClient(store.address)
+    first = client.put(Put("t", "a", b"1", 0))
+    assert first > 0
+    assert client.put(Put("t", "a", b"2", 0)) == 0
+    assert not client.commit(Put("t", "a", b"3", first), Put("t", "b", b"1", 7))
+    assert client.get("t", "a").value == b"1"
+    assert client.commit(Put("t", "b", b"1", 0), Delete("t", "a", first))
+    assert client.get("t", "a").version == 0
+    assert [row.key for row in client.scan("t", "b")] == ["b"]
+
+
+def test_a_table_of_many_pages_is_read_whole(store):
+    for n in range(1203):
+        store.write("t", f"k{n:05}", b"x")
+    snapshot = PlatformClient(store.address).snapshot("t")
+    assert len(snapshot.rows) == 1203
+
+
+def test_dropped_history_is_an_error_of_its_own(store):
+    store.write("t", "a", b"1")
+    store.platform.drop_history()
+    with pytest.raises(HistoryGone):
+        PlatformClient(store.address).follow("t", 0, 0.0)
--- /dev/null
+++ b/tests/weights/test_coordinator.py
@@ -0,0 +1,201 @@
+"""Roll weights out over scripted engines, through failures of orders and leases."""
+
+import json
+
+import gevent
+import pytest
+
+from arbutusyard import clock
+from arbutusyard.app import Application
+from arbutusyard.fleet.catalog import Catalog
+from arbutusyard.fleet.knowledge import Knowledge
+from arbutusyard.fleet.peers import PeerCoordinator
+from arbutusyard.gateway.models import ServerEntry, ServerState
+from arbutusyard.platform.client import PlatformClient
+from arbutusyard.platform.rows import read_configuration
+from arbutusyard.platform.servers import ServerClient
+from arbutusyard.weights.coordinator import WeightsCoordinator
+from tests.fleet.support import CONFIG, Store
+from tests.gateway.support import ScriptedServer, wait_for
+
+
+class Engine:
+    """Take orders as an engine does; `faults` spoil the next ones."""
+
+    def __init__(self, version=1):
+        self.version = version
+        self.orders = 0
+        self.fence = 0
+        self.log = []
+        self.faults = []
+        self.server = ScriptedServer(self._script)
+
+    @property
+    def address(self):
+        return self.server.address
+
+    def _script(self, request):
+        if request.first.startswith("GET /-/report"):
+            report = {
+                "busy": False,
+                "sequence": self.orders,
+                "models": [{"name": "m", "version": self.version}],
+                "born": 5,
+            }
+            yield self._reply(200, json.dumps(report))
+            return
+        order = json.loads(request.body)
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "lost":
+            request.last = True
+            return
+        if fault == "late":
+            gevent.spawn_later(0.6, self._take, order)
+            request.last = True
+            return
+        status = self._take(order)
+        if fault != "unanswered":
+            yield self._reply(status, "")
+        else:
+            request.last = True
+
+    def _take(self, order):
+        self.log.append((order["version"], order["fencing_token"]))
+        if order["fencing_token"] < self.fence:
+            return 412
+        self.fence = order["fencing_token"]
+        if order["version"] == self.version:
+            return 200
+        if order["if_revision"] != self.orders:
+            return 409
+        self.orders += 1
+        self.version = order["version"]
+        return 202
+
+    @staticmethod
+    def _reply(status, body):
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        return (head + body).encode()
+
+
+class QuietPeers(PeerCoordinator):
+    """Send nothing, so that nodes do not see each other."""
+
+    __slots__ = ()
+
+    def send(self):
+        pass
+
+
+class Node:
+    """Hold one would-be owner of the lease on orders."""
+
+    def __init__(self, name, store, engines):
+        client = PlatformClient(store.address)
+        self.knowledge = Knowledge(None)
+        cfg = read_configuration(json.dumps(CONFIG).encode())
+        self.knowledge.catalog = Catalog(cfg)
+        entries = {
+            f"e{n}": ServerEntry(
+                f"e{n}", 5, "svc", engine.address, "z", ServerState.READY, 8, {"m": 1}
+            )
+            for n, engine in enumerate(engines)
+        }
+        self.knowledge.servers.replace(entries, clock.now())
+        self.peers = QuietPeers(name, "127.0.0.1:0", (), client, 1, lambda seq: None)
+        self.weights = WeightsCoordinator(
+            name, self.knowledge, self.peers, client, ServerClient(), 3.0
+        )
+        self.weights.bind(lambda now: True)
+        self.weights.setup(Application("test"))
+
+    def name_weights(self, version):
+        self.knowledge.weights["m"] = version
+        self.weights.wake()
+
+    def versions(self):
+        return {s.weights["m"] for s in self.knowledge.servers.servers.values()}
+
+
+@pytest.fixture
+def world():
+    store = Store()
+    made = []
+
+    def make(engines, *names):
+        nodes = [Node(name, store, engines) for name in names]
+        made.extend(node.weights.unload for node in nodes)
+        made.extend(engine.server.stop for engine in engines)
+        return nodes
+
+    yield make
+    for stop in made:
+        stop()
+    store.stop()
+
+
+def test_every_engine_gets_the_named_weights(world):
+    engines = [Engine() for _ in range(3)]
+    (node,) = world(engines, "n1")
+    node.name_weights(2)
+    wait_for(lambda: node.versions() == {2}, 12)
+    assert [engine.orders for engine in engines] == [1, 1, 1]
+
+
+def test_several_versions_named_in_a_row_need_one_load_for_engines_that_waited(world):
+    engines = [Engine() for _ in range(3)]
+    (node,) = world(engines, "n1")
+    node.name_weights(2)
+    wait_for(lambda: any(engine.orders for engine in engines), 5)
+    node.name_weights(3)
+    wait_for(lambda: node.versions() == {3}, 15)
+    assert sum(engine.orders for engine in engines) < 6
+
+
+@pytest.mark.parametrize("fault", ["lost", "unanswered", "late"])
+def test_an_order_without_an_answer_is_settled_by_the_report(world, fault):
+    engine = Engine()
+    engine.faults = [fault]
+    (node,) = world([engine], "n1")
+    node.name_weights(2)
+    wait_for(lambda: node.versions() == {2}, 8)
+    gevent.sleep(0.7)
+    assert engine.version == 2
+    assert engine.orders == 1
+
+
+def test_an_engine_that_took_orders_before_is_asked_first(world):
+    engine = Engine()
+    engine.orders = 4
+    (node,) = world([engine], "n1")
+    node.name_weights(2)
+    wait_for(lambda: node.versions() == {2}, 8)
+    assert len(engine.log) == 1
+
+
+def test_of_two_nodes_that_do_not_see_each_other_one_orders_at_a_time(world):
+    engines = [Engine(), Engine()]
+    first, second = world(engines, "n1", "n2")
+    first.name_weights(2)
+    second.name_weights(2)
+    wait_for(lambda: first.versions() == {2} or second.versions() == {2}, 15)
+    fences = [fence for engine in engines for _, fence in engine.log]
+    assert len(set(fences)) == 1
+
+
+def test_a_refused_fence_gives_the_lease_up(world):
+    engine = Engine()
+    engine.fence = 50
+    (node,) = world([engine], "n1")
+    node.name_weights(2)
+    wait_for(lambda: engine.log, 5)
+    wait_for(lambda: not node.weights.fence, 2)
+
+
+def test_a_dark_engine_does_not_hold_up_the_others(world):
+    engines = [Engine(), Engine(), Engine()]
+    dark = Engine()
+    dark.server.stop()
+    (node,) = world([dark, *engines], "n1")
+    node.name_weights(2)
+    wait_for(lambda: all(engine.version == 2 for engine in engines), 12)
