Let a few nodes read the store and tell the others, dated by the receiver's clock

Ruled out: ages in datagrams (a suspended VM would take an old word for a fresh one); clocks of other VMs. A word names the receiver's datagram that came before the read was sent, so the receiver's own clock bounds its age; a node that lacks a row reads for itself, and so does one that is told nothing for 1.2 s.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -25,6 +25,15 @@
 # A read that fails, or a gap so long between two reads, counts as an outage.
 OUTAGE_AFTER_S: Final = 4.0
 
+# So many nodes read the store in turn and tell the others; the others read only when
+# they lack something, or when nobody has told them for a while.
+STORE_READERS: Final = 3
+READER_WAIT_S: Final = 0.5
+TOLD_FRESH_S: Final = 1.2
+TOLD_STEP_S: Final = 0.1
+# Sending times of own datagrams that are remembered to date what others tell.
+SENT_KEPT: Final = 256
+
 BEAT_INTERVAL_S: Final = 0.25
 # News is sent at once, but not more often than that.
 BEAT_PAUSE_S: Final = 0.03
--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -2,8 +2,10 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 
 import gevent
+from gevent.event import Event
 
 from arbutusyard import clock
 from arbutusyard.app import Application
@@ -16,9 +18,14 @@
     OUTAGE_AFTER_S,
     PACE_NODE_S,
     PACE_PART,
+    READER_WAIT_S,
     SERVERS_PACE_S,
     SERVERS_WAIT_S,
+    STORE_READERS,
+    TOLD_FRESH_S,
+    TOLD_STEP_S,
 )
+from arbutusyard.fleet.messages import Beat
 from arbutusyard.fleet.servers import ServerTable
 from arbutusyard.gateway.models import ServerEntry
 from arbutusyard.platform.client import PlatformClient
@@ -45,12 +52,18 @@
         "_apply",
         "_client",
         "_replace",
-        "_table",
+        "table",
         "_version",
         "confirmed_at",
+        "_told_at",
+        "_wake",
         "lost",
+        "after_read",
+        "before_read",
+        "mark",
         "on_return",
         "pace_s",
+        "reader",
         "wait_s",
     )
 
@@ -64,7 +77,7 @@
         apply: Callable[[tuple[Row, ...]], None],
     ) -> None:
         self._client = client
-        self._table = table
+        self.table = table
         self.wait_s = wait_s
         self.pace_s = pace_s
         self._replace = replace
@@ -73,16 +86,46 @@
         self.confirmed_at = float("-inf")
         self.lost = False
         self.on_return: Callable[[float], None] = lambda now: None
+        self.before_read: Callable[[], list[Beat]] = list
+        self.after_read: Callable[[list[Beat]], None] = lambda heard: None
+        self.mark: Callable[[], bytes] = lambda: b""
+        self.reader = True
+        self._told_at = float("-inf")
+        self._wake = Event()
+
+    def told(self, equal: bool, known_at: float, now: float) -> None:
+        """Take another node's word on a read that is younger than a time.
+
+        Unless it showed what is known here, read at once.
+        """
+        if not equal or not self.started:
+            self._told_at = float("-inf")
+            self._wake.set()
+            return
+        self._told_at = now
+        if known_at > self.confirmed_at:
+            self._confirm(known_at)
+
+    def _wait_turn(self) -> None:
+        """Wait while others read the store and their word is fresh."""
+        while not self.reader and self.started and not self.lost:
+            if clock.now() - self._told_at > TOLD_FRESH_S or self._wake.is_set():
+                break
+            self._wake.wait(TOLD_STEP_S)
+        self._wake.clear()
 
     def run(self) -> None:
         """Follow the table for ever."""
         retry_s = FOLLOW_RETRY_S
         while True:
+            self._wait_turn()
+            heard = self.before_read()
             sent_at = clock.now()
             try:
                 self._read(sent_at)
+                self.after_read(heard)
             except HistoryGone:
-                _LOGGER.info("Table %s is read anew: history is gone", self._table)
+                _LOGGER.info("Table %s is read anew: history is gone", self.table)
                 self._version = None
                 continue
             except PlatformError as exc:
@@ -100,12 +143,13 @@
 
     def _read(self, sent_at: float) -> None:
         if self._version is None:
-            snapshot = self._client.snapshot(self._table)
+            snapshot = self._client.snapshot(self.table)
             self._confirm(sent_at)
             self._replace(snapshot.rows)
             self._version = snapshot.version
             return
-        changes = self._client.follow(self._table, self._version, self.wait_s)
+        wait_s = self.wait_s if self.reader else 0.0
+        changes = self._client.follow(self.table, self._version, wait_s)
         self._confirm(sent_at)
         if changes.rows:
             self._apply(changes.rows)
@@ -117,13 +161,13 @@
         if self.lost or OUTAGE_AFTER_S < gap_s < float("inf"):
             self.on_return(clock.now())
         if self.lost:
-            _LOGGER.info("Table %s is read again", self._table)
+            _LOGGER.info("Table %s is read again", self.table)
         self.lost = False
         self.confirmed_at = sent_at
 
     def _lose(self, exc: PlatformError) -> None:
         if not self.lost:
-            _LOGGER.warning("Table %s cannot be read: %s", self._table, exc)
+            _LOGGER.warning("Table %s cannot be read: %s", self.table, exc)
         self.lost = True
 
 
@@ -136,6 +180,7 @@
         "_client",
         "_config_rows",
         "_malformed",
+        "_newest",
         "_server_rows",
         "_supervisor",
         "catalog",
@@ -171,6 +216,9 @@
             self._take_servers,
         )
         self._server_rows.on_return = self.servers.outage_ended
+        self._server_rows.mark = self.servers.digest
+        self._config_rows.mark = lambda: b"%d" % self._newest
+        self._newest = 0
 
     def setup(self, app: Application) -> None:
         """Start following the store."""
@@ -193,12 +241,40 @@
         """Return how old the last confirmed read of the servers' entries is."""
         return now - self._server_rows.confirmed_at
 
+    def bind_readers(
+        self,
+        heard: Callable[[], list[Beat]],
+        announce: Callable[[str, bytes, list[Beat]], None],
+    ) -> None:
+        """Set what tells the other nodes of each read."""
+        for rows in (self._config_rows, self._server_rows):
+            rows.before_read = heard
+            rows.after_read = partial(_announce, rows, announce)
+
+    def set_reader(self, reader: bool) -> None:
+        """Say whether this node is one of those that read for the others."""
+        for rows in (self._config_rows, self._server_rows):
+            rows.reader = reader
+
+    def told(self, table: str, mark: bytes, known_at: float, now: float) -> None:
+        """Take another node's word on a read of a table."""
+        if table == TABLE_OPERATOR:
+            # Whoever has a newer row has all before it as well.
+            equal = mark.isdigit() and int(mark) <= self._newest
+            self._config_rows.told(equal, known_at, now)
+        elif table == TABLE_SERVERS:
+            equal = mark == self.servers.digest()
+            self._server_rows.told(equal, known_at, now)
+
     def set_pace(self, nodes: int, drain_s: float) -> None:
         """Read less often in a large fleet, but in time for every drain."""
         extra_s = PACE_NODE_S * nodes
         longest_s = max(SERVERS_PACE_S, PACE_PART * drain_s)
         self._server_rows.pace_s = min(longest_s, SERVERS_PACE_S + extra_s)
         self._config_rows.wait_s = min(CONFIG_WAIT_MAX_S, CONFIG_WAIT_S + extra_s)
+        if nodes > STORE_READERS:
+            # What is told is dated by the sending of the read, so reads are short.
+            self._config_rows.wait_s = READER_WAIT_S
 
     def complete(self) -> bool:
         """Tell whether enough is known to serve requests."""
@@ -215,6 +291,7 @@
 
     def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
+            self._newest = max(self._newest, row.version)
             if row.version == 0:
                 continue
             try:
@@ -283,3 +360,12 @@
         if (table, key) not in self._malformed:
             self._malformed.add((table, key))
             _LOGGER.warning("Ignored %s in table %s: %s", key, table, exc)
+
+
+def _announce(
+    rows: Follower,
+    announce: Callable[[str, bytes, list[Beat]], None],
+    heard: list[Beat],
+) -> None:
+    if rows.reader:
+        announce(rows.table, rows.mark(), heard)
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -59,7 +59,21 @@
     read: bool
 
 
-class Beat(Struct, frozen=True, array_like=True):
+class Confirmation(Struct, frozen=True, array_like=True, tag="confirm"):
+    """Tell one other node what a read of the store has shown.
+
+    `echo` numbers the newest datagram of the receiver's `incarnation` that had come
+    before the read was sent, so by its own clock the read is younger than that.
+    """
+
+    name: str
+    table: str
+    mark: bytes
+    incarnation: int
+    echo: int
+
+
+class Beat(Struct, frozen=True, array_like=True, tag="beat"):
     """Tell the other nodes of this one."""
 
     name: str
@@ -86,3 +100,6 @@
 
     peer_address: str
     incarnation: int
+
+
+Datagram = Beat | Confirmation
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -20,9 +20,17 @@
     PEER_FORGET_S,
     PEER_REGISTER_RETRY_S,
     PEER_SILENT_S,
+    SENT_KEPT,
+    STORE_READERS,
     TABLE_NODES,
 )
-from arbutusyard.fleet.messages import Beat, NodeRow, ServerLoad
+from arbutusyard.fleet.messages import (
+    Beat,
+    Confirmation,
+    Datagram,
+    NodeRow,
+    ServerLoad,
+)
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.exceptions import PlatformError
 from arbutusyard.supervisor import Supervisor
@@ -125,10 +133,12 @@
         "_news",
         "_registered",
         "_rng",
+        "_sent_at",
         "_seq",
         "_socket",
         "_supervisor",
         "on_beat",
+        "on_confirmation",
         "on_tick",
         "rejected",
         "table",
@@ -153,9 +163,13 @@
         self._registered = False
         self._rng = random.Random(name)
         self._seq = 0
+        self._sent_at: dict[int, float] = {}
         self._socket: socket.socket | None = None
         self._supervisor: Supervisor | None = None
         self.on_beat: Callable[[Beat, float], None] = lambda beat, now: None
+        self.on_confirmation: Callable[[Confirmation, float, float], None] = (
+            lambda told, known_at, now: None
+        )
         self.on_tick: Callable[[float], None] = lambda now: None
         self.rejected = 0
 
@@ -182,6 +196,8 @@
     def send(self) -> None:
         """Send this node's datagram to the others, or to a part of many."""
         self._seq += 1
+        self._sent_at[self._seq] = clock.now()
+        self._sent_at.pop(self._seq - SENT_KEPT, None)
         data = msgspec.msgpack.encode(self._describe(self._seq))
         if len(data) > MAX_DATAGRAM_BYTES:
             _LOGGER.error("A datagram of %d bytes is not sent", len(data))
@@ -189,13 +205,18 @@
         addresses = sorted(self._addresses)
         if len(addresses) > BEAT_FANOUT:
             start = self._seq * BEAT_FANOUT % len(addresses)
-            addresses = (addresses + addresses)[start : start + BEAT_FANOUT]
+            part = (addresses + addresses)[start : start + BEAT_FANOUT]
+            # Readers date what they tell by what they last heard of this node.
+            addresses = sorted({*part, *self._reader_addresses()})
         for address in addresses:
-            host, port = address.rsplit(":", 1)
-            try:
-                self._socket.sendto(data, (host, int(port)))
-            except OSError as exc:
-                _LOGGER.debug("Datagram to %s was not sent: %s", address, exc)
+            self._send_to(address, data)
+
+    def _send_to(self, address: str, data: bytes) -> None:
+        host, port = address.rsplit(":", 1)
+        try:
+            self._socket.sendto(data, (host, int(port)))
+        except OSError as exc:
+            _LOGGER.debug("Datagram to %s was not sent: %s", address, exc)
 
     def send_soon(self) -> None:
         """Send this node's next datagram ahead of its time."""
@@ -215,14 +236,44 @@
         while True:
             data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             try:
-                beat = msgspec.msgpack.decode(data, type=Beat)
+                datagram = msgspec.msgpack.decode(data, type=Datagram)
             except msgspec.DecodeError:
                 self.rejected += 1
                 continue
             now = clock.now()
-            if self.table.take(beat, now):
-                self._addresses.add(beat.peer_address)
-                self.on_beat(beat, now)
+            match datagram:
+                case Beat():
+                    if self.table.take(datagram, now):
+                        self._addresses.add(datagram.peer_address)
+                        self.on_beat(datagram, now)
+                case Confirmation():
+                    self._take_confirmation(datagram, now)
+
+    def _take_confirmation(self, told: Confirmation, now: float) -> None:
+        sent_at = self._sent_at.get(told.echo)
+        if sent_at is not None and told.incarnation == self._incarnation:
+            self.on_confirmation(told, sent_at, now)
+
+    def reads_for_others(self, now: float) -> bool:
+        """Tell whether this node is one of the few that read the store for all."""
+        ready = [beat.name for beat in self.table.alive(now) if beat.ready]
+        return sum(name < self.table.me for name in ready) < STORE_READERS
+
+    def _reader_addresses(self) -> list[str]:
+        ready = [beat for beat in self.table.alive(clock.now()) if beat.ready]
+        ready.sort(key=lambda beat: beat.name)
+        return [beat.peer_address for beat in ready[:STORE_READERS]]
+
+    def heard(self) -> list[Beat]:
+        """Return the newest datagrams of the living peers."""
+        return self.table.alive(clock.now())
+
+    def confirm(self, table: str, mark: bytes, heard: list[Beat]) -> None:
+        """Tell the other nodes of a read before which their datagrams were heard."""
+        me = self.table.me
+        for beat in heard:
+            told = Confirmation(me, table, mark, beat.incarnation, beat.seq)
+            self._send_to(beat.peer_address, msgspec.msgpack.encode(told))
 
     def _register(self) -> None:
         """Write this node's row and learn the others' addresses."""
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -2,6 +2,7 @@
 
 import logging
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from arbutusyard.fleet.const import (
     FAILURE_HALF_S,
@@ -167,6 +168,15 @@
             if server.suspected and now >= server.suspect_until
         ]
 
+    def digest(self) -> bytes:
+        """Return a digest of what decides whether servers may be used."""
+        known = blake2b(digest_size=8)
+        for server in sorted(self.servers.values(), key=lambda s: s.entry.server_id):
+            entry = server.entry
+            text = f"{entry.server_id} {entry.born_ms} {entry.state} {entry.address}"
+            known.update(f"{text} {entry.service}\n".encode())
+        return known.digest()
+
     def mark_dead(self, server: Server) -> None:
         """Use a lifetime no more because another has its address."""
         server.dead = True
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -9,7 +9,7 @@
 from arbutusyard.app import Application
 from arbutusyard.fleet.caches import CacheWatcher
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.messages import Beat
+from arbutusyard.fleet.messages import Beat, Confirmation
 from arbutusyard.fleet.peers import PeerCoordinator
 from arbutusyard.gateway.const import (
     DIRECTORY_KEEP_FACTOR,
@@ -88,6 +88,8 @@
         peers.on_tick = self._tick
         peers.on_beat = self._take_beat
         self._router.on_news = peers.send_soon
+        peers.on_confirmation = self._take_confirmation
+        self._knowledge.bind_readers(peers.heard, peers.confirm)
         weights.bind(self.ready)
         self._knowledge.on_weights = weights.wake
 
@@ -168,6 +170,11 @@
             stores=self._caches.store_notes(),
         )
 
+    def _take_confirmation(
+        self, told: Confirmation, known_at: float, now: float
+    ) -> None:
+        self._knowledge.told(told.table, told.mark, known_at, now)
+
     def _take_beat(self, beat: Beat, now: float) -> None:
         self._router.take_engine_notes(beat.engines, now)
         self._caches.take_notes(beat.caches)
@@ -183,6 +190,7 @@
     def _tick(self, now: float) -> None:
         self._knowledge.servers.sweep(now)
         nodes = len(self._peers.table.peers) + 1
+        self._knowledge.set_reader(self._peers.reads_for_others(now))
         self._knowledge.set_pace(nodes, self._cfg.drain_s)
         self._pool.sweep(now)
         for server in self._knowledge.servers.suspects(now):
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -118,3 +118,41 @@
     store.platform.drop_history()
     with pytest.raises(HistoryGone):
         PlatformClient(store.address).follow("t", 0, 0.0)
+
+
+def test_a_node_that_is_told_reads_only_what_it_lacks(store, knowledge):
+    knowledge.set_reader(False)
+    gevent.sleep(1.2)
+    for _ in range(5):
+        now = clock.now()
+        knowledge.told("op", b"1", now - 0.1, now)
+        knowledge.told("servers", knowledge.servers.digest(), now - 0.1, now)
+        gevent.sleep(0.1)
+    before = store.platform.reads
+    for _ in range(6):
+        now = clock.now()
+        knowledge.told("op", b"1", now - 0.1, now)
+        knowledge.told("servers", knowledge.servers.digest(), now - 0.1, now)
+        gevent.sleep(0.1)
+    assert store.platform.reads == before
+    assert knowledge.config_age_s(clock.now()) < 0.3
+    store.write("op", "config", {**CONFIG, "version": 8})
+    now = clock.now()
+    knowledge.told("op", b"%d" % store.platform.version, now, now)
+    wait_for(lambda: knowledge.catalog.cfg.version == 8, 0.5)
+
+
+def test_a_word_on_newer_rows_than_are_known_confirms_nothing(store, knowledge):
+    store.platform.down = True
+    wait_for(lambda: knowledge.config_age_s(clock.now()) > 1.0)
+    now = clock.now()
+    knowledge.told("op", b"%d" % (store.platform.version + 5), now, now)
+    knowledge.told("servers", b"otherwise", now, now)
+    assert knowledge.config_age_s(now) > 1.0
+    assert knowledge.servers_age_s(now) > 0.4
+
+
+def test_without_a_word_a_node_reads_for_itself(store, knowledge):
+    knowledge.set_reader(False)
+    wait_for(lambda: knowledge.config_age_s(clock.now()) > 1.0)
+    wait_for(lambda: knowledge.config_age_s(clock.now()) < 0.3)
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -1,8 +1,9 @@
 """Keep other nodes' datagrams."""
 
+from arbutusyard import clock
 from arbutusyard.fleet.const import PEER_FORGET_S
-from arbutusyard.fleet.messages import Beat, ServerLoad
-from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.fleet.messages import Beat, Confirmation, ServerLoad
+from arbutusyard.fleet.peers import PeerCoordinator, PeerTable
 
 
 def beat(seq, *loads, name="b", incarnation=1):
@@ -47,3 +48,24 @@
     assert table.load("s") == (0, 0)
     table.sweep(PEER_FORGET_S + 1)
     assert not table.peers
+
+
+def test_what_is_told_is_dated_by_the_own_clock_and_only_for_this_incarnation():
+    taken = []
+    peers = PeerCoordinator("me", "127.0.0.1:0", (), None, 5, lambda seq: beat(seq))
+    peers.on_confirmation = lambda told, known_at, now: taken.append(known_at)
+    peers.send()
+    sent_at = clock.now()
+    for incarnation, echo in ((5, 1), (4, 1), (5, 77)):
+        told = Confirmation("b", "op", b"1", incarnation, echo)
+        peers._take_confirmation(told, sent_at + 3.0)
+    assert len(taken) == 1
+    assert abs(taken[0] - sent_at) < 0.5
+
+
+def test_a_few_ready_nodes_read_for_all():
+    peers = PeerCoordinator("m", "127.0.0.1:0", (), None, 5, lambda seq: beat(seq))
+    for name in "abc":
+        assert peers.reads_for_others(0.0)
+        peers.table.take(beat(1, name=name), 0.0)
+    assert not peers.reads_for_others(0.0)
