--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -30,6 +30,8 @@
 STORE_READERS: Final = 3
 READER_WAIT_S: Final = 0.5
 TOLD_FRESH_S: Final = 1.2
+# A node that leads must itself have read the store within so long.
+READS_FRESH_S: Final = 2.5
 TOLD_STEP_S: Final = 0.1
 # Sending times of own datagrams that are remembered to date what others tell.
 SENT_KEPT: Final = 256
@@ -39,6 +41,8 @@
 BEAT_PAUSE_S: Final = 0.03
 # Above so many nodes each beat goes to a part of them, in turn.
 BEAT_FANOUT: Final = 24
+# A fleet above that size sends less often, and news of large prompts with the rest.
+BEAT_INTERVAL_LARGE_S: Final = 0.5
 PEER_SILENT_S: Final = 1.25
 PEER_FORGET_S: Final = 60.0
 PEER_REGISTER_RETRY_S: Final = 1.0
--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -19,6 +19,7 @@
     PACE_NODE_S,
     PACE_PART,
     READER_WAIT_S,
+    READS_FRESH_S,
     SERVERS_PACE_S,
     SERVERS_WAIT_S,
     STORE_READERS,
@@ -63,6 +64,7 @@
         "mark",
         "on_return",
         "pace_s",
+        "read_at",
         "reader",
         "wait_s",
     )
@@ -90,6 +92,7 @@
         self.after_read: Callable[[list[Beat]], None] = lambda heard: None
         self.mark: Callable[[], bytes] = lambda: b""
         self.reader = True
+        self.read_at = float("-inf")
         self._told_at = float("-inf")
         self._wake = Event()
 
@@ -123,6 +126,8 @@
             sent_at = clock.now()
             try:
                 self._read(sent_at)
+                # What was just read is as good as what others tell.
+                self._told_at = self.read_at = clock.now()
                 self.after_read(heard)
             except HistoryGone:
                 _LOGGER.info("Table %s is read anew: history is gone", self.table)
@@ -276,6 +281,10 @@
             # What is told is dated by the sending of the read, so reads are short.
             self._config_rows.wait_s = READER_WAIT_S
 
+    def reads(self, now: float) -> bool:
+        """Tell whether this node itself has lately read what operators wrote."""
+        return now - self._config_rows.read_at < READS_FRESH_S
+
     def complete(self) -> bool:
         """Tell whether enough is known to serve requests."""
         return self.catalog is not None and self.servers.known
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -93,6 +93,7 @@
     silent: tuple[str, ...] = ()
     parts: tuple[PartNote, ...] = ()
     stores: tuple[StoreNote, ...] = ()
+    reads: bool = True
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -14,6 +14,7 @@
 from arbutusyard.app import Application
 from arbutusyard.fleet.const import (
     BEAT_FANOUT,
+    BEAT_INTERVAL_LARGE_S,
     BEAT_INTERVAL_S,
     BEAT_PAUSE_S,
     MAX_DATAGRAM_BYTES,
@@ -83,10 +84,18 @@
         self._count(beat.loads, 1)
         return True
 
+    def interval_s(self) -> float:
+        """Return the pause between datagrams, by the number of peers."""
+        return BEAT_INTERVAL_LARGE_S if self.large() else BEAT_INTERVAL_S
+
+    def large(self) -> bool:
+        """Tell whether a datagram reaches only a part of the peers."""
+        return len(self.peers) > BEAT_FANOUT
+
     def silent_after_s(self) -> float:
         """Return how long a peer may be silent, by the number of peers."""
         rounds = max(1.0, len(self.peers) / BEAT_FANOUT)
-        return PEER_SILENT_S * rounds
+        return PEER_SILENT_S * rounds * self.interval_s() / BEAT_INTERVAL_S
 
     def alive(self, now: float) -> list[Beat]:
         """Return the newest datagrams of the peers that were heard lately."""
@@ -230,7 +239,7 @@
             self.on_tick(now)
             self.send()
             gevent.sleep(BEAT_PAUSE_S)
-            self._news.wait(BEAT_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+            self._news.wait(self.table.interval_s() * self._rng.uniform(0.9, 1.1))
 
     def _receive_forever(self) -> None:
         while True:
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -162,6 +162,7 @@
             leaving=self._relay.leaving,
             config_version=catalog.cfg.version if catalog else 0,
             fence=self._weights.fence,
+            reads=self._knowledge.reads(now),
             loads=self._router.loads(),
             engines=self._weights.notes(now),
             caches=self._caches.notes(),
@@ -190,7 +191,8 @@
     def _tick(self, now: float) -> None:
         self._knowledge.servers.sweep(now)
         nodes = len(self._peers.table.peers) + 1
-        self._knowledge.set_reader(self._peers.reads_for_others(now))
+        reads = self._peers.reads_for_others(now) or self._weights.fence > 0
+        self._knowledge.set_reader(reads)
         self._knowledge.set_pace(nodes, self._cfg.drain_s)
         self._pool.sweep(now)
         for server in self._knowledge.servers.suspects(now):
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -308,7 +308,7 @@
         """Count a try as under way."""
         server = placement.server
         server.begin(placement.to_read, now)
-        if placement.to_read > LARGE_TOKENS:
+        if placement.to_read > LARGE_TOKENS and not self._peers.large():
             self.on_news()
         if placement.shared_pieces:
             self._note_parts(placement, False, now)
--- a/arbutusyard/weights/const.py
+++ b/arbutusyard/weights/const.py
@@ -7,6 +7,8 @@
 # its may be under way.
 LEASE_MARGIN_S: Final = 0.4
 ORDER_DELIVERY_S: Final = 0.4
+# Without work the node that leads tries for the lease so often until it has it.
+EARLY_LEASE_S: Final = 1.0
 STEP_S: Final = 0.1
 # Part of a service's usable engines that may load at a time; the others must carry
 # all requests meanwhile.
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -21,6 +21,7 @@
     DRAIN_S,
     DRAIN_STEP_S,
     DRAIN_WAITING_S,
+    EARLY_LEASE_S,
     LEASE_GROUP,
     LEASE_MARGIN_S,
     LOAD_MAX_S,
@@ -47,6 +48,7 @@
         "_client",
         "_knowledge",
         "_lease",
+        "_lease_tried_at",
         "_load_s",
         "_loading",
         "_node",
@@ -74,6 +76,7 @@
         self._client = client
         times = LeaseTimes(lease_s, LEASE_MARGIN_S, ORDER_DELIVERY_S)
         self._lease = Lease(store, LEASE_GROUP, node, clock.now, times, sole=True)
+        self._lease_tried_at = float("-inf")
         self._load_s = LOAD_S
         self._loading: set[tuple[str, int]] = set()
         self._notes: dict[str, tuple[EngineNote, float]] = {}
@@ -126,8 +129,11 @@
             self._wake.wait(STEP_S)
             self._wake.clear()
             now = clock.now()
+            if not self._leads(now):
+                continue
             work = self._work(now)
-            if not work or not self._leads(now):
+            if not work:
+                self._take_lease_early(now)
                 continue
             if not self._lease.valid(now, ORDER_DELIVERY_S + STEP_S):
                 self._lease.refresh()
@@ -137,6 +143,13 @@
             for model, server in work:
                 self._start(model, server)
 
+    def _take_lease_early(self, now: float) -> None:
+        """Take the lease over before there is work, since that takes seconds."""
+        if self.fence or now < self._lease_tried_at + EARLY_LEASE_S:
+            return
+        self._lease_tried_at = now
+        self._lease.refresh()
+
     def _work(self, now: float) -> list[tuple[str, Server]]:
         """Return the engines that should begin to load now."""
         work = []
@@ -167,9 +180,11 @@
 
     def _leads(self, now: float) -> bool:
         """Tell whether this node is the one to hold the lease."""
-        if not self._ready(now):
+        if not self._ready(now) or not self._knowledge.reads(now):
             return False
-        beats = [beat for beat in self._peers.table.alive(now) if beat.ready]
+        # A node that others keep informed may be cut off from the store itself.
+        alive = self._peers.table.alive(now)
+        beats = [beat for beat in alive if beat.ready and beat.reads]
         fence = max((beat.fence for beat in beats), default=0)
         if self.fence or fence:
             return self.fence > fence
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -152,6 +152,16 @@
     assert knowledge.servers_age_s(now) > 0.4
 
 
+def test_a_word_that_differs_makes_one_read_not_a_flood(store, knowledge):
+    knowledge.set_reader(False)
+    gevent.sleep(1.2)
+    before = store.platform.reads
+    now = clock.now()
+    knowledge.told("servers", b"otherwise", now, now)
+    gevent.sleep(0.6)
+    assert store.platform.reads - before <= 3
+
+
 def test_without_a_word_a_node_reads_for_itself(store, knowledge):
     knowledge.set_reader(False)
     wait_for(lambda: knowledge.config_age_s(clock.now()) > 1.0)
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -4,11 +4,13 @@
 
 import gevent
 import pytest
+from msgspec.structs import replace
 
 from arbutusyard import clock
 from arbutusyard.app import Application
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.knowledge import Knowledge
+from arbutusyard.fleet.messages import Beat
 from arbutusyard.fleet.peers import PeerCoordinator
 from arbutusyard.gateway.models import ServerEntry, ServerState
 from arbutusyard.platform.client import PlatformClient
@@ -107,6 +109,7 @@
             name, self.knowledge, self.peers, client, ServerClient(), 3.0
         )
         self.weights.bind(lambda now: True)
+        self.knowledge._config_rows.read_at = float("inf")
         self.weights.setup(Application("test"))
 
     def name_weights(self, version):
@@ -199,3 +202,24 @@
     (node,) = world([dark, *engines], "n1")
     node.name_weights(2)
     wait_for(lambda: all(engine.version == 2 for engine in engines), 12)
+
+
+def test_a_holder_cut_off_from_the_store_is_followed_by_a_node_that_reads(world):
+    engines = [Engine(), Engine()]
+    first, second = world(engines, "n1", "n2")
+    wait_for(lambda: first.weights.fence and not second.weights.fence, 8)
+    told = Beat("n1", 1, 1, "a:1", "a:2", "z", "r", True, False, 1, first.weights.fence)
+    second.peers.table.take(replace(told, reads=False), clock.now())
+    first.weights.unload()
+    second.name_weights(2)
+    wait_for(lambda: second.versions() == {2}, 12)
+    assert second.weights.fence == told.fence + 1
+
+
+def test_a_node_that_does_not_read_the_store_itself_does_not_lead(world):
+    engine = Engine()
+    (node,) = world([engine], "n1")
+    node.knowledge._config_rows.read_at = float("-inf")
+    node.name_weights(2)
+    gevent.sleep(0.5)
+    assert engine.log == []
