--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -105,9 +105,10 @@
             self._told_at = float("-inf")
             self._wake.set()
             return
+        # Others' reads say nothing of the way from here to the store, so an outage
+        # that this node has seen ends only by a read of its own.
         self._told_at = now
-        if known_at > self.confirmed_at:
-            self._confirm(known_at)
+        self.confirmed_at = max(self.confirmed_at, known_at)
 
     def _wait_turn(self) -> None:
         """Wait while others read the store and their word is fresh."""
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -166,3 +166,17 @@
     knowledge.set_reader(False)
     wait_for(lambda: knowledge.config_age_s(clock.now()) > 1.0)
     wait_for(lambda: knowledge.config_age_s(clock.now()) < 0.3)
+
+
+def test_a_word_of_others_does_not_end_an_outage_of_the_own_way(store, knowledge):
+    ended = []
+    knowledge._config_rows.on_return = ended.append
+    store.platform.down = True
+    wait_for(lambda: knowledge._config_rows.lost, 5)
+    now = clock.now()
+    knowledge.told("op", b"1", now, now)
+    assert knowledge._config_rows.lost
+    assert ended == []
+    assert knowledge.config_age_s(now) < 0.1
+    store.platform.down = False
+    wait_for(lambda: ended, 5)
