--- a/arbutusyard/platform/settings.py
+++ b/arbutusyard/platform/settings.py
@@ -10,8 +10,6 @@
 from arbutusyard.gateway.settings import NodeSettings
 
 SETTINGS_VARIABLE: Final = "ARBUTUSYARD_CONFIG"
-# The same port stands in the deploy file.
-METRICS_PORT: Final = 9464
 
 
 class Listen(Struct):
@@ -72,17 +70,17 @@
     limits: VmLimits = msgspec.field(default_factory=VmLimits)
 
 
-def read_settings(path: str) -> NodeSettings:
+def read_settings(path: str, metrics_port: int) -> NodeSettings:
     """Read a settings file; raise SetupFailed naming every wrong field."""
     try:
         with open(path, "rb") as file:
             data = file.read()
     except OSError as exc:
         raise SetupFailed(f"settings file {path}: {exc.strerror}") from exc
-    return decode_settings(data)
+    return decode_settings(data, metrics_port)
 
 
-def decode_settings(data: bytes) -> NodeSettings:
+def decode_settings(data: bytes, metrics_port: int) -> NodeSettings:
     """Decode a settings file; raise SetupFailed naming every wrong field."""
     try:
         raw = msgspec.json.decode(data)
@@ -93,7 +91,7 @@
     errors = _wrong_fields(raw, SettingsFile, "")
     if errors:
         raise SetupFailed("settings file: " + "; ".join(errors))
-    return _settings(msgspec.convert(raw, SettingsFile))
+    return _settings(msgspec.convert(raw, SettingsFile), metrics_port)
 
 
 def _wrong_fields(raw: dict, kind: type[Struct], prefix: str) -> list[str]:
@@ -118,7 +116,7 @@
     return errors
 
 
-def _settings(file: SettingsFile) -> NodeSettings:
+def _settings(file: SettingsFile, metrics_port: int) -> NodeSettings:
     bounds = file.bounds
     # Nodes talk to each other on the control port where there is one, since the
     # seeds name it; else on the first port that is free for them.
@@ -147,5 +145,5 @@
         directory_keep_max_s=bounds.ttl_max_s,
         server_beat_s=file.heartbeat_ms / MS_PER_S,
         max_fds=file.limits.max_fds,
-        metrics_address=f"{file.ip}:{METRICS_PORT}",
+        metrics_address=f"{file.ip}:{metrics_port}",
     )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -35,14 +35,14 @@
 
 
 def test_unknown_fields_are_ignored_and_times_are_in_seconds():
-    cfg = decode_settings(json.dumps(FILE).encode())
+    cfg = decode_settings(json.dumps(FILE).encode(), 1)
     assert (cfg.name, cfg.revoke_s, cfg.lease_s) == ("n1", 5.0, 3.0)
     assert cfg.peer_address == "10.0.0.1:3"
 
 
 def test_without_a_control_port_nodes_use_the_first_internal_one():
     listen = {key: FILE["listen"][key] for key in ("front", "ready", "directory")}
-    cfg = decode_settings(json.dumps({**FILE, "listen": listen}).encode())
+    cfg = decode_settings(json.dumps({**FILE, "listen": listen}).encode(), 1)
     assert cfg.peer_address == "10.0.0.1:7000"
 
 
@@ -51,7 +51,7 @@
     del wrong["platform"]
     del wrong["bounds"]["grace_s"]
     with pytest.raises(SetupFailed) as caught:
-        decode_settings(json.dumps(wrong).encode())
+        decode_settings(json.dumps(wrong).encode(), 1)
     text = str(caught.value)
     for name in ("node", "platform is missing", "bounds.lease_ms", "bounds.grace_s"):
         assert name in text
@@ -60,9 +60,9 @@
 @pytest.mark.parametrize("data", [b"", b"[]", b"{"])
 def test_what_is_no_settings_file_is_said_so(data):
     with pytest.raises(SetupFailed):
-        decode_settings(data)
+        decode_settings(data, 1)
 
 
 def test_a_missing_file_is_named():
     with pytest.raises(SetupFailed, match="nowhere"):
-        read_settings("/nowhere/settings.json")
+        read_settings("/nowhere/settings.json", 1)
