Pass large answers on as they come; a request without time left goes nowhere

Cause, found by reading: an answer over 1 MB became a 502 although a server had made it, and Deadline-Ms of 0 counted as none. Tests of both added; settings that nothing reads are gone.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -51,7 +51,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Pieces of an answer that is passed on whole are held up to this size, in bytes.
+# An answer is held until it is whole up to this size, in bytes.
 WHOLE_ANSWER_BYTES = 1_048_576
 URGENCY_LAST = 9
 
@@ -133,7 +133,9 @@
             self._refuse(req, conn, found, now)
             return
         route, account, service = found
-        left_s = min(route.timeout_s, req.budget_s or route.timeout_s)
+        left_s = route.timeout_s
+        if req.budget_s is not None:
+            left_s = min(left_s, req.budget_s)
         exchange = Exchange(req, conn, route, account, service, req.arrived_at + left_s)
         self._budget.count_request(service, now)
         outcome = "caller_gone"
@@ -310,7 +312,8 @@
         if model and head.weights_version is not None:
             server.weights[model] = head.weights_version
         if head.not_run:
-            self._read_whole(exchange, conn)
+            while conn.read_data(exchange.until) is not None:
+                pass
             return self._take_not_run(exchange, placement, head)
         if head.encoded:
             raise AnswerBroken("the answer's body is encoded")
@@ -320,8 +323,10 @@
             self._relay_stream(exchange, placement, conn, head)
             server.count_outcome(False, clock.now())
             return None
-        body = self._read_whole(exchange, conn)
+        body = self._read_or_pass(exchange, conn, head)
         server.count_outcome(head.status >= 500, clock.now())
+        if body is None:
+            return None
         if head.status >= 500:
             exchange.stored = (head, body)
             return self._failed(
@@ -350,16 +355,40 @@
             exchange, placement, TryResult.NOT_RUN, f"status {head.status}"
         )
 
-    def _read_whole(self, exchange: Exchange, conn: ServerConnection) -> bytes:
+    def _read_or_pass(
+        self, exchange: Exchange, conn: ServerConnection, head: AnswerHead
+    ) -> bytes | None:
+        """Return a whole body; pass a large one on as it comes and return None.
+
+        A body that is held can still be replaced by another server's.
+        """
         parts: list[bytes] = []
         size = 0
         while (data := conn.read_data(exchange.until)) is not None:
             size += len(data)
-            if size > WHOLE_ANSWER_BYTES:
-                raise AnswerBroken("the answer is too large to hold")
             parts.append(data)
+            if size > WHOLE_ANSWER_BYTES:
+                self._pass_large(exchange, conn, head, b"".join(parts))
+                return None
         return b"".join(parts)
 
+    def _pass_large(
+        self,
+        exchange: Exchange,
+        conn: ServerConnection,
+        head: AnswerHead,
+        first: bytes,
+    ) -> None:
+        caller = exchange.conn
+        headers = self._closing(head.headers)
+        if head.length is not None:
+            headers = [*headers, (b"content-length", b"%d" % head.length)]
+        caller.send_head(head.status, headers)
+        caller.send_data(first)
+        while (data := conn.read_data(exchange.until)) is not None:
+            caller.send_data(data)
+        caller.end()
+
     def _relay_stream(
         self,
         exchange: Exchange,
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -1,7 +1,7 @@
 """Define the configuration in force, requests and answers."""
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 
 class Repeat(enum.Enum):
@@ -188,7 +188,7 @@
     encoded: bool = False
     closes: bool = False
     keep_s: float | None = None
-    length: int | None = field(default=None)
+    length: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -19,15 +19,11 @@
     revoke_s: float
     drain_s: float
     grace_s: float
-    apply_s: float
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
     lease_s: float
     weights_s: float
-    contact_s: float
-    cache_reuse_s: float
     directory_keep_max_s: float
-    server_beat_s: float
     max_fds: int
     metrics_address: str = ""
--- a/arbutusyard/platform/settings.py
+++ b/arbutusyard/platform/settings.py
@@ -27,17 +27,12 @@
     revoke_ms: float
     drain_ms: float
     grace_s: float
-    config_apply_ms: float
     retry_budget_ratio: float
     budget_window_s: float
     retry_slack: float
     lease_ms: float
     version_ms: float = 8000
-    contact_ms: float = 3000
-    transit_ms: float = 120
-    reuse_window_s: float = 10
     ttl_max_s: float = 5
-    require_fence: bool = True
 
 
 class Store(Struct):
@@ -66,7 +61,6 @@
     bounds: Bounds
     platform: Store
     seeds: list[str] = []
-    heartbeat_ms: float = 1200
     limits: VmLimits = msgspec.field(default_factory=VmLimits)
 
 
@@ -134,16 +128,12 @@
         revoke_s=bounds.revoke_ms / MS_PER_S,
         drain_s=bounds.drain_ms / MS_PER_S,
         grace_s=bounds.grace_s,
-        apply_s=bounds.config_apply_ms / MS_PER_S,
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_s=bounds.budget_window_s,
         retry_slack=bounds.retry_slack,
         lease_s=bounds.lease_ms / MS_PER_S,
         weights_s=bounds.version_ms / MS_PER_S,
-        contact_s=bounds.contact_ms / MS_PER_S,
-        cache_reuse_s=bounds.reuse_window_s,
         directory_keep_max_s=bounds.ttl_max_s,
-        server_beat_s=file.heartbeat_ms / MS_PER_S,
         max_fds=file.limits.max_fds,
         metrics_address=f"{file.ip}:{metrics_port}",
     )
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -43,16 +43,12 @@
     revoke_s=5.0,
     drain_s=2.0,
     grace_s=8.0,
-    apply_s=2.0,
     retry_ratio=0.2,
     retry_window_s=10.0,
     retry_slack=50.0,
     lease_s=3.0,
     weights_s=8.0,
-    contact_s=3.0,
-    cache_reuse_s=10.0,
     directory_keep_max_s=5.0,
-    server_beat_s=1.2,
     max_fds=1024,
 )
 METRICS = DeferredMetrics()
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -199,6 +199,33 @@
     assert [gateway.call(Request_Id=f"r{n}").body for n in range(3)] == [b"ok"] * 3
 
 
+def test_a_large_answer_arrives_whole(run):
+    body = bytes(range(256)) * 12_000
+
+    def large(request):
+        yield answer(request, body=body)
+
+    gateway, _ = run(large, repeat=Repeat.ONCE)
+    got = gateway.call()
+    assert (got.status, got.body == body) == (200, True)
+
+
+def test_a_large_answer_that_breaks_off_never_looks_complete(run):
+    def cut(request):
+        request.last = True
+        yield answer(request, body=b"x" * 3_000_000)[:2_000_000]
+
+    gateway, _ = run(cut, repeat=Repeat.ONCE)
+    got = gateway.call()
+    assert len(got.body) < int(got.headers["content-length"])
+
+
+def test_a_request_whose_time_is_over_reaches_no_server(run):
+    gateway, (server,) = run(good)
+    assert gateway.call(Deadline_Ms="0").status == 503
+    assert server.requests == []
+
+
 def test_an_answer_without_a_length_ends_with_its_connection(run):
     def unframed(request):
         request.last = True
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -23,7 +23,6 @@
         "revoke_ms": 5000,
         "drain_ms": 2000,
         "grace_s": 8,
-        "config_apply_ms": 2000,
         "retry_budget_ratio": 0.2,
         "budget_window_s": 10,
         "retry_slack": 56,
