--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -23,6 +23,7 @@
 from arbutusyard.gateway.pool import ServerPool
 from arbutusyard.gateway.router import PlacementRouter
 from arbutusyard.gateway.settings import NodeSettings
+from arbutusyard.metrics.deferred import DeferredMetrics
 from arbutusyard.platform.status import make_status_app
 from arbutusyard.weights.coordinator import WeightsCoordinator
 
@@ -59,7 +60,7 @@
         router: PlacementRouter,
         pool: ServerPool,
         ingress: Ingress,
-        metrics,
+        metrics: DeferredMetrics,
     ) -> None:
         self._cfg = cfg
         self._incarnation = incarnation
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -11,7 +11,7 @@
 from arbutusyard.fleet.messages import EngineNote, PartNote, ServerLoad
 from arbutusyard.fleet.peers import PeerTable
 from arbutusyard.fleet.servers import Server
-from arbutusyard.gateway.models import Account, CallerRequest
+from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
 from arbutusyard.routing.chain import rank
 from arbutusyard.routing.parts import (
     Fetch,
@@ -249,7 +249,7 @@
         return best_fetch(sources, cached, known.engine.token_bytes, domain)
 
     def _sources(
-        self, catalog: Catalog, engine, prompt: Prompt
+        self, catalog: Catalog, engine: EngineTraits, prompt: Prompt
     ) -> list[tuple[Source, int]]:
         found = []
         for server_id, depth in prompt.engines.items():
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -1,6 +1,7 @@
 """Hold the lease on orders and bring every engine to the named weights."""
 
 import logging
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -82,11 +83,11 @@
         self._notes: dict[str, tuple[EngineNote, float]] = {}
         self._orders_taken: dict[tuple[str, int], int] = {}
         self._retry_at: dict[tuple[str, int], float] = {}
-        self._ready = lambda now: False
+        self._ready: Callable[[float], bool] = lambda now: False
         self._supervisor: Supervisor | None = None
         self._wake = Event()
 
-    def bind(self, ready) -> None:
+    def bind(self, ready: Callable[[float], bool]) -> None:
         """Set what tells whether this node is fit to lead."""
         self._ready = ready
 
