Let a leaving holder lead to its end; take late at a leaving node only what ends

Now a node that leaves for 2.8 s refuses, as not run, what might not end in time. Ruled out: a release of the lease (its orders and the successor's would take turns within the lease). Tests of both.

--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -94,6 +94,7 @@
     parts: tuple[PartNote, ...] = ()
     stores: tuple[StoreNote, ...] = ()
     reads: bool = True
+    up_s: float = 0.0
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -45,6 +45,9 @@
 READY_CONFIRM_PART: Final = 0.55
 # Unknown routes and keys are only refused for good by a node so well informed.
 KNOWN_MAX_AGE_S: Final = 2.4
+# A leaving node takes any request for so long; the bounds excuse what servers are still
+# at work on at the end only for requests that came by then.
+LEAVING_ACCEPT_S: Final = 2.8
 # Time that a stopping node leaves itself to end before it is killed.
 STOP_MARGIN_S: Final = 0.7
 # Steps in which a reader checks whether its server has fallen silent.
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -16,6 +16,7 @@
 from arbutusyard.gateway.const import (
     CONNECT_TRIES,
     KNOWN_MAX_AGE_S,
+    LEAVING_ACCEPT_S,
     NOT_RUN_TRIES,
     RETRY_AFTER_ELSEWHERE_S,
     RETRY_AFTER_S,
@@ -90,6 +91,7 @@
     """Serve requests with what the node knows."""
 
     __slots__ = (
+        "_accepts_until",
         "_budget",
         "_cfg",
         "_knowledge",
@@ -98,6 +100,7 @@
         "_pool",
         "_rng",
         "_router",
+        "_stop_at",
         "leaving",
     )
 
@@ -119,6 +122,14 @@
         self._rng = random.Random()
         self._budget = RetryBudget(cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s)
         self.leaving = False
+        self._accepts_until = float("inf")
+        self._stop_at = float("inf")
+
+    def leave(self, now: float, stop_at: float) -> None:
+        """Answer with the end of connections, and later only what ends in time."""
+        self.leaving = True
+        self._accepts_until = now + LEAVING_ACCEPT_S
+        self._stop_at = stop_at
 
     def reload(self, cfg: NodeSettings) -> None:
         """Take changed settings over."""
@@ -133,9 +144,7 @@
             self._refuse(req, conn, found, now)
             return
         route, account, service = found
-        left_s = route.timeout_s
-        if req.budget_s is not None:
-            left_s = min(left_s, req.budget_s)
+        left_s = self._longest_s(route, req)
         exchange = Exchange(req, conn, route, account, service, req.arrived_at + left_s)
         self._budget.count_request(service, now)
         outcome = "caller_gone"
@@ -167,11 +176,23 @@
                 if informed:
                     return Refusal(401, "unknown_key")
                 return Refusal(503, "unknown_key_yet", RETRY_AFTER_ELSEWHERE_S)
+        if (
+            now > self._accepts_until
+            and now + self._longest_s(route, req) > self._stop_at
+        ):
+            return Refusal(503, "leaving", RETRY_AFTER_ELSEWHERE_S)
         service = pick_service(route, self._rng)
         if service is None:
             return Refusal(503, "no_service", RETRY_AFTER_S)
         return route, account, service
 
+    @staticmethod
+    def _longest_s(route: Route, req: CallerRequest) -> float:
+        """Return how long a request may take at most."""
+        if req.budget_s is None:
+            return route.timeout_s
+        return min(route.timeout_s, req.budget_s)
+
     def _run(self, exchange: Exchange) -> str:
         """Try servers until there is an answer; return the outcome's name."""
         wait_until = clock.now() + WAIT_PART * exchange.route.objective_s
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -47,6 +47,7 @@
         "_relay",
         "_router",
         "_servers",
+        "_started_at",
         "_was_ready",
         "_weights",
     )
@@ -74,6 +75,7 @@
         self._peers: PeerCoordinator | None = None
         self._weights: WeightsCoordinator | None = None
         self._servers: list[WSGIServer] = []
+        self._started_at = clock.now()
         self._was_ready = False
 
     def bind(
@@ -91,7 +93,7 @@
         self._router.on_news = peers.send_soon
         peers.on_confirmation = self._take_confirmation
         self._knowledge.bind_readers(peers.heard, peers.confirm)
-        weights.bind(self.ready)
+        weights.bind(self.ready, lambda now: now - self._started_at)
         self._knowledge.on_weights = weights.wake
 
     def setup(self, app: Application) -> None:
@@ -116,9 +118,9 @@
     def drain(self) -> None:
         """Serve on while callers may still hold this node's address."""
         term_at = clock.now()
-        self._relay.leaving = True
-        self._peers.send()
         stop_at = term_at + self._cfg.grace_s - STOP_MARGIN_S
+        self._relay.leave(term_at, stop_at)
+        self._peers.send()
         self._ingress.drain_until(stop_at)
         kept_until = term_at + DIRECTORY_KEEP_FACTOR * DIRECTORY_KEEP_S
         gevent.sleep(max(0.0, min(kept_until, stop_at - 1.0) - term_at))
@@ -164,6 +166,7 @@
             config_version=catalog.cfg.version if catalog else 0,
             fence=self._weights.fence,
             reads=self._knowledge.reads(now),
+            up_s=now - self._started_at,
             loads=self._router.loads(),
             engines=self._weights.notes(now),
             caches=self._caches.notes(),
--- a/arbutusyard/weights/const.py
+++ b/arbutusyard/weights/const.py
@@ -9,6 +9,9 @@
 ORDER_DELIVERY_S: Final = 0.4
 # Without work the node that leads tries for the lease so often until it has it.
 EARLY_LEASE_S: Final = 1.0
+# Nodes whose times since their start differ by less count as equally old, so that
+# those that were just restarted do not come first.
+UP_STEP_S: Final = 8.0
 STEP_S: Final = 0.1
 # Part of a service's usable engines that may load at a time; the others must carry
 # all requests meanwhile.
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -10,7 +10,7 @@
 from arbutusyard.app import Application
 from arbutusyard.control.leases import Lease, LeaseState, LeaseTimes
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.messages import EngineNote
+from arbutusyard.fleet.messages import Beat, EngineNote
 from arbutusyard.fleet.peers import PeerCoordinator
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.models import ServerState
@@ -33,6 +33,7 @@
     ORDER_DELIVERY_S,
     RETRY_S,
     STEP_S,
+    UP_STEP_S,
 )
 from arbutusyard.weights.models import LoadOrder, OrderOutcome, ServerReport, SwitchMode
 from arbutusyard.weights.planner import EngineView, plan_loads
@@ -59,6 +60,7 @@
         "_ready",
         "_retry_at",
         "_supervisor",
+        "_up_s",
         "_wake",
     )
 
@@ -84,12 +86,16 @@
         self._orders_taken: dict[tuple[str, int], int] = {}
         self._retry_at: dict[tuple[str, int], float] = {}
         self._ready: Callable[[float], bool] = lambda now: False
+        self._up_s: Callable[[float], float] = lambda now: 0.0
         self._supervisor: Supervisor | None = None
         self._wake = Event()
 
-    def bind(self, ready: Callable[[float], bool]) -> None:
-        """Set what tells whether this node is fit to lead."""
+    def bind(
+        self, ready: Callable[[float], bool], up_s: Callable[[float], float]
+    ) -> None:
+        """Set what tells whether this node is fit to lead, and how long it is up."""
         self._ready = ready
+        self._up_s = up_s
 
     def setup(self, app: Application) -> None:
         """Start watching for new weights."""
@@ -131,6 +137,8 @@
             self._wake.clear()
             now = clock.now()
             if not self._leads(now):
+                if self._follows_leaving_holder(now):
+                    self._take_lease_early(now)
                 continue
             work = self._work(now)
             if not work:
@@ -180,16 +188,39 @@
         )
 
     def _leads(self, now: float) -> bool:
-        """Tell whether this node is the one to hold the lease."""
-        if not self._ready(now) or not self._knowledge.reads(now):
+        """Tell whether this node is the one to give orders.
+
+        A holder leads until its end, also while it leaves, if it reads the store
+        itself; a node that others keep informed may be cut off from it.
+        """
+        if not self._knowledge.reads(now):
             return False
-        # A node that others keep informed may be cut off from the store itself.
+        holders = self._holders(now)
+        if self.fence or holders:
+            return self.fence > max((beat.fence for beat in holders), default=0)
+        return self._comes_next(now)
+
+    def _holders(self, now: float) -> list[Beat]:
         alive = self._peers.table.alive(now)
-        beats = [beat for beat in alive if beat.ready and beat.reads]
-        fence = max((beat.fence for beat in beats), default=0)
-        if self.fence or fence:
-            return self.fence > fence
-        return all(self._node < beat.name for beat in beats)
+        return [beat for beat in alive if beat.fence and beat.reads]
+
+    def _follows_leaving_holder(self, now: float) -> bool:
+        """Tell whether this node should be ready to follow a holder that leaves."""
+        holders = self._holders(now)
+        if self.fence or not holders:
+            return False
+        return all(beat.leaving for beat in holders) and self._comes_next(now)
+
+    def _comes_next(self, now: float) -> bool:
+        """Tell whether this node would lead next: the longest up, then by name."""
+        if not self._ready(now) or not self._knowledge.reads(now):
+            return False
+        mine = (-int(self._up_s(now) / UP_STEP_S), self._node)
+        return all(
+            mine < (-int(beat.up_s / UP_STEP_S), beat.name)
+            for beat in self._peers.table.alive(now)
+            if beat.ready and beat.reads
+        )
 
     def _start(self, model: str, server: Server) -> None:
         self._loading.add(server.lifetime)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from arbutusyard import clock
 from arbutusyard.gateway.models import Account, IngressLimits, Repeat
 from tests.gateway.support import (
     STAMP,
@@ -462,3 +463,13 @@
         assert [read_answer(sock).status for sock in socks] == [200] * 5
     for sock in socks:
         sock.close()
+
+
+def test_a_leaving_node_takes_late_only_what_ends_in_time(run):
+    gateway, (server,) = run(good, timeout_s=2.0)
+    now = clock.now()
+    gateway.relay.leave(now - 4.0, now + 1.0)
+    refused = gateway.call(Deadline_Ms="1500")
+    assert (refused.status, refused.headers["connection"]) == (503, "close")
+    assert gateway.call(Deadline_Ms="500").status == 200
+    assert len(server.requests) == 1
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -108,7 +108,8 @@
         self.weights = WeightsCoordinator(
             name, self.knowledge, self.peers, client, ServerClient(), 3.0
         )
-        self.weights.bind(lambda now: True)
+        self.weights.bind(lambda now: self.ready, lambda now: self.up_s)
+        self.ready, self.up_s = True, 0.0
         self.knowledge._config_rows.read_at = float("inf")
         self.weights.setup(Application("test"))
 
@@ -223,3 +224,36 @@
     node.name_weights(2)
     gevent.sleep(0.5)
     assert engine.log == []
+
+
+def test_a_leaving_holder_leads_on_until_its_end(world):
+    engines = [Engine(), Engine()]
+    (node,) = world(engines, "n1")
+    wait_for(lambda: node.weights.fence, 5)
+    node.ready = False
+    node.name_weights(2)
+    wait_for(lambda: node.versions() == {2}, 10)
+
+
+def test_rolling_restarts_do_not_pass_the_lead_to_the_youngest(world):
+    engine = Engine()
+    (node,) = world([engine], "n5")
+    node.up_s = 100.0
+    young = Beat("n1", 1, 1, "a:1", "a:2", "z", "r", True, False, 1, 0, up_s=1.0)
+    node.peers.table.take(young, clock.now())
+    node.name_weights(2)
+    wait_for(lambda: node.versions() == {2}, 10)
+
+
+def test_the_next_in_line_takes_an_idle_leaving_holders_lease_early(world):
+    engines = [Engine(), Engine()]
+    first, second = world(engines, "n1", "n2")
+    wait_for(lambda: first.weights.fence and not second.weights.fence, 8)
+    told = Beat("n1", 1, 1, "a:1", "a:2", "z", "r", False, True, 1, first.weights.fence)
+    seqs = iter(range(2, 10_000))
+
+    def holder_is_alive():
+        second.peers.table.take(replace(told, seq=next(seqs)), clock.now())
+        return second.weights.fence > told.fence
+
+    wait_for(holder_is_alive, 8)
