Load the oldest weights first; date each version by the one that replaced it

The engines with least in hand loaded first, so a busy one stayed at version 1 for 6 s; and a node dated its weights by the newest version, named 1.2 s before, so the bound never came. Ruled out: a node that lacked the names (all had them). Change: the oldest version loads first, and a version's age counts from the next one that was named. Tests of both; the planner's fails without the change.

--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -195,7 +195,7 @@
         "on_weights",
         "servers",
         "weights",
-        "weights_at",
+        "weights_named",
     )
 
     def __init__(self, client: PlatformClient) -> None:
@@ -203,7 +203,7 @@
         self.catalog: Catalog | None = None
         self.servers = ServerTable()
         self.weights: dict[str, int] = {}
-        self.weights_at: dict[str, float | None] = {}
+        self.weights_named: dict[str, list[tuple[int, float | None]]] = {}
         self.on_weights: Callable[[], None] = lambda: None
         self._malformed: set[tuple[str, str]] = set()
         self._supervisor: Supervisor | None = None
@@ -296,10 +296,15 @@
         """Return the version of a model that operators named last; 0 if none."""
         return self.weights.get(model, 0)
 
-    def weights_age_s(self, model: str, now: float) -> float | None:
-        """Return how long ago a model's newest version was named, if that is known."""
-        named_at = self.weights_at.get(model)
-        return None if named_at is None else now - named_at
+    def replaced_s(self, model: str, version: int, now: float) -> float | None:
+        """Return how long ago a version was replaced by the next one that was named.
+
+        None when that was before this node's start, 0 when it was not replaced.
+        """
+        for named, named_at in self.weights_named.get(model, ()):
+            if named > version:
+                return None if named_at is None else now - named_at
+        return 0.0
 
     def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
@@ -333,7 +338,10 @@
         self.weights[target.model] = target.version
         # What was named before this node started has no known age.
         named_now = self._config_rows.started
-        self.weights_at[target.model] = clock.now() if named_now else None
+        named_at = clock.now() if named_now else None
+        self.weights_named.setdefault(target.model, []).append(
+            (target.version, named_at)
+        )
         _LOGGER.info(
             "Weights %d of %s are wanted",
             target.version,
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -127,13 +127,16 @@
         self, servers: list[Server], model: str, now: float
     ) -> list[Server]:
         """Leave out servers whose weights were replaced too long ago."""
-        age_s = self._knowledge.weights_age_s(model, now)
-        if age_s is not None and age_s <= self._weights_margin_s:
-            return servers
-        target = self._knowledge.target(model)
-        newest = [s for s in servers if s.weights.get(model, 0) >= target]
+        allowed, unknown = [], []
+        for server in servers:
+            version = server.weights.get(model, 0)
+            age_s = self._knowledge.replaced_s(model, version, now)
+            if age_s is None:
+                unknown.append(server)
+            elif age_s <= self._weights_margin_s:
+                allowed.append(server)
         # A node that just started can't know whether the old ones are overdue.
-        return newest if newest or age_s is not None else servers
+        return allowed or unknown
 
     def _place_plain(self, servers: list[Server], now: float) -> Placement:
         work = Work(self._domain)
--- a/arbutusyard/weights/planner.py
+++ b/arbutusyard/weights/planner.py
@@ -22,7 +22,11 @@
 
 
 def plan_loads(engines: list[EngineView], target: int) -> list[str]:
-    """Return the engines to order to load now, those with least to lose first."""
+    """Return the engines to order to load now: the oldest weights, then least to lose.
+
+    When versions are named faster than all engines load, least to lose alone would
+    leave a busy engine with weights that were replaced long ago.
+    """
     usable = sum(engine.reachable or engine.loading for engine in engines)
     free = loads_at_once(usable) - sum(engine.loading for engine in engines)
     waiting = [
@@ -30,5 +34,7 @@
         for engine in engines
         if engine.version < target and not engine.loading and engine.reachable
     ]
-    waiting.sort(key=lambda engine: (engine.in_flight, engine.server_id))
+    waiting.sort(
+        key=lambda engine: (engine.version, engine.in_flight, engine.server_id)
+    )
     return [engine.server_id for engine in waiting[: max(0, free)]]
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -37,7 +37,8 @@
     wait_for(lambda: knowledge.catalog.cfg.version == 9, 0.5)
     store.write("op", "version/m", {"model": "m", "version": 2})
     wait_for(lambda: knowledge.target("m") == 2, 0.5)
-    assert knowledge.weights_age_s("m", clock.now()) < 0.5
+    assert 0 < knowledge.replaced_s("m", 1, clock.now()) < 0.5
+    assert knowledge.replaced_s("m", 2, clock.now()) == 0.0
 
 
 def test_versions_only_rise(store, knowledge):
@@ -67,7 +68,7 @@
     known = Knowledge(PlatformClient(store.address))
     known.setup(Application("test"))
     wait_for(lambda: known.target("m") == 4)
-    assert known.weights_age_s("m", clock.now()) is None
+    assert known.replaced_s("m", 3, clock.now()) is None
     known.unload()
 
 
@@ -180,3 +181,14 @@
     assert knowledge.config_age_s(now) < 0.1
     store.platform.down = False
     wait_for(lambda: ended, 5)
+
+
+def test_each_version_is_replaced_by_the_next_not_by_the_newest(store, knowledge):
+    for version in (2, 3, 4):
+        store.write("op", "version/m", {"model": "m", "version": version})
+        wait_for(lambda named=version: knowledge.target("m") == named)
+        gevent.sleep(0.15)
+    now = clock.now()
+    ages = [knowledge.replaced_s("m", version, now) for version in (1, 2, 3, 4)]
+    assert ages[0] > ages[1] + 0.1 > ages[2] + 0.2
+    assert ages[3] == 0.0
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -473,3 +473,18 @@
     assert (refused.status, refused.headers["connection"]) == (503, "close")
     assert gateway.call(Deadline_Ms="500").status == 200
     assert len(server.requests) == 1
+
+
+def test_weights_replaced_too_long_ago_take_nothing_however_many_came_since(run):
+    gateway, (old, new) = run(
+        whole_stream, whole_stream, repeat=Repeat.ONCE, streaming=True
+    )
+    now = clock.now()
+    named = [(2, now - 60.0), (3, now - 30.0), (4, now - 0.1)]
+    gateway.knowledge.weights["m"] = 4
+    gateway.knowledge.weights_named["m"] = named
+    gateway.knowledge.servers.get("s1").weights["m"] = 3
+    gateway.knowledge.servers.get("s1").in_flight = 500
+    for _ in range(5):
+        assert gateway.call(Model="m", Prefix_Hash="aa:10").status == 200
+    assert (len(old.requests), len(new.requests)) == (0, 5)
--- a/tests/weights/test_planner.py
+++ b/tests/weights/test_planner.py
@@ -33,3 +33,9 @@
     for usable in range(3, 60):
         assert loads_at_once(usable) <= usable / 2
     assert loads_at_once(1) == 1
+
+
+def test_several_versions_named_in_a_row_leave_no_busy_engine_behind():
+    engines = [engine("busy", version=1, in_flight=9)]
+    engines += [engine(name, version=3) for name in "abcd"]
+    assert plan_loads(engines, 4)[0] == "busy"
