Heed servers that leave or want a pause, and end bytes without end

Change: Server-Leaving ends the use of that lifetime at once, is told to the other nodes with its start and kept for the lifetime; Retry-After of a 503 keeps this node away for that long (60 s at most, malformed values logged once); when nothing of a service can be used before the caller's wait would end, the refusal goes out at once with the time at which something can. Strays, heads, refusals' bodies and events are bounded in bytes and time; a stream whose server sends no whole event for longer than callers wait is ended, or resumed elsewhere.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -65,6 +65,8 @@
 GONE_TOLD_S: Final = 4.0
 # So many of a model's newest versions are told with their ages.
 NAMED_TOLD: Final = 4
+# The longest pause that a full server is granted, in seconds; the page sets none.
+PAUSE_MAX_S: Final = 60.0
 # A server that could not be reached is left alone for so long, doubling.
 SUSPECT_FIRST_S: Final = 0.6
 SUSPECT_MAX_S: Final = 4.0
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -111,11 +111,15 @@
 
 
 class ServerNews(Struct, frozen=True, array_like=True, tag="servers"):
-    """Tell at once of servers out of reach, and of lifetimes that others replaced."""
+    """Tell at once of servers out of reach, and of lifetimes that others replaced.
+
+    `leaving` names lifetimes by server id and start that say they take no more.
+    """
 
     name: str
     silent: tuple[str, ...]
     replaced: tuple[str, ...]
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 class Beat(Struct, frozen=True, array_like=True, tag="beat"):
@@ -142,6 +146,7 @@
     up_s: float = 0.0
     leaving_servers: tuple[str, ...] = ()
     named: tuple[NamedWeights, ...] = ()
+    leaving_lifetimes: tuple[tuple[str, int], ...] = ()
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -205,6 +205,7 @@
         "_describe",
         "_domain",
         "_incarnation",
+        "_leaving",
         "_news",
         "_registered",
         "_replaced",
@@ -243,6 +244,7 @@
         self._incarnation = incarnation
         self._news = Event()
         self._registered = False
+        self._leaving: set[tuple[str, int]] = set()
         self._replaced: set[str] = set()
         self._silent: set[str] = set()
         self._rng = random.Random(name)
@@ -315,12 +317,16 @@
         self._send_news(EngineNews(me, self._incarnation, seq, note))
 
     def tell_servers(
-        self, silent: tuple[str, ...] = (), replaced: tuple[str, ...] = ()
+        self,
+        silent: tuple[str, ...] = (),
+        replaced: tuple[str, ...] = (),
+        leaving: tuple[tuple[str, int], ...] = (),
     ) -> None:
         """Tell the others soon of servers that requests have just found unusable."""
-        waits = bool(self._silent or self._replaced)
+        waits = bool(self._silent or self._replaced or self._leaving)
         self._silent.update(silent)
         self._replaced.update(replaced)
+        self._leaving.update(leaving)
         if not waits:
             delay_s = self._rng.uniform(0.0, SERVER_NEWS_DELAY_S)
             self._supervisor.spawn(
@@ -330,15 +336,18 @@
     def _send_server_news(self, delay_s: float) -> None:
         gevent.sleep(delay_s)
         silent, replaced = tuple(self._silent), tuple(self._replaced)
+        leaving = tuple(self._leaving)
         self._silent.clear()
         self._replaced.clear()
-        if silent or replaced:
-            self._send_news(ServerNews(self.table.me, silent, replaced))
+        self._leaving.clear()
+        if silent or replaced or leaving:
+            self._send_news(ServerNews(self.table.me, silent, replaced, leaving))
 
     def _take_server_news(self, news: ServerNews, now: float) -> None:
         # What another node has told need not be told again.
         self._silent.difference_update(news.silent)
         self._replaced.difference_update(news.replaced)
+        self._leaving.difference_update(news.leaving)
         self.on_servers(news, now)
 
     def _send_news(self, news: LoadNews | EngineNews | ServerNews) -> None:
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -9,6 +9,7 @@
     FAILURE_WEIGHT,
     GONE_TOLD_S,
     LEAVING_TOLD_S,
+    PAUSE_MAX_S,
     RETURN_GRACE_S,
     SUSPECT_FIRST_S,
     SUSPECT_MAX_S,
@@ -38,6 +39,8 @@
     loading_until: float = 0.0
     doubted_until: float = 0.0
     told_leaving_until: float = 0.0
+    paused_until: float = 0.0
+    leaving: bool = False
     gone_at: float | None = None
     dead: bool = False
 
@@ -49,14 +52,38 @@
     def usable(self, now: float) -> bool:
         """Tell whether the server may take a request now."""
         return (
-            not self.dead
-            and self.entry.state is ServerState.READY
+            self.staying
             and not self.suspected
             and now >= self.loading_until
             and now >= self.doubted_until
             and now >= self.told_leaving_until
+            and now >= self.paused_until
         )
 
+    @property
+    def staying(self) -> bool:
+        """Tell whether the server is neither gone nor about to stop."""
+        return (
+            not self.dead and not self.leaving and self.entry.state is ServerState.READY
+        )
+
+    def usable_in_s(self, now: float) -> float:
+        """Return in how long a server that stays may be used; 0 if that is unknown."""
+        if self.suspected:
+            return 0.0
+        until = max(
+            self.loading_until,
+            self.doubted_until,
+            self.told_leaving_until,
+            self.paused_until,
+        )
+        return max(0.0, until - now)
+
+    def pause(self, pause_s: float, now: float) -> None:
+        """Leave a full server alone for as long as it asks, within bounds."""
+        pause_s = min(pause_s, PAUSE_MAX_S)
+        self.paused_until = max(self.paused_until, now + pause_s)
+
     def failures(self, now: float) -> float:
         """Return the share of recent requests that the server failed."""
         age_s = max(0.0, now - self.failure_at)
@@ -121,6 +148,14 @@
                 group.append(server)
         return self._by_service.get(service, [])
 
+    def usable_in_s(self, service: str, now: float) -> float:
+        """Return in how long some server of a service may be used.
+
+        0 when that is unknown, as when no server stays.
+        """
+        waits = (s.usable_in_s(now) for s in self.of_service(service) if s.staying)
+        return min(waits, default=0.0)
+
     def outage_ended(self, now: float) -> None:
         """Take note that the store answers again after an outage."""
         self._outage_ended_at = now
@@ -212,6 +247,23 @@
                 )
             server.told_leaving_until = now + LEAVING_TOLD_S
 
+    def mark_leaving(self, server_id: str, born_ms: int) -> bool:
+        """Use a lifetime no more that says it leaves; return whether that is new."""
+        server = self.servers.get(server_id)
+        if server is None or server.entry.born_ms != born_ms or server.leaving:
+            return False
+        server.leaving = True
+        _LOGGER.info(
+            "Server %s says that it leaves",
+            server_id,
+            extra={"server": server_id, "born_ms": born_ms},
+        )
+        return True
+
+    def said_leaving(self) -> tuple[tuple[str, int], ...]:
+        """Return the known lifetimes that have said they leave."""
+        return tuple(s.lifetime for s in self.servers.values() if s.leaving)
+
     def digest(self) -> bytes:
         """Return a digest of what decides whether servers may be used."""
         known = blake2b(digest_size=8)
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -35,6 +35,22 @@
 # Without a usable server a request waits for so much of its objective.
 WAIT_PART: Final = 0.12
 WAIT_STEP_S: Final = 0.01
+# Before an answer's head a server may send so many bytes, and so many messages that
+# belong to no request; a head that has begun is whole within so many seconds.
+STRAY_BYTES_MAX: Final = 262_144
+STRAYS_MAX: Final = 32
+HEAD_S: Final = 2.0
+# The body of a refusal is read out within these bounds, to keep its connection.
+REFUSAL_BYTES_MAX: Final = 65_536
+REFUSAL_READ_S: Final = 0.25
+# The largest event of a stream, in bytes.
+EVENT_BYTES_MAX: Final = 1_048_576
+# Callers leave a stream after the longest of these gaps, by the users' page; one
+# whose server sends no whole event for longer has no reader left.
+GAP_MIN_S: Final = 2.0
+GAP_OBJECTIVES: Final = 4.0
+GAP_PAUSES: Final = 8.0
+GAP_MARGIN_S: Final = 0.3
 # Callers come back after so long when nothing better is known.
 RETRY_AFTER_S: Final = 0.3
 RETRY_AFTER_ELSEWHERE_S: Final = 0.05
--- a/arbutusyard/gateway/events.py
+++ b/arbutusyard/gateway/events.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+from arbutusyard.gateway.const import EVENT_BYTES_MAX
+from arbutusyard.gateway.exceptions import AnswerBroken
+
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
@@ -20,9 +23,14 @@
         self._rest = b""
 
     def take(self, data: bytes) -> list[StreamEvent]:
-        """Take bytes; return the events that are complete now."""
+        """Take bytes; return the events that are complete now.
+
+        Raise AnswerBroken for an event of more than EVENT_BYTES_MAX bytes.
+        """
         parts = (self._rest + data).split(b"\n\n")
         self._rest = parts.pop()
+        if len(self._rest) > EVENT_BYTES_MAX:
+            raise AnswerBroken("an event of the stream has no end")
         return [StreamEvent(part + b"\n\n", _event_id(part)) for part in parts]
 
     def rest(self) -> bytes:
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -10,7 +10,17 @@
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.admission import Admission
 from arbutusyard.gateway.caller import CallerConnection
-from arbutusyard.gateway.const import DOUBT_PAUSE_S, REACHED_KEEP_S, SHED_PAUSE_S
+from arbutusyard.gateway.const import (
+    DOUBT_PAUSE_S,
+    GAP_MARGIN_S,
+    GAP_MIN_S,
+    GAP_OBJECTIVES,
+    GAP_PAUSES,
+    REACHED_KEEP_S,
+    REFUSAL_BYTES_MAX,
+    REFUSAL_READ_S,
+    SHED_PAUSE_S,
+)
 from arbutusyard.gateway.events import EventSplitter, StreamEvent
 from arbutusyard.gateway.exceptions import (
     AnswerBroken,
@@ -70,7 +80,14 @@
 class Dispatcher:
     """Try one server at a time and tell how the try ended."""
 
-    __slots__ = ("_admission", "_knowledge", "_peers", "_pool", "_router")
+    __slots__ = (
+        "_admission",
+        "_knowledge",
+        "_odd_pauses",
+        "_peers",
+        "_pool",
+        "_router",
+    )
 
     def __init__(
         self,
@@ -85,6 +102,7 @@
         self._peers = peers
         self._router = router
         self._pool = pool
+        self._odd_pauses: set[str] = set()
 
     def dispatch(self, exchange: Exchange, placement: Placement) -> TryResult | None:
         """Send a request to one server; return None once its caller has an answer."""
@@ -195,9 +213,10 @@
         model = exchange.req.model
         if model and head.weights_version is not None:
             server.weights[model] = head.weights_version
+        self._heed(server, head)
         if head.not_run:
-            while conn.read_data(exchange.until) is not None:
-                pass
+            read_until = min(exchange.until, clock.now() + REFUSAL_READ_S)
+            conn.read_out(REFUSAL_BYTES_MAX, read_until)
             return self._take_not_run(exchange, placement, head)
         if head.encoded:
             raise AnswerBroken("the answer's body is encoded")
@@ -219,6 +238,25 @@
         self.answer(exchange, head, body)
         return None
 
+    def _heed(self, server: Server, head: AnswerHead) -> None:
+        """Take what an answer says of its server's wish for more requests."""
+        if head.leaving:
+            server_id, born_ms = server.lifetime
+            if self._knowledge.servers.mark_leaving(server_id, born_ms):
+                self._router.on_leaving(server.lifetime)
+        if head.status != 503 or not head.pause_text:
+            return
+        if head.pause_s is not None:
+            server.pause(head.pause_s, clock.now())
+        elif server.entry.server_id not in self._odd_pauses:
+            self._odd_pauses.add(server.entry.server_id)
+            _LOGGER.warning(
+                "Server %s names a pause that cannot be read: %r",
+                server.entry.server_id,
+                head.pause_text,
+                extra={"server": server.entry.server_id},
+            )
+
     def _take_not_run(
         self, exchange: Exchange, placement: Placement, head: AnswerHead
     ) -> TryResult:
@@ -285,7 +323,12 @@
         """Pass events on as they come, whole events only."""
         splitter = EventSplitter()
         caller = exchange.conn
-        while (data := conn.read_data(exchange.until)) is not None:
+        longest_s = _longest_gap_s(exchange.route)
+        event_at = clock.now()
+        while True:
+            data = _read_event_data(conn, exchange.until, event_at + longest_s)
+            if data is None:
+                break
             events = [
                 event
                 for event in splitter.take(data)
@@ -293,6 +336,7 @@
             ]
             if not events:
                 continue
+            event_at = clock.now()
             if not placement.started:
                 placement.started = True
                 self._router.first_event(placement, clock.now())
@@ -364,6 +408,24 @@
     return max(0, min(URGENCY_LAST, route.priority if own is None else own))
 
 
+def _longest_gap_s(route: Route) -> float:
+    """Return after how long without a whole event a stream has no reader left."""
+    gaps = (GAP_MIN_S, GAP_OBJECTIVES * route.objective_s, GAP_PAUSES * route.gap_s)
+    return max(gaps) + GAP_MARGIN_S
+
+
+def _read_event_data(
+    conn: ServerConnection, until: float, event_until: float
+) -> bytes | None:
+    """Read a piece of a stream; raise AnswerBroken when its server has stalled."""
+    try:
+        return conn.read_data(min(until, event_until))
+    except AnswerLate as exc:
+        if event_until < until:
+            raise AnswerBroken(f"{conn.address} sends no whole event") from exc
+        raise
+
+
 def _came_before(event_id: str, last: str) -> bool:
     if not event_id.isdigit() or not last.isdigit():
         return False
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -189,6 +189,11 @@
     closes: bool = False
     keep_s: float | None = None
     length: int | None = None
+    # The server takes no more requests for the rest of its lifetime.
+    leaving: bool = False
+    # How long a server that is full wants nothing, in seconds; None if not readable.
+    pause_s: float | None = None
+    pause_text: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -98,6 +98,9 @@
         self._router.on_replaced = lambda server_id: peers.tell_servers(
             replaced=(server_id,)
         )
+        self._router.on_leaving = lambda lifetime: peers.tell_servers(
+            leaving=(lifetime,)
+        )
         self._router.has_connection = self._pool.has_idle
         peers.on_engines = self._router.take_engine_notes
         peers.on_part = lambda note, now: self._router.take_part_notes((note,), now)
@@ -186,6 +189,7 @@
             stores=self._caches.store_notes(),
             leaving_servers=self._knowledge.servers.leaving(now),
             named=self._knowledge.named_ages(now),
+            leaving_lifetimes=self._knowledge.servers.said_leaving(),
         )
 
     def _take_confirmation(
@@ -196,6 +200,8 @@
     def _take_server_news(self, news: ServerNews, now: float) -> None:
         self._router.take_silent(news.silent, now, just_found=True)
         self._knowledge.servers.take_leaving(news.replaced, news.name, now)
+        for server_id, born_ms in news.leaving:
+            self._knowledge.servers.mark_leaving(server_id, born_ms)
 
     def _take_beat(self, beat: Beat, now: float) -> None:
         self._caches.take_notes(beat.caches)
@@ -204,6 +210,8 @@
         self._router.take_silent(beat.silent, now)
         self._knowledge.take_named_ages(beat.named, now)
         self._knowledge.servers.take_leaving(beat.leaving_servers, beat.name, now)
+        for server_id, born_ms in beat.leaving_lifetimes:
+            self._knowledge.servers.mark_leaving(server_id, born_ms)
 
     def reload(self, cfg: NodeSettings) -> None:
         """Take changed settings over; addresses need a restart."""
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -13,6 +13,7 @@
     CONNECT_S,
     CONNECTION_PART,
     CONNECTIONS_MIN,
+    HEAD_S,
     IDLE_KEEP_S,
     IDLE_MARGIN_S,
     KEEPALIVE_COUNT,
@@ -21,6 +22,8 @@
     PROBE_PAUSE_S,
     QUIET_STEP_S,
     READ_BYTES,
+    STRAY_BYTES_MAX,
+    STRAYS_MAX,
     TCP_USER_TIMEOUT_MS,
 )
 from arbutusyard.gateway.exceptions import (
@@ -43,6 +46,9 @@
     __slots__ = (
         "_body",
         "_h11",
+        "_head_bytes",
+        "_head_since",
+        "_reads_head",
         "_request",
         "_server",
         "_sock",
@@ -57,6 +63,9 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._body = b""
+        self._reads_head = False
+        self._head_bytes = 0
+        self._head_since: float | None = None
         self.address = server.entry.address
         self.idle_until = 0.0
         self.on_quiet: Callable[[], bool] = lambda: False
@@ -103,7 +112,10 @@
 
         Raise AnswerBroken when it never comes and AnswerLate when it comes too late.
         """
-        while True:
+        self._reads_head = True
+        self._head_bytes = 0
+        for _ in range(STRAYS_MAX):
+            self._head_since = None
             event = self._next(until)
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -111,6 +123,7 @@
                 raise AnswerBroken(f"{self.address} sent no answer")
             head = read_answer(event.status_code, list(event.headers))
             if head.request_id == request_id or not (head.request_id or head.stamped):
+                self._reads_head = False
                 return head
             _LOGGER.warning(
                 "Passed over an answer of %s to another request",
@@ -118,6 +131,7 @@
                 extra={"request_id": request_id, "other": head.request_id},
             )
             self._pass_over(until)
+        raise AnswerBroken(f"{self.address} sends messages that are no answer")
 
     def read_data(self, until: float) -> bytes | None:
         """Read a piece of the body; return None at its end."""
@@ -129,6 +143,19 @@
                 return None
             raise AnswerBroken(f"{self.address} broke its answer off")
 
+    def read_out(self, bytes_max: int, until: float) -> bool:
+        """Pass over the rest of a body; return False when it has no end in time."""
+        size = 0
+        try:
+            while (data := self.read_data(until)) is not None:
+                size += len(data)
+                if size > bytes_max:
+                    return False
+        except (AnswerBroken, AnswerLate) as exc:
+            _LOGGER.debug("Rest of an answer of %s: %s", self.address, exc)
+            return False
+        return True
+
     def reusable(self, head: AnswerHead, now: float) -> bool:
         """Prepare for the next request; return False when there can't be one."""
         if head.closes or self._h11.trailing_data[0]:
@@ -180,10 +207,22 @@
             left_s = until - clock.now()
             if left_s <= 0:
                 raise AnswerLate(f"{self.address} did not answer in time")
+            if self._reads_head:
+                self._check_head(clock.now())
             data = self._receive(left_s, until)
             self._server.heard_at = clock.now()
+            self._head_bytes += len(data)
+            if self._head_since is None:
+                self._head_since = self._server.heard_at
             self._h11.receive_data(data)
 
+    def _check_head(self, now: float) -> None:
+        """Raise AnswerBroken when what comes before an answer has no end."""
+        if self._head_bytes > STRAY_BYTES_MAX:
+            raise AnswerBroken(f"{self.address} sends bytes that are no answer")
+        if self._head_since is not None and now - self._head_since > HEAD_S:
+            raise AnswerBroken(f"{self.address} does not end the head of an answer")
+
     def _receive(self, left_s: float, until: float) -> bytes:
         step_s = min(left_s, QUIET_STEP_S)
         self._sock.settimeout(step_s)
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -109,7 +109,8 @@
                 now,
             )
             if placement is None:
-                if now < wait_until:
+                usable_in_s = self._knowledge.servers.usable_in_s(exchange.service, now)
+                if now + usable_in_s < wait_until:
                     gevent.sleep(WAIT_STEP_S)
                     exchange.avoid.clear()
                     continue
@@ -152,7 +153,9 @@
             self._dispatcher.answer(exchange, *exchange.stored)
             return "failed_by_server"
         if exchange.runs == 0:
-            refusal = Refusal(503, reason, RETRY_AFTER_S)
+            servers = self._knowledge.servers
+            usable_in_s = servers.usable_in_s(exchange.service, clock.now())
+            refusal = Refusal(503, reason, max(RETRY_AFTER_S, usable_in_s))
         else:
             refusal = Refusal(504 if reason == TryResult.LATE.value else 502, reason)
         headers = self._dispatcher.closing(refusal_headers(exchange.req, refusal))
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -91,6 +91,7 @@
         "has_connection",
         "on_check",
         "on_doubt",
+        "on_leaving",
         "on_load",
         "on_replaced",
         "on_silent",
@@ -115,6 +116,7 @@
         self.on_load: Callable[[ServerLoad, PartNote | None], None] = (
             lambda load, part: None
         )
+        self.on_leaving: Callable[[tuple[str, int]], None] = lambda lifetime: None
         self.on_check: Callable[[Server], None] = lambda server: None
         self.on_doubt: Callable[[Server], None] = lambda server: None
         self.on_replaced: Callable[[str], None] = lambda server_id: None
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -36,6 +36,8 @@
 # One version, although the name is a plural.
 WEIGHTS_VERSION: Final = b"weight-versions"
 RETRY_AFTER: Final = b"retry-after"
+# "1" on any answer of a server that is about to stop.
+SERVER_LEAVING: Final = b"server-leaving"
 
 # Headers that concern one connection only.
 HOP_BY_HOP: Final = frozenset(
@@ -165,6 +167,11 @@
                 head.keep_s = _keep_s(value)
             case b"content-length":
                 head.length = int(value)
+            case b"server-leaving":
+                head.leaving = _text(value) == "1"
+            case b"retry-after":
+                head.pause_text = _text(value)
+                head.pause_s = _number(value)
     # A server that another lifetime was meant for never runs the request.
     head.not_run = head.not_run or (status == 421 and not head.stamped)
     return head
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -177,7 +177,7 @@
     peers._take_server_news(told, clock.now())
     gevent.sleep(0.1)
     assert heard == [told]
-    assert sent == [["servers", "me", [], ["u"]]]
+    assert sent == [["servers", "me", [], ["u"], []]]
 
 
 def test_the_newest_word_on_an_engine_holds_whatever_comes_late():
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -96,3 +96,33 @@
     there.remove("i-1", 110.0)
     there.update(replace(ENTRY, born_ms=12))
     assert there.leaving(110.1) == ()
+
+
+def test_a_lifetime_that_said_it_leaves_stays_unused_whatever_its_entry_says():
+    servers = table(ENTRY)
+    assert servers.mark_leaving("i-1", 10)
+    assert not servers.mark_leaving("i-1", 10)
+    servers.update(replace(ENTRY, slots=5))
+    assert not servers.get("i-1").usable(1e6)
+    assert servers.said_leaving() == (("i-1", 10),)
+    servers.update(replace(ENTRY, born_ms=11))
+    assert servers.get("i-1").usable(1e6)
+
+
+def test_the_word_on_another_lifetime_says_nothing_of_this_one():
+    servers = table(ENTRY)
+    assert not servers.mark_leaving("i-1", 9)
+    assert not servers.mark_leaving("i-2", 10)
+    assert servers.get("i-1").usable(100.0)
+
+
+def test_a_service_is_usable_again_when_its_first_pause_ends():
+    servers = table(ENTRY, replace(ENTRY, server_id="i-2"))
+    servers.get("i-1").pause(2.0, 100.0)
+    servers.get("i-2").pause(0.5, 100.0)
+    assert servers.usable_in_s("svc", 100.0) == 0.5
+    assert not servers.get("i-2").usable(100.4)
+    assert servers.get("i-2").usable(100.5)
+    servers.mark_leaving("i-2", 10)
+    assert servers.usable_in_s("svc", 100.0) == 2.0
+    assert servers.usable_in_s("other", 100.0) == 0.0
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -10,8 +10,6 @@
 from arbutusyard.gateway.pool import ServerPool
 from tests.gateway.support import (
     STAMP,
-    Gateway,
-    ScriptedServer,
     answer,
     chunk,
     event,
@@ -23,22 +21,6 @@
 )
 
 
-@pytest.fixture
-def run():
-    """Start servers and a gateway before them, and stop them all in the end."""
-    started = []
-
-    def start(*scripts, **route):
-        servers = [ScriptedServer(script) for script in scripts]
-        gateway = Gateway(*servers, **route)
-        started.extend([*servers, gateway])
-        return gateway, servers
-
-    yield start
-    for item in started:
-        item.stop()
-
-
 def good(request):
     yield answer(request)
 
--- /dev/null
+++ b/tests/gateway/test_server_words.py
@@ -0,0 +1,245 @@
+"""Serve requests through servers that leave, ask for a pause, or never stop sending."""
+
+import logging
+
+import gevent
+import pytest
+
+from arbutusyard import clock
+from arbutusyard.gateway.models import Repeat
+from tests.gateway.support import (
+    STAMP,
+    answer,
+    chunk,
+    event,
+    not_run,
+    stream_head,
+)
+from tests.gateway.test_exchange import good, total, whole_stream
+
+LEAVING = STAMP + "Server-Leaving: 1\r\n"
+
+
+def test_a_server_whose_answer_says_that_it_leaves_gets_nothing_more(run):
+    def leaving(request):
+        yield answer(request, headers=LEAVING)
+
+    gateway, (server,) = run(leaving)
+    told = []
+    gateway.router.on_leaving = told.append
+    assert gateway.call().status == 200
+    assert [gateway.call().status for _ in range(3)] == [503] * 3
+    assert len(server.requests) == 1
+    assert told == [("s0", 1)]
+
+
+def test_a_refusal_and_a_stream_may_say_that_their_server_leaves(run):
+    def refusing(request):
+        yield not_run(request, headers="Server-Leaving: 1\r\n")
+
+    def streaming(request):
+        yield stream_head(request, LEAVING) + chunk(event(1)) + b"0\r\n\r\n"
+
+    gateway, (first, second) = run(
+        refusing, streaming, repeat=Repeat.RESUME, streaming=True
+    )
+    while not (len(first.requests) and len(second.requests)):
+        gateway.call()
+    sent = total((first, second))
+    assert gateway.call().status == 503
+    assert total((first, second)) == sent
+
+
+def test_only_the_word_for_yes_means_that_a_server_leaves(run):
+    def staying(request):
+        yield answer(request, headers=STAMP + "Server-Leaving: 0\r\n")
+
+    gateway, (server,) = run(staying)
+    assert [gateway.call().status for _ in range(2)] == [200, 200]
+
+
+def test_a_server_that_wants_a_pause_gets_nothing_until_it_has_passed(run):
+    def full_then_good(request):
+        if len(server.requests) == 1:
+            yield not_run(request, headers="Retry-After: 0.8\r\n")
+        else:
+            yield answer(request)
+
+    gateway, (server,) = run(full_then_good)
+    started_at = clock.now()
+    refused = gateway.call()
+    assert refused.status == 503
+    assert 0.5 < float(refused.headers["retry-after"]) <= 0.8
+    while clock.now() < started_at + 0.7:
+        assert gateway.call().status == 503
+        gevent.sleep(0.05)
+    assert len(server.requests) == 1
+    gevent.sleep(0.2)
+    assert gateway.call().status == 200
+
+
+def test_a_request_is_refused_at_once_when_all_servers_pause_for_longer(run):
+    def full(request):
+        yield not_run(request, headers="Retry-After: 5\r\n")
+
+    # The request would wait 0.6 s for a server that becomes free.
+    gateway, _ = run(full, full, objective_s=5.0)
+    gateway.call()
+    started_at = clock.now()
+    assert gateway.call().status == 503
+    assert clock.now() - started_at < 0.2
+
+
+@pytest.mark.parametrize("value", ["soon", "-3", "Wed, 21 Oct 2026 07:28:00 GMT"])
+def test_a_malformed_pause_is_ignored_and_logged_once(run, caplog, value):
+    def full(request):
+        yield not_run(request, headers=f"Retry-After: {value}\r\n")
+
+    caplog.set_level(logging.WARNING)
+    gateway, (server,) = run(full)
+    gateway.call()
+    gateway.call()
+    assert len(server.requests) >= 2
+    assert caplog.text.count("pause that cannot be read") == 1
+
+
+def test_the_longest_pause_is_bounded(run):
+    def full(request):
+        yield not_run(request, headers="Retry-After: 1e9\r\n")
+
+    gateway, _ = run(full)
+    gateway.call()
+    server = gateway.knowledge.servers.get("s0")
+    assert server.paused_until < clock.now() + 61
+
+
+def endless(first, piece):
+    """Send a piece again and again after some first bytes, until closed."""
+
+    def script(request):
+        yield first(request) if callable(first) else first
+        while True:
+            yield piece
+            gevent.sleep(0.0005)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        endless(b"HTTP/1.1 200 OK\r\nX: ", b"y" * 4096),
+        endless(b"\x00\x01", b"\x02" * 4096),
+        endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        endless(b"", b"HTTP/1.1 200 OK\r\nRequest-Id: z\r\nContent-Length: 0\r\n\r\n"),
+        endless(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: z\r\nTransfer-Encoding: chunked\r\n\r\n",
+            chunk(b"y" * 4096),
+        ),
+    ],
+    ids=["head", "no_protocol", "informational", "strays", "stray_body"],
+)
+def test_endless_bytes_before_an_answer_end_the_try_soon(run, script):
+    gateway, (server, _) = run(script, good, timeout_s=20.0)
+    gateway.knowledge.servers.get("s1").in_flight = 8
+    with gevent.Timeout(2.5):
+        assert gateway.call(Deadline_Ms="20000").status == 200
+    assert len(server.requests) == 1
+    assert gateway.knowledge.servers.get("s0").failures(clock.now()) > 0
+
+
+def test_an_endless_body_of_a_refusal_delays_the_next_try_briefly(run):
+    def head(request):
+        return (
+            f"HTTP/1.1 503 x\r\nRequest-Id: {request.headers['request-id']}\r\n"
+            "Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+
+    gateway, (server, _) = run(
+        endless(head, chunk(b"y" * 4096)), good, repeat=Repeat.ONCE, timeout_s=20.0
+    )
+    gateway.knowledge.servers.get("s1").in_flight = 8
+    with gevent.Timeout(2.5):
+        assert gateway.call(Deadline_Ms="20000").status == 200
+    assert len(server.requests) == 1
+
+
+def test_an_event_without_end_is_cut_at_a_bounded_size(run):
+    script = endless(stream_head, chunk(b"y" * 16384))
+    gateway, _ = run(script, repeat=Repeat.ONCE, streaming=True, timeout_s=20.0)
+    with gevent.Timeout(4):
+        got = gateway.call(Deadline_Ms="20000")
+    assert got.status == 502 or not got.complete
+    assert gateway.knowledge.servers.get("s0").failures(clock.now()) > 0
+
+
+def trickle(request):
+    yield stream_head(request) + chunk(event(1))
+    while True:
+        gevent.sleep(0.1)
+        yield chunk(b"x")
+
+
+def test_a_stream_that_sends_a_byte_now_and_then_is_ended(run):
+    gateway, _ = run(
+        trickle, repeat=Repeat.ONCE, streaming=True, timeout_s=20.0, gap_s=0.05
+    )
+    with gevent.Timeout(4):
+        assert not gateway.call(Deadline_Ms="20000").complete
+
+
+def test_a_resumable_stream_leaves_a_server_that_sends_a_byte_now_and_then(run):
+    def rest(request):
+        yield stream_head(request)
+        after = int(request.headers.get("last-event-id", 0))
+        for n in range(after + 1, 4):
+            yield chunk(event(n))
+        yield b"0\r\n\r\n"
+
+    gateway, _ = run(
+        trickle,
+        rest,
+        repeat=Repeat.RESUME,
+        streaming=True,
+        timeout_s=20.0,
+        gap_s=0.05,
+    )
+    gateway.knowledge.servers.get("s1").in_flight = 1
+    with gevent.Timeout(6):
+        got = gateway.call(Deadline_Ms="20000")
+    assert got.complete
+    assert got.body == event(1) + event(2) + event(3)
+
+
+def test_a_head_that_trickles_ends_the_try(run):
+    def slow_head(request):
+        for byte in b"HTTP/1.1 200 OK\r\nX-Long: " + b"y" * 500:
+            yield bytes([byte])
+            gevent.sleep(0.05)
+
+    gateway, (server, _) = run(slow_head, good, timeout_s=20.0)
+    gateway.knowledge.servers.get("s1").in_flight = 8
+    with gevent.Timeout(4):
+        assert gateway.call(Deadline_Ms="20000").status == 200
+
+
+def test_a_slow_sound_stream_is_not_cut(run):
+    def slow(request):
+        yield stream_head(request)
+        for n in range(1, 4):
+            gevent.sleep(1.2)
+            yield chunk(event(n)[:5])
+            yield chunk(event(n)[5:])
+        yield b"0\r\n\r\n"
+
+    gateway, _ = run(
+        slow, repeat=Repeat.ONCE, streaming=True, timeout_s=20.0, gap_s=0.2
+    )
+    got = gateway.call(Deadline_Ms="20000")
+    assert got.complete
+    assert got.body == event(1) + event(2) + event(3)
+
+
+def test_whole_streams_still_arrive(run):
+    gateway, _ = run(whole_stream, repeat=Repeat.ONCE, streaming=True)
+    assert gateway.call().complete
