Answer requests that are half read or just sent when a node stops

Cause: at the end of its time a stopping node ended every connection whose task was still reading, so a request that had come in part, or lay unread in the socket, was cut without an answer. Ruled out: waiting for all open connections (callers keep idle ones for long). Change: only connections without any byte of a next request are ended; the others are read and served until the node's last moment; what waits to be accepted is accepted first.

--- a/arbutusyard/gateway/caller.py
+++ b/arbutusyard/gateway/caller.py
@@ -103,6 +103,20 @@
         data += self._h11.send(h11.EndOfMessage())
         self._write(data)
 
+    def untouched(self) -> bool:
+        """Tell whether no byte of a next request has come."""
+        if self._h11.their_state is not h11.IDLE or self._h11.trailing_data[0]:
+            return False
+        limit_s = self._sock.gettimeout()
+        self._sock.settimeout(0.0)
+        try:
+            # Nothing to read is an error here, and no bytes are the caller's end.
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True
+        finally:
+            self._sock.settimeout(limit_s)
+
     def reusable(self) -> bool:
         """Prepare for the next request; return False when there is none to come."""
         if self._eof or self._h11.our_state is not h11.DONE:
--- a/arbutusyard/gateway/ingress.py
+++ b/arbutusyard/gateway/ingress.py
@@ -49,7 +49,7 @@
         self._relay = relay
         self._tasks = Pool(max(64, max_fds - RESERVED_DESCRIPTORS))
         self._server: StreamServer | None = None
-        self._idle: set[gevent.Greenlet] = set()
+        self._idle: dict[gevent.Greenlet, CallerConnection] = {}
         self._stop_at = float("inf")
         self.busy = 0
 
@@ -68,14 +68,23 @@
 
     def drain(self) -> None:
         """Stop accepting, end idle connections and wait for work in hand."""
+        # Connections that already wait are accepted before the port closes.
+        gevent.sleep(DRAIN_STEP_S)
         self._server.stop_accepting()
-        for task in list(self._idle):
-            task.kill(CallerGone("this node stops"), block=False)
-        while self.busy and clock.now() < self._stop_at:
+        while clock.now() < self._stop_at:
+            self._end_idle()
+            if not self.busy and not self._idle:
+                break
             gevent.sleep(DRAIN_STEP_S)
         if self.busy:
             _LOGGER.warning("Stopping with %d requests in hand", self.busy)
 
+    def _end_idle(self) -> None:
+        """End the connections on which no part of a request has come."""
+        for task, conn in list(self._idle.items()):
+            if conn.untouched():
+                task.kill(CallerGone("this node stops"), block=False)
+
     def drain_until(self, stop_at: float) -> None:
         """Set when draining ends whatever is in hand."""
         self._stop_at = stop_at
@@ -104,7 +113,7 @@
 
     def _read(self, conn: CallerConnection) -> CallerRequest | None:
         task = gevent.getcurrent()
-        self._idle.add(task)
+        self._idle[task] = conn
         try:
             return conn.read_request()
         except BadRequest as exc:
@@ -117,7 +126,7 @@
             )
             return None
         finally:
-            self._idle.discard(task)
+            del self._idle[task]
 
     def _handle(self, req: CallerRequest, conn: CallerConnection) -> None:
         task = gevent.getcurrent()
