Start a node without the imports of the command line

Cause: all nodes of a large fleet may start at once and callers wait for it; the command line's library was imported by each. Change: deploy runs cli.node_start, which reads the environment; 'arbutusyard node' stays. A wrong port ends with code 2 as before. Ruled out: dropping the command.

--- a/tests/cli/test_node.py
+++ b/tests/cli/test_node.py
@@ -54,7 +54,7 @@
         self.write(self.settings)
         self.output = (folder / "out.txt").open("w+")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "arbutusyard.cli.node"],
+            [sys.executable, "-m", "arbutusyard.cli.node_start"],
             cwd=ROOT,
             env={
                 **os.environ,
@@ -148,15 +148,44 @@
     wait_for(node.is_ready, 10)
 
 
-def test_a_wrong_settings_file_ends_the_process_with_code_2(tmp_path):
-    file = tmp_path / "boot.json"
-    file.write_text(json.dumps({"node": "n"}))
-    done = subprocess.run(
-        [sys.executable, "-m", "arbutusyard.cli.node", "--config", str(file)],
+def ended(words, environment):
+    return subprocess.run(
+        [sys.executable, "-m", *words],
         cwd=ROOT,
+        env={**os.environ, **environment},
         capture_output=True,
         text=True,
         timeout=30,
     )
-    assert done.returncode == 2
-    assert "platform is missing" in done.stderr
+
+
+def test_a_wrong_settings_file_ends_the_process_with_code_2(tmp_path):
+    file = tmp_path / "boot.json"
+    file.write_text(json.dumps({"node": "n"}))
+    for done in (
+        ended(("arbutusyard", "node", "--config", str(file)), {}),
+        ended(("arbutusyard.cli.node_start",), {"ARBUTUSYARD_CONFIG": str(file)}),
+    ):
+        assert done.returncode == 2
+        assert "platform is missing" in done.stderr
+
+
+def test_a_wrong_metrics_port_ends_the_process_with_code_2():
+    for port in ("many", "70000", "-1"):
+        done = ended(
+            ("arbutusyard.cli.node_start",), {"ARBUTUSYARD_METRICS_PORT": port}
+        )
+        assert done.returncode == 2
+        assert "ARBUTUSYARD_METRICS_PORT" in done.stderr
+
+
+def test_a_node_starts_without_the_imports_of_the_command_line():
+    # All nodes of a large fleet may start at once, and callers wait for them.
+    code = (
+        "import sys, arbutusyard.cli.node_start, arbutusyard.cli.node_daemon;"
+        "print([name for name in ('typer', 'opentelemetry') if name in sys.modules])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True
+    )
+    assert done.stdout.strip() == "[]", done.stderr
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -79,7 +79,7 @@
         }
         with self._output.open("a") as output:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "arbutusyard.cli.node"],
+                [sys.executable, "-m", "arbutusyard.cli.node_start"],
                 cwd=ROOT,
                 env=environment,
                 stdout=output,
