Serve a large fleet by a part of its nodes

Nodes that stand by read the servers' table themselves, since the readers' round (2.6 s) was longer than their word was believed (1.2 s). Change: a ranking that all compute alike names at least 24 serving nodes, more by the rate of requests, strong ones and all failure domains first; whole beats and news go among them; the others send and hear about ten datagrams a second at any size. Beats say when the next one comes, and silence is counted by that. Readers, watchers of cache stores and the leader of roll-outs are serving nodes. The readers' word lasts for a round of theirs. Ruled out: beats to more nodes, groups, keepers (docs/DESIGN.md).

--- a/arbutusyard/fleet/caches.py
+++ b/arbutusyard/fleet/caches.py
@@ -17,7 +17,7 @@
 )
 from arbutusyard.fleet.knowledge import Knowledge
 from arbutusyard.fleet.messages import CacheNote, CacheSign, StoreNote
-from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.platform.exceptions import PlatformUnsettled
 from arbutusyard.platform.servers import ServerClient
 from arbutusyard.routing.parts import PartMap, part_key
@@ -153,8 +153,8 @@
         return {store.address for store in catalog.cfg.cache_stores}
 
     def _place(self, now: float) -> int:
-        """Return this node's place in the order of names."""
-        return sum(beat.name < self._peers.me for beat in self._peers.alive(now))
+        """Return this node's place among those that take callers."""
+        return self._peers.place(now)
 
     def _see(self, address: str, epoch: int, cause: str) -> None:
         if self._epochs.get(address) != epoch:
--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -32,6 +32,10 @@
 STORE_READERS: Final = 3
 READER_WAIT_S: Final = 0.5
 TOLD_FRESH_S: Final = 1.2
+# In a large fleet the few read less often, so their word lasts for a whole round of
+# theirs and some delay, up to a part of the time in which a drain must be seen.
+TOLD_MARGIN_S: Final = 0.3
+TOLD_PART: Final = 0.65
 # A node that leads must itself have read the store within so long.
 READS_FRESH_S: Final = 2.5
 TOLD_STEP_S: Final = 0.1
@@ -41,18 +45,36 @@
 BEAT_INTERVAL_S: Final = 0.25
 # News is sent at once, but not more often than that.
 BEAT_PAUSE_S: Final = 0.03
-# Above so many nodes each beat goes to a part of them, in turn.
-BEAT_FANOUT: Final = 24
-# A fleet above that size sends less often.
+# In a fleet above that size callers are sent to a part of the nodes, which tell each
+# other all; the others stand by and send and hear less.
+LARGE_FLEET: Final = 24
 BEAT_INTERVAL_LARGE_S: Final = 0.5
-# News of a large prompt goes to so many nodes at most, those of the own failure domain
-# first; the others learn of it from the next beat.
+BEAT_INTERVAL_STANDBY_S: Final = 1.0
+# Each beat goes to so many of the nodes that stand by, in turn.
+BEAT_TURN: Final = 8
+# News goes to so many nodes at most, those of the own failure domain first; the
+# others learn of it from the next beat.
 NEWS_FANOUT: Final = 96
+# At least so many nodes take callers, so that the loss of a failure domain, or of a
+# third of all nodes, leaves enough.
+SERVING_MIN: Final = 24
+# A core serves about ten times as many requests a second; the rest is for bursts,
+# until more nodes are told to callers, and for streams.
+REQUESTS_PER_CORE_S: Final = 12.0
+RATE_AVERAGE_S: Final = 3.0
+# A node outside the serving ones counts as one of them while it gets more than that.
+BUSY_RATE_S: Final = 0.5
+# The ranking of nodes is made anew so often, and when a node's state changes.
+RANK_KEEP_S: Final = 0.5
+# A node that stands by tells callers what serving nodes have told it so lately.
+ENTRIES_FRESH_S: Final = 3.0
+# Whoever has lately told this node of reads of the store hears its every beat.
+READER_KEEP_S: Final = 4.0
 # News of servers waits up to so long, so that of many nodes that find the same only the
 # first few tell it.
 SERVER_NEWS_DELAY_S: Final = 0.02
 PEER_SILENT_S: Final = 1.25
-# In a large fleet a peer is silent after so many beats that should have come.
+# A peer is silent after so many beats that should have come.
 PEER_SILENT_BEATS: Final = 3
 PEER_FORGET_S: Final = 60.0
 PEER_REGISTER_RETRY_S: Final = 1.0
--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -26,6 +26,8 @@
     SERVERS_WAIT_S,
     STORE_READERS,
     TOLD_FRESH_S,
+    TOLD_MARGIN_S,
+    TOLD_PART,
     TOLD_STEP_S,
 )
 from arbutusyard.fleet.messages import Beat, NamedWeights
@@ -68,6 +70,7 @@
         "pace_s",
         "read_at",
         "reader",
+        "told_fresh_s",
         "wait_s",
     )
 
@@ -96,6 +99,7 @@
         self.reader = True
         self.read_at = float("-inf")
         self._told_at = float("-inf")
+        self.told_fresh_s = TOLD_FRESH_S
         self._wake = Event()
 
     def told(self, equal: bool, known_at: float, now: float) -> None:
@@ -115,7 +119,8 @@
     def _wait_turn(self) -> None:
         """Wait while others read the store and their word is fresh."""
         while not self.reader and self.started and not self.lost:
-            if clock.now() - self._told_at > TOLD_FRESH_S or self._wake.is_set():
+            told_s = clock.now() - self._told_at
+            if told_s > self.told_fresh_s or self._wake.is_set():
                 break
             self._wake.wait(TOLD_STEP_S)
         self._wake.clear()
@@ -284,6 +289,10 @@
         if nodes > STORE_READERS:
             # What is told is dated by the sending of the read, so reads are short.
             self._config_rows.wait_s = READER_WAIT_S
+        round_s = self._server_rows.pace_s + SERVERS_WAIT_S + TOLD_MARGIN_S
+        self._server_rows.told_fresh_s = max(
+            TOLD_FRESH_S, min(round_s, TOLD_PART * drain_s)
+        )
 
     def reads(self, now: float) -> bool:
         """Tell whether this node itself has lately read what operators wrote."""
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -147,6 +147,14 @@
     leaving_servers: tuple[str, ...] = ()
     named: tuple[NamedWeights, ...] = ()
     leaving_lifetimes: tuple[tuple[str, int], ...] = ()
+    # Processor cores, or less where the link is narrow.
+    capacity: float = 1.0
+    # Callers' requests a second.
+    rate_s: float = 0.0
+    # The receiver hears this node again within so many seconds.
+    again_s: float = 0.25
+    # Callers' addresses of the serving nodes, by region, packed.
+    entries: tuple[tuple[str, bytes], ...] = ()
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -3,26 +3,24 @@
 import logging
 import random
 import socket
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 import gevent
 import msgspec
 from gevent.event import Event
+from msgspec.structs import replace
 
 from arbutusyard import clock
 from arbutusyard.app import Application
 from arbutusyard.fleet.const import (
-    BEAT_FANOUT,
-    BEAT_INTERVAL_LARGE_S,
-    BEAT_INTERVAL_S,
     BEAT_PAUSE_S,
+    BEAT_TURN,
+    ENTRIES_FRESH_S,
+    LARGE_FLEET,
     MAX_DATAGRAM_BYTES,
     NEWS_FANOUT,
-    PEER_FORGET_S,
     PEER_REGISTER_RETRY_S,
-    PEER_SILENT_BEATS,
-    PEER_SILENT_S,
+    READER_KEEP_S,
     SENT_KEPT,
     SERVER_NEWS_DELAY_S,
     STORE_READERS,
@@ -40,157 +38,15 @@
     ServerLoad,
     ServerNews,
 )
+from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.exceptions import PlatformError
 from arbutusyard.supervisor import Restart, Supervisor
 
 _LOGGER = logging.getLogger(__name__)
 
-
-@dataclass(slots=True)
-class Peer:
-    """Hold the newest beat of another node, when it came, and the node's loads.
-
-    `news` numbers the loads that are newer than the beat, `notes` the word on engines.
-    """
-
-    beat: Beat
-    heard_at: float
-    loads: dict[str, ServerLoad] = field(default_factory=dict)
-    news: dict[str, int] = field(default_factory=dict)
-    notes: dict[str, int] = field(default_factory=dict)
-
-
-class PeerTable:
-    """Keep the other nodes' datagrams and the sum of their loads."""
-
-    __slots__ = ("_past", "_totals", "me", "peers")
-
-    def __init__(self, me: str) -> None:
-        self.me = me
-        self.peers: dict[str, Peer] = {}
-        self._past: dict[str, set[int]] = {}
-        self._totals: dict[str, list[int]] = {}
-
-    def take(self, beat: Beat, now: float) -> bool:
-        """Take a datagram; return False when it is old or this node's own."""
-        if beat.name == self.me:
-            return False
-        past = self._past.setdefault(beat.name, set())
-        if beat.incarnation in past:
-            return False
-        peer = self.peers.get(beat.name)
-        if peer is not None:
-            if peer.beat.incarnation != beat.incarnation:
-                # Clocks may go back, so a new number is newer whatever its size.
-                past.add(peer.beat.incarnation)
-            elif beat.seq <= peer.beat.seq:
-                return False
-        if peer is None or peer.beat.ready is not beat.ready:
-            _LOGGER.info(
-                "Node %s is %s",
-                beat.name,
-                "ready" if beat.ready else "not ready",
-                extra={"peer": beat.name, "leaving": beat.leaving},
-            )
-        self._replace(beat, peer, now)
-        return True
-
-    def _replace(self, beat: Beat, old: Peer | None, now: float) -> None:
-        """Put a beat in the place of the last one; news that is newer holds."""
-        peer = Peer(beat, now, {load.server_id: load for load in beat.loads})
-        if old is not None:
-            self._count(old.loads.values(), -1)
-            if old.beat.incarnation == beat.incarnation:
-                for server_id, seq in old.news.items():
-                    if seq > beat.seq:
-                        peer.loads[server_id] = old.loads[server_id]
-                        peer.news[server_id] = seq
-                peer.notes = {
-                    server_id: seq
-                    for server_id, seq in old.notes.items()
-                    if seq > beat.seq
-                }
-        self.peers[beat.name] = peer
-        self._count(peer.loads.values(), 1)
-
-    def take_news(self, news: LoadNews) -> bool:
-        """Take a node's load at one server; return False when it is old."""
-        peer = self.peers.get(news.name)
-        if peer is None or peer.beat.incarnation != news.incarnation:
-            return False
-        server_id = news.load.server_id
-        if news.seq <= max(peer.beat.seq, peer.news.get(server_id, 0)):
-            return False
-        known = peer.loads.get(server_id)
-        if known is not None:
-            self._count((known,), -1)
-        peer.loads[server_id] = news.load
-        peer.news[server_id] = news.seq
-        self._count((news.load,), 1)
-        return True
-
-    def take_engine_news(self, news: EngineNews) -> bool:
-        """Take a node's word on one engine; return False when it is old."""
-        peer = self.peers.get(news.name)
-        if peer is None or peer.beat.incarnation != news.incarnation:
-            return False
-        server_id = news.note.server_id
-        if news.seq <= max(peer.beat.seq, peer.notes.get(server_id, 0)):
-            return False
-        peer.notes[server_id] = news.seq
-        return True
-
-    def newest_notes(self, beat: Beat) -> tuple[EngineNote, ...]:
-        """Return a beat's notes on engines, but for those that news has replaced."""
-        newer = self.peers[beat.name].notes
-        return tuple(note for note in beat.engines if note.server_id not in newer)
-
-    def interval_s(self) -> float:
-        """Return the pause between datagrams, by the number of peers."""
-        return BEAT_INTERVAL_LARGE_S if self.large() else BEAT_INTERVAL_S
-
-    def large(self) -> bool:
-        """Tell whether a datagram reaches only a part of the peers."""
-        return len(self.peers) > BEAT_FANOUT
-
-    def silent_after_s(self) -> float:
-        """Return how long a peer may be silent, by the number of peers."""
-        if not self.large():
-            return PEER_SILENT_S
-        rounds = len(self.peers) / BEAT_FANOUT
-        return PEER_SILENT_BEATS * rounds * self.interval_s()
-
-    def alive(self, now: float) -> list[Beat]:
-        """Return the newest datagrams of the peers that were heard lately."""
-        limit_s = self.silent_after_s()
-        return [p.beat for p in self.peers.values() if now - p.heard_at <= limit_s]
-
-    def sweep(self, now: float) -> None:
-        """Stop counting what silent peers had in flight; forget the long silent."""
-        limit_s = self.silent_after_s()
-        for name, peer in list(self.peers.items()):
-            age_s = now - peer.heard_at
-            if age_s > limit_s and peer.loads:
-                self._count(peer.loads.values(), -1)
-                peer.loads = {}
-                peer.news = {}
-                _LOGGER.warning("Node %s is silent", name, extra={"peer": name})
-            if age_s > PEER_FORGET_S:
-                del self.peers[name]
-
-    def load(self, server_id: str) -> tuple[int, int]:
-        """Return requests and prompt tokens that the peers have at a server."""
-        total = self._totals.get(server_id)
-        return (total[0], total[1]) if total is not None else (0, 0)
-
-    def _count(self, loads: Iterable[ServerLoad], sign: int) -> None:
-        for item in loads:
-            total = self._totals.setdefault(item.server_id, [0, 0])
-            total[0] += sign * item.in_flight
-            total[1] += sign * item.prompt_tokens
-            if total == [0, 0]:
-                del self._totals[item.server_id]
+# An IPv4 address and a port.
+ADDRESS_BYTES = 6
 
 
 class PeerCoordinator:
@@ -207,6 +63,7 @@
         "_incarnation",
         "_leaving",
         "_news",
+        "_readers",
         "_registered",
         "_replaced",
         "_rng",
@@ -215,6 +72,7 @@
         "_silent",
         "_socket",
         "_supervisor",
+        "_told_often",
         "on_beat",
         "on_confirmation",
         "on_engines",
@@ -243,6 +101,7 @@
         self._domain = failure_domain
         self._incarnation = incarnation
         self._news = Event()
+        self._readers: dict[str, float] = {}
         self._registered = False
         self._leaving: set[tuple[str, int]] = set()
         self._replaced: set[str] = set()
@@ -252,6 +111,7 @@
         self._sent_at: dict[int, float] = {}
         self._socket: socket.socket | None = None
         self._supervisor: Supervisor | None = None
+        self._told_often: set[str] = set()
         self.on_beat: Callable[[Beat, float], None] = lambda beat, now: None
         self.on_confirmation: Callable[[Confirmation, float, float], None] = (
             lambda told, known_at, now: None
@@ -286,19 +146,71 @@
 
     def send(self) -> None:
         """Send this node's datagram to the others, or to a part of many."""
-        data = msgspec.msgpack.encode(self._describe(self._next_seq()))
+        now = clock.now()
+        seq = self._next_seq()
+        beat = self._describe(seq)
+        self.table.set_own(beat)
+        if len(self._addresses) <= LARGE_FLEET:
+            self._send_beat(beat, self._addresses, self.table.interval_s(now))
+            return
+        self._send_large(beat, seq, now)
+
+    def _send_large(self, beat: Beat, seq: int, now: float) -> None:
+        """Tell serving nodes all, those that read the store and some others less."""
+        interval_s = self.table.interval_s(now)
+        brief = replace(beat, loads=(), parts=(), stores=(), silent=())
+        whole: set[str] = set()
+        if self.table.serves(self.table.me, now):
+            whole = self._serving_addresses(now)
+            brief = replace(brief, entries=self._pack_entries(now))
+        readers = self._reader_addresses(now) - whole
+        others = sorted(self._addresses - whole - readers)
+        turns = max(1, -(-len(others) // BEAT_TURN))
+        start = seq * BEAT_TURN % max(1, len(others))
+        turn = set((others + others)[start : start + BEAT_TURN])
+        # Whoever expects the next beat sooner than in its turn hears the change.
+        turn |= (self._told_often - whole - readers) & set(others)
+        self._told_often = whole | readers
+        self._send_beat(beat, whole, interval_s)
+        self._send_beat(brief, readers, interval_s)
+        self._send_beat(brief, turn, turns * interval_s)
+
+    def _send_beat(self, beat: Beat, addresses: set[str], again_s: float) -> None:
+        if not addresses:
+            return
+        data = msgspec.msgpack.encode(replace(beat, again_s=again_s))
         if len(data) > MAX_DATAGRAM_BYTES:
             _LOGGER.error("A datagram of %d bytes is not sent", len(data))
             return
-        addresses = sorted(self._addresses)
-        if len(addresses) > BEAT_FANOUT:
-            start = self._seq * BEAT_FANOUT % len(addresses)
-            part = (addresses + addresses)[start : start + BEAT_FANOUT]
-            # Readers date what they tell by what they last heard of this node.
-            addresses = sorted({*part, *self._reader_addresses()})
         for address in addresses:
             self._send_to(address, data)
 
+    def _serving_addresses(self, now: float) -> set[str]:
+        return {
+            beat.peer_address
+            for beat in self.table.alive(now)
+            if self.table.serves(beat.name, now)
+        }
+
+    def _pack_entries(self, now: float) -> tuple[tuple[str, bytes], ...]:
+        """Return callers' addresses of the serving nodes, by region."""
+        by_region: dict[str, list[str]] = {}
+        for node in self.table.ranked(now):
+            by_region.setdefault(node.region, []).append(node.callers_address)
+        return tuple(
+            (region, pack_addresses(addresses))
+            for region, addresses in by_region.items()
+        )
+
+    def told_entries(self, now: float) -> dict[str, list[str]] | None:
+        """Return what serving nodes have lately told one that stands by."""
+        table = self.table
+        if not table.large() or table.serves(table.me, now):
+            return None
+        if now - table.entries_at > ENTRIES_FRESH_S:
+            return None
+        return {region: unpack_addresses(data) for region, data in table.entries}
+
     def _next_seq(self) -> int:
         """Return the next datagram's number and remember when it is sent."""
         self._seq += 1
@@ -352,7 +264,10 @@
 
     def _send_news(self, news: LoadNews | EngineNews | ServerNews) -> None:
         data = msgspec.msgpack.encode(news)
-        beats = self.table.alive(clock.now())
+        now = clock.now()
+        beats = self.table.alive(now)
+        if self.table.large():
+            beats = [beat for beat in beats if self.table.serves(beat.name, now)]
         if len(beats) > NEWS_FANOUT:
             beats.sort(key=lambda beat: beat.failure_domain != self._domain)
         for beat in beats[:NEWS_FANOUT]:
@@ -377,7 +292,8 @@
             self.on_tick(now)
             self.send()
             gevent.sleep(BEAT_PAUSE_S)
-            self._news.wait(self.table.interval_s() * self._rng.uniform(0.9, 1.1))
+            pause_s = self.table.interval_s(clock.now())
+            self._news.wait(pause_s * self._rng.uniform(0.9, 1.1))
 
     def _receive_forever(self) -> None:
         while True:
@@ -391,7 +307,7 @@
             match datagram:
                 case Beat():
                     if self.table.take(datagram, now):
-                        self._addresses.add(datagram.peer_address)
+                        self._meet(datagram, now)
                         self.on_beat(datagram, now)
                         self.on_engines(self.table.newest_notes(datagram), now)
                 case Confirmation():
@@ -408,17 +324,35 @@
     def _take_confirmation(self, told: Confirmation, now: float) -> None:
         sent_at = self._sent_at.get(told.echo)
         if sent_at is not None and told.incarnation == self._incarnation:
+            peer = self.table.peers.get(told.name)
+            if peer is not None:
+                self._readers[peer.beat.peer_address] = now
             self.on_confirmation(told, sent_at, now)
 
     def reads_for_others(self, now: float) -> bool:
         """Tell whether this node is one of the few that read the store for all."""
-        ready = [beat.name for beat in self.table.alive(now) if beat.ready]
-        return sum(name < self.table.me for name in ready) < STORE_READERS
-
-    def _reader_addresses(self) -> list[str]:
-        ready = [beat for beat in self.table.alive(clock.now()) if beat.ready]
-        ready.sort(key=lambda beat: beat.name)
-        return [beat.peer_address for beat in ready[:STORE_READERS]]
+        return self.table.place(now) < STORE_READERS
+
+    def _reader_addresses(self, now: float) -> set[str]:
+        """Return the nodes that date what they tell by what they hear of this one."""
+        for address, told_at in list(self._readers.items()):
+            if now - told_at > READER_KEEP_S:
+                del self._readers[address]
+        ready = [node for node in self.table.ranked(now) if node.ready]
+        first = (node.peer_address for node in ready[:STORE_READERS])
+        return {*self._readers, *first} - {self._address}
+
+    def _meet(self, beat: Beat, now: float) -> None:
+        """Tell a node that was not known of this one, if callers are sent here."""
+        known = beat.peer_address in self._addresses
+        self._addresses.add(beat.peer_address)
+        if known or not self.table.large() or not self._registered:
+            return
+        if self.table.serves(self.table.me, now) and self.table.own is not None:
+            entries = self._pack_entries(now)
+            own = replace(self.table.own, seq=self._next_seq(), entries=entries)
+            self._send_beat(own, {beat.peer_address}, self.table.interval_s(now))
+            self._told_often.add(beat.peer_address)
 
     def heard(self) -> list[Beat]:
         """Return the newest datagrams of the living peers."""
@@ -452,4 +386,31 @@
                 self._addresses.add(node.peer_address)
         self._registered = True
         _LOGGER.info("Node is registered; %d others are known", len(self._addresses))
-        self.send()
+        self._greet(clock.now())
+
+    def _greet(self, now: float) -> None:
+        """Tell all nodes of this one once, whoever hears of it in turn afterwards."""
+        beat = self._describe(self._next_seq())
+        self.table.set_own(beat)
+        turns = len(self._addresses) / BEAT_TURN
+        again_s = max(1.0, turns) * self.table.interval_s(now)
+        self._send_beat(beat, self._addresses, again_s)
+
+
+def pack_addresses(addresses: list[str]) -> bytes:
+    """Pack IP:port addresses into six bytes each."""
+    packed = bytearray()
+    for address in addresses:
+        host, port = address.rsplit(":", 1)
+        packed += socket.inet_aton(host) + int(port).to_bytes(2)
+    return bytes(packed)
+
+
+def unpack_addresses(packed: bytes) -> list[str]:
+    """Unpack addresses; bytes that are no whole address are left out."""
+    whole = len(packed) - len(packed) % ADDRESS_BYTES
+    return [
+        f"{socket.inet_ntoa(packed[at : at + 4])}:"
+        f"{int.from_bytes(packed[at + 4 : at + ADDRESS_BYTES])}"
+        for at in range(0, whole, ADDRESS_BYTES)
+    ]
--- a/arbutusyard/gateway/directory.py
+++ b/arbutusyard/gateway/directory.py
@@ -1,5 +1,6 @@
 """Choose the entry nodes that callers are told."""
 
+import random
 from dataclasses import dataclass
 
 from arbutusyard.gateway.const import DIRECTORY_MAX
@@ -14,10 +15,11 @@
     ready: bool
 
 
-def choose_entries(nodes: list[Entry], region: str) -> list[str]:
+def choose_entries(nodes: list[Entry], region: str, rng: random.Random) -> list[str]:
     """Return the addresses of ready nodes, those of the caller's region if any.
 
-    In an outage of the store no node is ready, and all that live are returned.
+    In an outage of the store no node is ready, and all that live are returned. Of more
+    than an answer holds, each answer names others.
     """
     for wanted in (
         [node for node in nodes if node.ready and node.region == region],
@@ -25,5 +27,8 @@
         nodes,
     ):
         if wanted:
-            return sorted(node.address for node in wanted)[:DIRECTORY_MAX]
+            addresses = sorted(node.address for node in wanted)
+            if len(addresses) > DIRECTORY_MAX:
+                return rng.sample(addresses, DIRECTORY_MAX)
+            return addresses
     return []
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -6,7 +6,7 @@
 
 from arbutusyard import clock
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.admission import Admission
 from arbutusyard.gateway.caller import CallerConnection
@@ -198,7 +198,7 @@
     def _connection_cap(self, service: str, now: float) -> int:
         catalog = self._knowledge.catalog
         known = catalog.cfg.services.get(service) if catalog else None
-        nodes = len(self._peers.alive(now)) + 1
+        nodes = self._peers.sharers(now)
         return connection_cap(known.max_connections if known else 0, nodes)
 
     def _take_answer(
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -1,9 +1,11 @@
 """Put readiness, the directory and the other nodes' view of this one together."""
 
 import logging
+import random
 
 import gevent
 from gevent.pywsgi import WSGIServer
+from msgspec.structs import replace
 
 from arbutusyard import clock
 from arbutusyard.app import Application
@@ -46,6 +48,7 @@
         "_peers",
         "_pool",
         "_relay",
+        "_rng",
         "_router",
         "_servers",
         "_started_at",
@@ -68,6 +71,7 @@
         self._incarnation = incarnation
         self._knowledge = knowledge
         self._relay = relay
+        self._rng = random.Random(cfg.name)
         self._router = router
         self._pool = pool
         self._ingress = ingress
@@ -152,16 +156,24 @@
         return self._knowledge.config_age_s(now) < limit_s
 
     def directory(self, region: str, now: float) -> list[str]:
-        """Return the addresses that callers of a region may use, own one included."""
-        nodes = [
-            Entry(beat.callers_address, beat.region, beat.ready)
-            for beat in self._peers.table.alive(now)
-            if not beat.leaving
-        ]
-        if not self._relay.leaving:
-            cfg = self._cfg
-            nodes.append(Entry(cfg.callers_address, cfg.region, self.ready(now)))
-        return choose_entries(nodes, region)
+        """Return the addresses that callers of a region may use."""
+        table = self._peers.table
+        if table.own is not None:
+            leaving = self._relay.leaving
+            table.set_own(replace(table.own, ready=self.ready(now), leaving=leaving))
+        told = self._peers.told_entries(now)
+        if told is not None:
+            nodes = [
+                Entry(address, place, True)
+                for place, addresses in told.items()
+                for address in addresses
+            ]
+        else:
+            nodes = [
+                Entry(beat.callers_address, beat.region, beat.ready)
+                for beat in table.ranked(now)
+            ]
+        return choose_entries(nodes, region, self._rng)
 
     def describe(self, seq: int) -> Beat:
         """Return what the other nodes should know of this one."""
@@ -190,6 +202,8 @@
             leaving_servers=self._knowledge.servers.leaving(now),
             named=self._knowledge.named_ages(now),
             leaving_lifetimes=self._knowledge.servers.said_leaving(),
+            capacity=self._cfg.capacity,
+            rate_s=self._relay.rate.rate_s(now),
         )
 
     def _take_confirmation(
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -6,7 +6,8 @@
 
 from arbutusyard import clock
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.fleet.peer_table import PeerTable
+from arbutusyard.fleet.serving import RateMeter
 from arbutusyard.gateway.admission import Admission, Admitted
 from arbutusyard.gateway.caller import CallerConnection
 from arbutusyard.gateway.const import (
@@ -39,6 +40,7 @@
         "_metrics",
         "_peers",
         "_router",
+        "rate",
     )
 
     def __init__(
@@ -56,6 +58,7 @@
         self._peers = peers
         self._router = router
         self._metrics = metrics
+        self.rate = RateMeter()
         self._budget = RetryBudget(cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s)
 
     @property
@@ -75,6 +78,7 @@
     def serve(self, req: CallerRequest, conn: CallerConnection) -> None:
         """Answer a request; raise CallerGone when its caller left."""
         now = clock.now()
+        self.rate.count(now)
         match self._admission.admit(req, now):
             case Refusal() as refusal:
                 self._refuse(req, conn, refusal, now)
@@ -116,7 +120,7 @@
                     continue
                 return self._give_up(exchange, "no_server")
             if exchange.tries and not self._budget.take(
-                exchange.service, len(self._peers.alive(now)) + 1, now
+                exchange.service, self._peers.sharers(now), now
             ):
                 return self._give_up(exchange, "retry_budget")
             exchange.placement = placement
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -10,7 +10,7 @@
 from arbutusyard.fleet.const import PART_NOTE_BEATS
 from arbutusyard.fleet.knowledge import Knowledge
 from arbutusyard.fleet.messages import EngineNote, PartNote, ServerLoad
-from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
 from arbutusyard.routing.chain import rank
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -27,3 +27,5 @@
     directory_keep_max_s: float
     max_fds: int
     metrics_address: str = ""
+    # Processor cores, or less where the link is narrow.
+    capacity: float = 1.0
--- a/arbutusyard/platform/settings.py
+++ b/arbutusyard/platform/settings.py
@@ -10,6 +10,8 @@
 from arbutusyard.gateway.settings import NodeSettings
 
 SETTINGS_VARIABLE: Final = "ARBUTUSYARD_CONFIG"
+# A core's requests and its datagrams fill about so much of a link, with room to spare.
+LINK_MBPS_PER_CORE: Final = 10.0
 
 
 class Listen(Struct):
@@ -46,6 +48,10 @@
 
     memory_mb: float = 128
     max_fds: int = 1024
+    # The part of one core, and that core's speed against others.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class SettingsFile(Struct):
@@ -110,6 +116,12 @@
     return errors
 
 
+def _capacity(limits: VmLimits) -> float:
+    """Return what a VM can carry, in cores; a narrow link counts as fewer."""
+    cores = limits.cpu_share * limits.cores
+    return min(cores, limits.link_mbps / LINK_MBPS_PER_CORE)
+
+
 def _settings(file: SettingsFile, metrics_port: int) -> NodeSettings:
     bounds = file.bounds
     # Nodes talk to each other on the control port where there is one, since the
@@ -135,5 +147,6 @@
         weights_s=bounds.version_ms / MS_PER_S,
         directory_keep_max_s=bounds.ttl_max_s,
         max_fds=file.limits.max_fds,
+        capacity=_capacity(file.limits),
         metrics_address=f"{file.ip}:{metrics_port}",
     )
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -272,16 +272,24 @@
         return all(beat.leaving for beat in holders) and self._comes_next(now)
 
     def _comes_next(self, now: float) -> bool:
-        """Tell whether this node would lead next: the longest up, then by name."""
+        """Tell whether this node would lead next: the longest up, then by name.
+
+        Only nodes that take callers hear what waits at the engines.
+        """
         if not self._ready(now) or not self._knowledge.reads(now):
             return False
-        mine = (-int(self._up_s(now) / UP_STEP_S), self._node)
+        mine = self._claim(self._node, self._up_s(now), now)
         return all(
-            mine < (-int(beat.up_s / UP_STEP_S), beat.name)
+            mine < self._claim(beat.name, beat.up_s, now)
             for beat in self._peers.table.alive(now)
             if beat.ready and beat.reads
         )
 
+    def _claim(self, name: str, up_s: float, now: float) -> tuple[bool, int, str]:
+        """Return a node's place in the order in which nodes lead, least first."""
+        stands_by = not self._peers.table.serves(name, now)
+        return (stands_by, -int(up_s / UP_STEP_S), name)
+
     def _start(self, model: str, server: Server) -> None:
         self._loading.add(server.lifetime)
         self._supervisor.spawn("load", self._load, model, server, restart=Restart.NEVER)
--- a/tests/fleet/test_caches.py
+++ b/tests/fleet/test_caches.py
@@ -10,7 +10,7 @@
 from arbutusyard.fleet.caches import CacheWatcher
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.gateway.models import CacheStore, Configuration, IngressLimits
 from arbutusyard.platform.servers import ServerClient
 from arbutusyard.routing.parts import PartMap, part_key
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -10,7 +10,7 @@
 from arbutusyard.app import Application
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.peers import PeerTable
+from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.gateway.ingress import Ingress
 from arbutusyard.gateway.models import (
     Account,
