--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -185,7 +185,7 @@
     def _run(self, sock, request):
         fault = self.fault if self._rng.random() < SPOILED_PART else ""
         if fault == "shed":
-            sock.sendall(not_run(request))
+            sock.sendall(not_run(request, headers="Retry-After: 0.7\r\n"))
             return
         run = self._ledger.start_run(self.server_id, request)
         gevent.sleep(self._rng.uniform(0, 2 * WORK_S))
@@ -195,6 +195,8 @@
             request.last = True
             return
         stamp = STAMP.format(self.server_id)
+        if self.state == "draining":
+            stamp += "Server-Leaving: 1\r\n"
         if self.engine:
             self._stream(sock, request, stamp, fault)
         elif fault == "errors":
@@ -210,6 +212,14 @@
             if fault == "extra":
                 sock.sendall(data)
         run.whole = True
+        if fault == "extra" and request.headers["request-id"][-1] in "02468ace":
+            self._babble(sock)
+
+    def _babble(self, sock):
+        """Send bytes that are no answer until the other side closes."""
+        while True:
+            sock.sendall(b"\x00" * 4096)
+            gevent.sleep(GAP_S)
 
     def _stream(self, sock, request, stamp, fault):
         request_id = request.headers["request-id"]
