Let serving nodes that were cut off speak first, and keep turns even

Cause: found in reading: two serving nodes that a cut made silent for each other would both have told the other only in its turn, up to 12 s later at 195 nodes; and turns went by the beat's number, which news advances as well, so some nodes could be missed for several rounds and taken for silent. Both checks fail on the code before. Change: whoever served within 10 s still hears whole beats; turns have a count of their own. Ruled out: answering each beat (doubles them).

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -69,6 +69,9 @@
 RANK_KEEP_S: Final = 0.5
 # A node that stands by tells callers what serving nodes have told it so lately.
 ENTRIES_FRESH_S: Final = 3.0
+# Who served so lately still hears whole beats: after a cut both sides take each other
+# for silent, and one has to speak first.
+SERVING_KEEP_S: Final = 10.0
 # Whoever has lately told this node of reads of the store hears its every beat.
 READER_KEEP_S: Final = 4.0
 # News of servers waits up to so long, so that of many nodes that find the same only the
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -23,6 +23,7 @@
     READER_KEEP_S,
     SENT_KEPT,
     SERVER_NEWS_DELAY_S,
+    SERVING_KEEP_S,
     STORE_READERS,
     TABLE_NODES,
 )
@@ -69,10 +70,12 @@
         "_rng",
         "_sent_at",
         "_seq",
+        "_served_at",
         "_silent",
         "_socket",
         "_supervisor",
         "_told_often",
+        "_turn",
         "on_beat",
         "on_confirmation",
         "on_engines",
@@ -108,10 +111,12 @@
         self._silent: set[str] = set()
         self._rng = random.Random(name)
         self._seq = 0
+        self._served_at: dict[str, float] = {}
         self._sent_at: dict[int, float] = {}
         self._socket: socket.socket | None = None
         self._supervisor: Supervisor | None = None
         self._told_often: set[str] = set()
+        self._turn = 0
         self.on_beat: Callable[[Beat, float], None] = lambda beat, now: None
         self.on_confirmation: Callable[[Confirmation, float, float], None] = (
             lambda told, known_at, now: None
@@ -147,15 +152,14 @@
     def send(self) -> None:
         """Send this node's datagram to the others, or to a part of many."""
         now = clock.now()
-        seq = self._next_seq()
-        beat = self._describe(seq)
+        beat = self._describe(self._next_seq())
         self.table.set_own(beat)
         if len(self._addresses) <= LARGE_FLEET:
             self._send_beat(beat, self._addresses, self.table.interval_s(now))
             return
-        self._send_large(beat, seq, now)
+        self._send_large(beat, now)
 
-    def _send_large(self, beat: Beat, seq: int, now: float) -> None:
+    def _send_large(self, beat: Beat, now: float) -> None:
         """Tell serving nodes all, those that read the store and some others less."""
         interval_s = self.table.interval_s(now)
         brief = replace(beat, loads=(), parts=(), stores=(), silent=())
@@ -166,7 +170,8 @@
         readers = self._reader_addresses(now) - whole
         others = sorted(self._addresses - whole - readers)
         turns = max(1, -(-len(others) // BEAT_TURN))
-        start = seq * BEAT_TURN % max(1, len(others))
+        self._turn += 1
+        start = self._turn * BEAT_TURN % max(1, len(others))
         turn = set((others + others)[start : start + BEAT_TURN])
         # Whoever expects the next beat sooner than in its turn hears the change.
         turn |= (self._told_often - whole - readers) & set(others)
@@ -186,11 +191,14 @@
             self._send_to(address, data)
 
     def _serving_addresses(self, now: float) -> set[str]:
-        return {
-            beat.peer_address
-            for beat in self.table.alive(now)
-            if self.table.serves(beat.name, now)
-        }
+        """Return the nodes that serve, or did so lately."""
+        for beat in self.table.alive(now):
+            if self.table.serves(beat.name, now):
+                self._served_at[beat.peer_address] = now
+        for address, served_at in list(self._served_at.items()):
+            if now - served_at > SERVING_KEEP_S:
+                del self._served_at[address]
+        return set(self._served_at)
 
     def _pack_entries(self, now: float) -> tuple[tuple[str, bytes], ...]:
         """Return callers' addresses of the serving nodes, by region."""
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -252,6 +252,36 @@
     assert often <= {address for address, _ in sent}
 
 
+def test_serving_nodes_that_were_cut_off_from_each_other_speak_first(sent):
+    now = clock.now()
+    peers = large_fleet(now=now)
+    first, second = peers.table.ranked(now)[:2]
+    peers = large_fleet(first.name, now=now)
+    peers.table.take(replace(second, seq=2, again_s=0.5), now)
+    peers.send()
+    peers.table.peers[second.name].heard_at = now - 3.0
+    peers.table._ranked_at = float("-inf")
+    assert second.name not in {node.name for node in peers.table.ranked(now)}
+    sent.clear()
+    peers.send()
+    assert second.peer_address in {a for a, b in sent if b.again_s < 1.0}
+
+
+def test_nodes_that_stand_by_hear_a_busy_one_in_turn(sent):
+    # News takes numbers too, so the turn must not go by a beat's number.
+    now = clock.now()
+    peers = large_fleet(now=now)
+    me = peers.table.ranked(now)[0].name
+    peers = large_fleet(me, now=now)
+    heard = set()
+    for _ in range(23):
+        peers.send()
+        for _ in range(7):
+            peers._next_seq()
+    heard = {address for address, datagram in sent if datagram.again_s > 1.0}
+    assert len(heard) == 195 - SERVING_MIN
+
+
 def test_callers_ask_a_node_that_stands_by_and_are_told_the_serving_ones():
     now = clock.now()
     peers = large_fleet(now=now)
