Throw away what a link still holds of a request whose caller left

Closing a socket leaves the bytes in the kernel's queue, and a narrow link holds long prompts for a second and more. Besides, a busy node reads a request and its caller's end together and sent it on over a kept connection before the end was looked at.

Ruled out: the writer of a long body (it ends when the socket is closed); late notice by the node (9 ms).

Change: a connection without a complete answer is reset, so what was not sent is dropped; just before a request is sent its caller's end is looked for.

--- a/arbutusyard/gateway/caller.py
+++ b/arbutusyard/gateway/caller.py
@@ -117,6 +117,21 @@
         finally:
             self._sock.settimeout(limit_s)
 
+    def ended(self) -> bool:
+        """Tell whether the caller's end waits to be read, with no byte before it."""
+        if self._eof:
+            return True
+        limit_s = self._sock.gettimeout()
+        self._sock.settimeout(0.0)
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self._sock.settimeout(limit_s)
+
     def reusable(self) -> bool:
         """Prepare for the next request; return False when there is none to come."""
         if self._eof or self._h11.our_state is not h11.DONE:
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -2,7 +2,8 @@
 
 import enum
 import logging
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from arbutusyard import clock
 from arbutusyard.fleet.knowledge import Knowledge
@@ -25,6 +26,7 @@
 from arbutusyard.gateway.exceptions import (
     AnswerBroken,
     AnswerLate,
+    CallerGone,
     NotSent,
     Unreachable,
 )
@@ -57,8 +59,7 @@
     LATE = "late"
 
 
-@dataclass(slots=True)
-class Exchange:
+class Exchange(Struct):
     """Hold the progress of one request."""
 
     req: CallerRequest
@@ -115,6 +116,9 @@
         try:
             conn = self._pool.acquire(server, cap, now)
             conn.on_quiet = lambda: self._abandons(exchange, server)
+            if exchange.conn.ended():
+                # On a busy node a caller's request and its end are read together.
+                raise CallerGone("the caller left before its request was sent on")
             self._send(exchange, placement, conn)
             head = conn.read_head(exchange.req.request_id, exchange.until)
             result = self._take_answer(exchange, placement, conn, head)
@@ -139,7 +143,7 @@
             if conn is not None and whole is not None:
                 self._pool.release(conn, whole, clock.now())
             elif conn is not None:
-                self._pool.discard(conn)
+                self._pool.abort(conn)
         return result
 
     def _send(
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -1,8 +1,11 @@
 """Keep connections to backend servers."""
 
+import contextlib
 import logging
 import socket
+import struct
 from collections.abc import Callable
+from typing import Final
 
 import gevent
 import h11
@@ -39,6 +42,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# On, and no second of waiting: the kernel resets the connection.
+NO_LINGER: Final = struct.pack("ii", 1, 0)
+
 
 class ServerConnection:
     """Hold one connection to a backend server, for one request at a time."""
@@ -187,6 +193,15 @@
         """Close the connection, which makes the server stop its work."""
         self._sock.close()
 
+    def abort(self) -> None:
+        """Close the connection and throw away what was not sent yet.
+
+        A narrow link may hold a long request for seconds after its caller left.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self._sock.close()
+
     def _pass_over(self, until: float) -> None:
         while self.read_data(until) is not None:
             pass
@@ -283,6 +298,14 @@
     def discard(self, conn: ServerConnection) -> None:
         """Close a connection."""
         conn.close()
+        self._count_closed(conn)
+
+    def abort(self, conn: ServerConnection) -> None:
+        """Close a connection whose request is not wanted any more."""
+        conn.abort()
+        self._count_closed(conn)
+
+    def _count_closed(self, conn: ServerConnection) -> None:
         left = self._open.get(conn.lifetime, 0) - 1
         if left > 0:
             self._open[conn.lifetime] = left
