Start nodes with fewer libraries, and load the metrics when they are read

Imports of a node took 466 ms of processor time (least of six, beside load): urllib3 with ssl, http2 and importlib.metadata, 33 data classes whose methods are compiled at each start, ssl and subprocess patches that no node uses. Two seconds after its start each node then loaded the metrics library, 113 to 138 ms of processor time in one piece, a quarter of a second without any answer on half a core, on all nodes at once.

Ruled out: gevent itself and zope.interface (no way without them).

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from typing import Final
 
-import gevent
-
 from arbutusyard import clock
 from arbutusyard.app import Application
 from arbutusyard.fleet.caches import CacheWatcher
@@ -24,8 +22,6 @@
 from arbutusyard.platform.servers import ServerClient
 from arbutusyard.weights.coordinator import WeightsCoordinator
 
-# The metrics library is loaded once the node is ready and callers are served.
-METRICS_DELAY_S: Final = 2.0
 # Requests begin to run a while after they are sent.
 WEIGHTS_MARGIN_S: Final = 1.5
 
@@ -41,7 +37,6 @@
     knowledge = Knowledge(store)
     pool = ServerPool()
     metrics = DeferredMetrics()
-    gevent.spawn_later(METRICS_DELAY_S, metrics.load)
     peers = PeerCoordinator(
         cfg.name,
         cfg.peer_address,
--- a/arbutusyard/cli/node_start.py
+++ b/arbutusyard/cli/node_start.py
@@ -15,7 +15,8 @@
     # No plugin of gevent is used; the search for them reads the metadata of every
     # installed package some twenty times, a quarter of a start's processor time.
     events.notify_and_call_entry_points = events.notify
-    monkey.patch_all()
+    # A node speaks no TLS and starts no process.
+    monkey.patch_all(ssl=False, subprocess=False)
 
 import os
 import sys
--- a/arbutusyard/control/leases.py
+++ b/arbutusyard/control/leases.py
@@ -2,8 +2,8 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 import msgspec
 from msgspec import Struct
@@ -29,8 +29,7 @@
     beat: int
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseTimes:
+class LeaseTimes(Struct, frozen=True):
     """Hold how long a lease lasts and how long its orders may be under way, in s."""
 
     lease_s: float = LEASE_S
@@ -38,6 +37,9 @@
     delivery_s: float = DELIVERY_MAX_S
 
 
+LEASE_TIMES: Final = LeaseTimes()
+
+
 class LeaseState(Enum):
     """Name whether this node holds a lease."""
 
@@ -74,7 +76,7 @@
         group: str,
         owner: str,
         clock: Callable[[], float],
-        times: LeaseTimes = LeaseTimes(),
+        times: LeaseTimes = LEASE_TIMES,
         sole: bool = False,
     ) -> None:
         self._clock = clock
--- a/arbutusyard/fleet/peer_table.py
+++ b/arbutusyard/fleet/peer_table.py
@@ -2,7 +2,8 @@
 
 import logging
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from arbutusyard.fleet.const import (
     BEAT_INTERVAL_LARGE_S,
@@ -27,8 +28,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(Struct):
     """Hold the newest beat of another node, when it came, and the node's loads.
 
     `news` numbers the loads that are newer than the beat, `notes` the word on engines.
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -1,9 +1,10 @@
 """Know the backend servers by lifetime, and which of them may take requests."""
 
 import logging
-from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from msgspec import Struct, field
+
 from arbutusyard.fleet.const import (
     FAILURE_HALF_S,
     FAILURE_WEIGHT,
@@ -19,8 +20,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class Server:
+class Server(Struct):
     """Hold what a node knows of one lifetime of a backend server."""
 
     entry: ServerEntry
--- a/arbutusyard/gateway/admission.py
+++ b/arbutusyard/gateway/admission.py
@@ -1,7 +1,8 @@
 """Decide where a request goes, or why it is refused before any server sees it."""
 
 import random
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from arbutusyard.fleet.catalog import pick_service
 from arbutusyard.fleet.knowledge import Knowledge
@@ -14,8 +15,7 @@
 from arbutusyard.gateway.models import Account, CallerRequest, Refusal, Route
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(Struct, frozen=True):
     """Say what a request may use, and how long it may take at most, in seconds."""
 
     route: Route
--- a/arbutusyard/gateway/directory.py
+++ b/arbutusyard/gateway/directory.py
@@ -1,13 +1,13 @@
 """Choose the entry nodes that callers are told."""
 
 import random
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from arbutusyard.gateway.const import DIRECTORY_MAX
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(Struct, frozen=True):
     """Describe a node that callers may connect to."""
 
     address: str
--- a/arbutusyard/gateway/events.py
+++ b/arbutusyard/gateway/events.py
@@ -1,13 +1,12 @@
 """Split a stream into its events."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from arbutusyard.gateway.const import EVENT_BYTES_MAX
 from arbutusyard.gateway.exceptions import AnswerBroken
 
 
-@dataclass(frozen=True, slots=True)
-class StreamEvent:
+class StreamEvent(Struct, frozen=True):
     """Hold one complete event as it came, and its id if it has one."""
 
     data: bytes
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -1,7 +1,8 @@
 """Define the configuration in force, requests and answers."""
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 
 class Repeat(enum.Enum):
@@ -12,16 +13,14 @@
     RESUME = "resume"
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceShare:
+class ServiceShare(Struct, frozen=True):
     """Give a service its weight among those that a route divides requests over."""
 
     service: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """Say where the requests of a host and path prefix go; times in seconds."""
 
     name: str
@@ -38,8 +37,7 @@
     public: bool
 
 
-@dataclass(frozen=True, slots=True)
-class EngineTraits:
+class EngineTraits(Struct, frozen=True):
     """Describe the model engines of a service."""
 
     slots: int
@@ -49,8 +47,7 @@
     models: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class CacheStore:
+class CacheStore(Struct, frozen=True):
     """Describe a store of kept KV cache."""
 
     address: str
@@ -59,8 +56,7 @@
     link_mbps: float
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True):
     """Describe a service and the connections that its servers accept."""
 
     name: str
@@ -68,8 +64,7 @@
     engine: EngineTraits | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Account:
+class Account(Struct, frozen=True):
     """Describe a client account; without a priority the route's holds."""
 
     name: str
@@ -78,8 +73,7 @@
     isolated: bool
 
 
-@dataclass(frozen=True, slots=True)
-class IngressLimits:
+class IngressLimits(Struct, frozen=True):
     """Bound what callers may send; sizes in bytes, times in seconds."""
 
     header_bytes: int = 16_384
@@ -88,8 +82,7 @@
     idle_timeout_s: float = 15.0
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(Struct, frozen=True):
     """Hold one version of what operators configured."""
 
     version: int
@@ -107,8 +100,7 @@
     DRAINING = "draining"
 
 
-@dataclass(frozen=True, slots=True)
-class ServerEntry:
+class ServerEntry(Struct, frozen=True):
     """Describe one lifetime of a backend server, as it registered itself."""
 
     server_id: str
@@ -122,24 +114,21 @@
     cold_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class WeightsTarget:
+class WeightsTarget(Struct, frozen=True):
     """Name the version of a model's weights that operators want in place."""
 
     model: str
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(Struct, frozen=True):
     """Name a part of a prompt and its size."""
 
     part_id: str
     tokens: int
 
 
-@dataclass(slots=True)
-class CallerRequest:
+class CallerRequest(Struct):
     """Hold one client attempt as it was read; times in seconds."""
 
     request_id: str
@@ -159,8 +148,7 @@
     resume_after: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Dispatch:
+class Dispatch(Struct, frozen=True):
     """Say how a request goes to one backend server."""
 
     server_id: str
@@ -174,8 +162,7 @@
     resume_after: str = ""
 
 
-@dataclass(slots=True)
-class AnswerHead:
+class AnswerHead(Struct):
     """Hold the head of a backend server's answer."""
 
     status: int
@@ -196,8 +183,7 @@
     pause_text: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """Hold an answer of our own; `retry_after_s` says when to come back."""
 
     status: int
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -3,9 +3,10 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from hashlib import blake2b
 
+from msgspec import Struct
+
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.const import PART_NOTE_BEATS
 from arbutusyard.fleet.knowledge import Knowledge
@@ -46,8 +47,7 @@
 OLD_WEIGHTS_FREE_S = 1.2
 
 
-@dataclass(slots=True)
-class Prompt:
+class Prompt(Struct):
     """Hold what routing needs of a prompt under one version of the weights."""
 
     salt: str
@@ -57,8 +57,7 @@
     stores: dict[str, int]
 
 
-@dataclass(slots=True)
-class Placement:
+class Placement(Struct):
     """Hold the choice of a server for one try of a request."""
 
     server: Server
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -1,10 +1,9 @@
 """Define the settings of a node."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class NodeSettings:
+class NodeSettings(Struct, frozen=True):
     """Hold what a node is told at its start; addresses are IP:port, times seconds."""
 
     name: str
--- a/arbutusyard/logs/handler.py
+++ b/arbutusyard/logs/handler.py
@@ -90,7 +90,6 @@
     """Send all log lines of a node to standard output."""
     handler = BoundedHandler(sys.stdout.fileno(), node)
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
-    logging.getLogger("urllib3").setLevel(logging.ERROR)
     logging.raiseExceptions = False
     gevent.spawn(handler.write_forever)
     return handler
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -1,23 +1,26 @@
-"""Collect what is to be measured until the metrics library is loaded."""
+"""Collect what is to be measured until the metrics library is needed."""
 
 from collections import deque
 from typing import Any, Final
 
-# Records that wait for the library; a node that starts takes far fewer requests.
+# Records that wait until somebody reads the metrics; beyond that the library is loaded.
 WAITING_MAX: Final = 10_000
 
 
 class DeferredMetrics:
-    """Stand for EntryMetrics while a node starts, so that it serves sooner."""
+    """Stand for EntryMetrics until the metrics are read.
 
-    __slots__ = ("_metrics", "_waiting", "lost")
+    Loading the library stops a small VM for a good part of a second, and nodes that
+    were restarted together would all stop while callers return.
+    """
+
+    __slots__ = ("_metrics", "_waiting")
 
     def __init__(self) -> None:
         self._metrics: Any = None
         self._waiting: deque[tuple[str, tuple]] = deque()
-        self.lost = 0
 
-    def load(self) -> None:
+    def _load(self) -> None:
         """Load the library and hand over what has waited."""
         from arbutusyard.metrics.registry import EntryMetrics
 
@@ -56,13 +59,15 @@
         )
 
     def text(self) -> bytes:
-        """Return every metric in the usual text format; nothing before loading."""
-        return self._metrics.text() if self._metrics is not None else b""
+        """Return every metric in the usual text format."""
+        if self._metrics is None:
+            self._load()
+        return self._metrics.text()
 
     def _pass_on(self, name: str, *args: object) -> None:
+        if self._metrics is None and len(self._waiting) >= WAITING_MAX:
+            self._load()
         if self._metrics is not None:
             getattr(self._metrics, name)(*args)
-        elif len(self._waiting) < WAITING_MAX:
-            self._waiting.append((name, args))
         else:
-            self.lost += 1
+            self._waiting.append((name, args))
--- a/arbutusyard/platform/client.py
+++ b/arbutusyard/platform/client.py
@@ -3,26 +3,20 @@
 import base64
 import binascii
 import logging
-import socket
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
 import msgspec
-import urllib3
-from urllib3.connection import HTTPConnection
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    MaxRetryError,
-    NewConnectionError,
-)
 
 from arbutusyard.const import MS_PER_S
 from arbutusyard.platform.exceptions import (
+    CallUnsettled,
+    ConnectFailed,
     HistoryGone,
     PlatformUnavailable,
     PlatformUnsettled,
 )
+from arbutusyard.platform.http import HttpAnswer, HttpPool
 from arbutusyard.platform.models import (
     Changes,
     Check,
@@ -42,8 +36,6 @@
 READ_TIMEOUT_S: Final = 1.2
 # A write may wait for up to a second of others before it.
 WRITE_TIMEOUT_S: Final = 2.0
-# Unacknowledged bytes close the connection instead of hanging on it.
-TCP_USER_TIMEOUT_MS: Final = 2000
 POOL_SIZE: Final = 8
 PAGE_ROWS: Final = 500
 TABLE_VMS: Final = "vms"
@@ -54,23 +46,20 @@
 PATH_OBJECT_PUT: Final = "/-/blob-put/"
 PATH_OBJECT_GET: Final = "/-/blob-get/"
 
-SOCKET_OPTIONS: Final = [
-    *HTTPConnection.default_socket_options,
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-]
+# Counts how often the store came back from an older copy of its rows.
+HEADER_ERA: Final = "store-era"
 
 
 class PlatformClient:
     """Read and write the store's tables and objects."""
 
-    __slots__ = ("_base", "_pool", "calls")
+    __slots__ = ("_address", "_pool", "calls", "era")
 
     def __init__(self, address: str) -> None:
-        self._base = f"http://{address}"
-        self._pool = urllib3.PoolManager(
-            maxsize=POOL_SIZE, retries=False, socket_options=SOCKET_OPTIONS
-        )
+        self._address = address
+        self._pool = HttpPool(CONNECT_TIMEOUT_S, POOL_SIZE)
         self.calls = 0
+        self.era: int | None = None
 
     def commit(self, *ops: Operation) -> bool:
         """Commit operations together; return False on a version mismatch."""
@@ -90,7 +79,7 @@
         for row in self._range(table, key, key + "\x00")[0]:
             if row.key == key:
                 return row
-        return Row(key, b"", 0)
+        return Row(key, b"", 0, self.era or 0)
 
     def scan(self, table: str, prefix: str = "") -> tuple[Row, ...]:
         """Read the rows of a table whose keys start with a prefix."""
@@ -100,14 +89,14 @@
     def snapshot(self, table: str) -> Snapshot:
         """Read a table whole, with the version from which to follow it."""
         rows, version = self._range(table, "", "")
-        return Snapshot(tuple(rows), version)
+        return Snapshot(tuple(rows), version, self.era or 0)
 
     def follow(self, table: str, after: int, wait_s: float) -> Changes:
         """Wait for changes after a version; raise HistoryGone when they are lost."""
         query = {"table": table, "after": after, "wait_ms": int(wait_s * MS_PER_S)}
-        answer = self._json(PATH_FEED, query, READ_TIMEOUT_S + wait_s)
-        rows = tuple(row for item in _list(answer, "rows") if (row := _row(item)))
-        return Changes(rows, _version(answer))
+        resp = self._get(PATH_FEED, query, READ_TIMEOUT_S + wait_s)
+        answer, era = _decode(resp.data, PATH_FEED), _era(resp)
+        return Changes(_rows(answer, era), _version(answer), era)
 
     def put_object(self, key: str, data: bytes) -> None:
         """Store an object under a key."""
@@ -142,7 +131,11 @@
                     body["remove"].append(where)
                 case Check():
                     pass
+        era = self.era
         answer = self._call(PATH_TRANSACTION, body)
+        if era is not None and era != self.era:
+            # Its conditions named versions that the store has given out again.
+            raise PlatformUnsettled("the store came back from an older copy")
         return 0 if answer is None else _version(answer)
 
     def _range(self, table: str, start: str, end: str) -> tuple[list[Row], int]:
@@ -154,8 +147,11 @@
                 query["from"] = start
             if end:
                 query["to"] = end
-            answer = self._json(PATH_ROWS, query, READ_TIMEOUT_S)
-            page = [row for item in _list(answer, "rows") if (row := _row(item))]
+            resp = self._get(PATH_ROWS, query, READ_TIMEOUT_S)
+            answer = _decode(resp.data, PATH_ROWS)
+            if rows and _era(resp) != rows[0].era:
+                raise PlatformUnavailable("the pages of a table are of two eras")
+            page = _rows(answer, _era(resp))
             rows += page
             # A later page may be newer; following from the first one repeats
             # changes but misses none.
@@ -164,9 +160,8 @@
                 return rows, version
             start = page[-1].key + "\x00"
 
-    def _json(self, path: str, query: dict[str, Any], timeout_s: float) -> Any:
-        resp = self._request("GET", f"{path}?{urlencode(query)}", timeout_s=timeout_s)
-        return _decode(resp.data, path)
+    def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpAnswer:
+        return self._request("GET", f"{path}?{urlencode(query)}", timeout_s=timeout_s)
 
     def _call(self, path: str, body: dict[str, Any]) -> Any:
         data = msgspec.json.encode(body)
@@ -180,20 +175,20 @@
         body: bytes | None = None,
         accept: tuple[int, ...] = (200,),
         timeout_s: float = READ_TIMEOUT_S,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> HttpAnswer:
         self.calls += 1
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
             resp = self._pool.request(
-                method, self._base + path, body=body, headers=headers, timeout=timeout
+                method, self._address, path, headers, body, timeout_s
             )
-        except (NewConnectionError, ConnectTimeoutError, MaxRetryError) as exc:
+        except ConnectFailed as exc:
             raise PlatformUnavailable(f"{method} {path}: {exc}") from exc
-        except (HTTPError, OSError) as exc:
+        except CallUnsettled as exc:
             # Connections fall silent together; the next call opens a new one.
             self._pool.clear()
             raise PlatformUnsettled(f"{method} {path}: {exc}") from exc
+        self._check_era(resp, f"{method} {path}")
         if resp.status in accept:
             return resp
         if resp.status == 410:
@@ -202,6 +197,19 @@
             raise PlatformUnavailable(f"{method} {path}: status {resp.status}")
         raise PlatformUnsettled(f"{method} {path}: status {resp.status}")
 
+    def _check_era(self, resp: HttpAnswer, call: str) -> None:
+        """Take note of the era; raise PlatformUnsettled when it is over."""
+        era = _era(resp)
+        if self.era is not None and era < self.era:
+            raise PlatformUnsettled(f"{call}: the answer is of an earlier era")
+        if self.era is not None and era > self.era:
+            _LOGGER.warning(
+                "The store came back from an older copy: era %d",
+                era,
+                extra={"era": era, "era_before": self.era},
+            )
+        self.era = era
+
 
 def _text(value: bytes) -> str:
     return base64.b64encode(value).decode()
@@ -229,13 +237,24 @@
     return version
 
 
-def _row(item: Any) -> Row | None:
+def _era(resp: HttpAnswer) -> int:
+    """Return the era that an answer names; 0 when it names none."""
+    text = resp.headers.get(HEADER_ERA, "0").strip()
+    return int(text) if text.isdecimal() else 0
+
+
+def _rows(answer: dict[str, Any], era: int) -> tuple[Row, ...]:
+    found = (_row(item, era) for item in _list(answer, "rows"))
+    return tuple(row for row in found if row is not None)
+
+
+def _row(item: Any, era: int) -> Row | None:
     """Decode one row; a removed row has version 0."""
     try:
         if item.get("removed"):
-            return Row(str(item["key"]), b"", 0)
+            return Row(str(item["key"]), b"", 0, era)
         value = base64.b64decode(item["value"], validate=True)
-        return Row(str(item["key"]), value, int(item["ver"]))
+        return Row(str(item["key"]), value, int(item["ver"]), era)
     except (AttributeError, KeyError, TypeError, ValueError, binascii.Error) as exc:
         _LOGGER.warning("Ignored a row that cannot be read: %r", exc)
         return None
--- a/arbutusyard/platform/exceptions.py
+++ b/arbutusyard/platform/exceptions.py
@@ -15,6 +15,14 @@
     """Report a call whose effect is unknown because its answer was lost."""
 
 
+class ConnectFailed(ArbutusyardError):
+    """Report that no connection could be opened, so that nothing was sent."""
+
+
+class CallUnsettled(ArbutusyardError):
+    """Report a call that was sent, at least in part, and got no whole answer."""
+
+
 class HistoryGone(PlatformError):
     """Report that the store no longer has the changes since a version."""
 
--- a/arbutusyard/platform/models.py
+++ b/arbutusyard/platform/models.py
@@ -32,25 +32,31 @@
 
 
 class Row(Struct, frozen=True):
-    """Hold one row; version 0 means that it is absent."""
+    """Hold one row; version 0 means that it is absent.
+
+    Versions of different eras say nothing of each other.
+    """
 
     key: str
     value: bytes
     version: int
+    era: int = 0
 
 
 class Snapshot(Struct, frozen=True):
-    """Hold a table as of one version of the store."""
+    """Hold a table as of one version of one era of the store."""
 
     rows: tuple[Row, ...]
     version: int
+    era: int = 0
 
 
 class Changes(Struct, frozen=True):
-    """Hold the rows of a table that changed up to a version of the store."""
+    """Hold the rows of a table that changed up to a version of an era."""
 
     rows: tuple[Row, ...]
     version: int
+    era: int = 0
 
 
 class Vm(Struct, frozen=True):
--- a/arbutusyard/platform/servers.py
+++ b/arbutusyard/platform/servers.py
@@ -3,14 +3,16 @@
 from typing import Any, Final
 
 import msgspec
-import urllib3
 from msgspec import Struct
-from urllib3.exceptions import HTTPError
 
 from arbutusyard.const import MS_PER_S
 from arbutusyard.fleet.messages import CacheEvent, CacheSign
-from arbutusyard.platform.client import SOCKET_OPTIONS
-from arbutusyard.platform.exceptions import PlatformUnsettled
+from arbutusyard.platform.exceptions import (
+    CallUnsettled,
+    ConnectFailed,
+    PlatformUnsettled,
+)
+from arbutusyard.platform.http import HttpAnswer, HttpPool
 from arbutusyard.weights.models import LoadOrder, OrderOutcome, ServerReport
 
 # A server answers an order at once; a second without an answer leaves it open.
@@ -70,9 +72,7 @@
     __slots__ = ("_pool",)
 
     def __init__(self) -> None:
-        self._pool = urllib3.PoolManager(
-            maxsize=POOL_SIZE, retries=False, socket_options=SOCKET_OPTIONS
-        )
+        self._pool = HttpPool(CONNECT_TIMEOUT_S, POOL_SIZE)
 
     def order_load(self, order: LoadOrder) -> OrderOutcome:
         """Order a server to load weights; raise PlatformUnsettled without an answer."""
@@ -130,7 +130,7 @@
 
     def _call(
         self, method: str, address: str, path: str, server_id: str, body: Any
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> HttpAnswer:
         return self._request(
             method, address, path, {"Expect-Instance": server_id}, body, 0.0
         )
@@ -143,21 +143,13 @@
         headers: dict[str, str],
         body: Any,
         wait_s: float,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> HttpAnswer:
         data = None
         if body is not None:
             headers["Content-Type"] = "application/json"
             data = msgspec.json.encode(body)
-        timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=CALL_TIMEOUT_S + wait_s
-        )
+        read_s = CALL_TIMEOUT_S + wait_s
         try:
-            return self._pool.request(
-                method,
-                f"http://{address}{path}",
-                body=data,
-                headers=headers,
-                timeout=timeout,
-            )
-        except (HTTPError, OSError) as exc:
+            return self._pool.request(method, address, path, headers, data, read_s)
+        except (ConnectFailed, CallUnsettled) as exc:
             raise PlatformUnsettled(f"{method} {address}{path}: {exc}") from exc
--- a/arbutusyard/routing/parts.py
+++ b/arbutusyard/routing/parts.py
@@ -1,9 +1,10 @@
 """Remember who holds which parts of prompts, and where to fetch them from."""
 
-from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Final
 
+from msgspec import Struct
+
 from arbutusyard.routing.index import PrefixIndex
 
 # An engine is believed to keep a part so long after its last use, in seconds.
@@ -20,8 +21,7 @@
 BITS_PER_MB: Final = 1e6
 
 
-@dataclass(frozen=True, slots=True)
-class Source:
+class Source(Struct, frozen=True):
     """Describe who may hand parts over, and the speed of its link in Mbit/s."""
 
     name: str
@@ -30,8 +30,7 @@
     link_mbps: float
 
 
-@dataclass(frozen=True, slots=True)
-class Fetch:
+class Fetch(Struct, frozen=True):
     """Say from where parts come, how many tokens of them and how long it takes."""
 
     address: str
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -1,8 +1,9 @@
 """Choose a backend server by the expected time to serve a request there."""
 
-from dataclasses import dataclass
 from typing import Final
 
+from msgspec import Struct
+
 from arbutusyard.routing.chain import rank
 
 # Prompt tokens that an engine reads in a second, until answers teach better.
@@ -40,8 +41,7 @@
 EXPRESS_ENGINES_MIN: Final = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Work:
+class Work(Struct, frozen=True):
     """Describe a request by what it asks of a server."""
 
     failure_domain: str
@@ -50,8 +50,7 @@
     objective_s: float = OBJECTIVE_S
 
 
-@dataclass(frozen=True, slots=True)
-class ServerView:
+class ServerView(Struct, frozen=True):
     """Describe a server at the moment of a choice."""
 
     server_id: str
--- a/arbutusyard/weights/models.py
+++ b/arbutusyard/weights/models.py
@@ -1,7 +1,8 @@
 """Define orders to load weights and what servers report."""
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 
 class SwitchMode(enum.Enum):
@@ -23,8 +24,7 @@
     REFUSED = "refused"
 
 
-@dataclass(frozen=True, slots=True)
-class LoadOrder:
+class LoadOrder(Struct, frozen=True):
     """Order one lifetime of a server to load a version of a model's weights.
 
     The server carries it out only while it has taken `orders_taken` orders.
@@ -40,8 +40,7 @@
     orders_taken: int
 
 
-@dataclass(frozen=True, slots=True)
-class ServerReport:
+class ServerReport(Struct, frozen=True):
     """Hold what a server reported of itself."""
 
     loading: bool
--- a/arbutusyard/weights/planner.py
+++ b/arbutusyard/weights/planner.py
@@ -1,8 +1,9 @@
 """Decide which engines load weights next."""
 
-from dataclasses import dataclass
 from math import ceil
 
+from msgspec import Struct
+
 from arbutusyard.weights.const import (
     BUSY_LOADS_PART,
     BUSY_WAIT_S,
@@ -11,8 +12,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class EngineView:
+class EngineView(Struct, frozen=True):
     """Describe an engine at the moment of planning."""
 
     server_id: str
@@ -24,8 +24,7 @@
     replaced_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class RollOutPace:
+class RollOutPace(Struct, frozen=True):
     """Give the time in which old weights must be gone, and that of one load."""
 
     limit_s: float
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -1,8 +1,7 @@
 """Follow backend servers through lifetimes, drains and outages of the store."""
 
-from dataclasses import replace
-
 import pytest
+from msgspec.structs import replace
 
 from arbutusyard.fleet.const import GONE_TOLD_S, LEAVING_TOLD_S, RETURN_GRACE_S
 from arbutusyard.fleet.servers import ServerTable
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -1,6 +1,6 @@
 """Take over changed settings, and only good ones."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from arbutusyard.exceptions import SetupFailed
 from arbutusyard.gateway.reload import SettingsWatcher
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -2,9 +2,9 @@
 
 import random
 from collections import Counter
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from arbutusyard.routing.parts import PartMap, Source, best_fetch, part_key
 from arbutusyard.routing.placement import (
--- a/tests/weights/test_planner.py
+++ b/tests/weights/test_planner.py
@@ -1,6 +1,6 @@
 """Plan loads of weights; the time plays no part in it."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from arbutusyard.weights.planner import (
     EngineView,
