Hold on to what was acknowledged when the store comes back from an older copy

Cause, from reading: the store may return from a copy some seconds old, give versions out again and name a new era. Here a feed went on from a version of the era before and missed rows; a word on a row version of one era confirmed rows of another; the lease's fencing number was the row's plus one, so a number was granted twice, and a node that found no row took the lease at once while another still held it; entries of servers that had left came back as usable; a node's own row stayed lost.

Ruled out: taking the operators' rows back with the store. They write theirs again, so configurations and named weights only rise, as before.

Change: answers of an earlier era are errors, and a write that spans two eras is unsettled; a table is read whole in each era; words name the era; a fencing number has its era in front; a row of an earlier era, or none after a return, is waited for as long as a lease; lifetimes that ended, or drained, do not come back with a copy; nodes write their row again.

Open: rows of the own interface (claims, configuration heads) are checked only within one call; no soak and no play of a return yet.

--- a/arbutusyard/control/leases.py
+++ b/arbutusyard/control/leases.py
@@ -21,12 +21,18 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+# A fencing number has its era in front, so that none repeats when the store comes back
+# from an older copy; so many are left to each era.
+FENCES_PER_ERA: Final = 1_000_000
+
+
 class LeaseRecord(Struct, frozen=True):
-    """Name the owner of a lease and its fencing number."""
+    """Name the owner of a lease, its fencing number and the era of its writing."""
 
     owner: str
     fence: int
     beat: int
+    era: int = 0
 
 
 class LeaseTimes(Struct, frozen=True):
@@ -54,6 +60,10 @@
     A row has no time in it. Another owner's lease has ended when its row has
     stayed the same for the whole lease and the longest delivery of an order.
     A `sole` owner's name is never used by two processes at a time.
+
+    A store that comes back from an older copy may have granted leases since that it
+    does not know of. A row of an earlier era, or none, is no proof that nobody holds
+    the lease, so it is waited for like another owner's.
     """
 
     __slots__ = (
@@ -105,7 +115,8 @@
 
     def observe(self, row: Row, now: float) -> None:
         """Take note of the row as it stands at a time."""
-        if self._row is None or self._row.version != row.version:
+        known = self._row
+        if known is None or (known.era, known.version) != (row.era, row.version):
             self._row = row
             self._unchanged_since = now
 
@@ -113,7 +124,7 @@
         """Tell whether another owner's lease has surely ended."""
         if self._row is None:
             return False
-        if self._row.version == 0:
+        if self._row.version == 0 and self._row.era == 0:
             return True
         times = self._times
         return now - self._unchanged_since > times.lease_s + times.delivery_s
@@ -123,25 +134,40 @@
         now = self._clock()
         self.observe(row, now)
         record = _record(self._row)
-        if record is not None and self._holds(record):
-            self._write(record, record.fence, now)
+        if self._holds(record, now):
+            self._write(record, self.fence, now)
+            return
+        if self.valid(now) and (record is None or record.era < row.era):
+            # The copy lacks what this node wrote; nobody else could take it over.
+            self._write(record, self._next_fence(record), now)
             return
         self.lose()
         if self.expired(now) or self._was_mine(record):
-            fence = 1 if record is None else record.fence + 1
-            self._write(record, fence, now)
+            self._write(record, self._next_fence(record), now)
 
-    def _holds(self, record: LeaseRecord) -> bool:
-        mine = record.owner == self.owner and record.fence == self.fence
-        return mine and self.state is LeaseState.HELD
+    def _holds(self, record: LeaseRecord | None, now: float) -> bool:
+        """Tell whether the row shows this node's own lease."""
+        if record is None or self.state is not LeaseState.HELD:
+            return False
+        if (record.owner, record.fence) != (self.owner, self.fence):
+            return False
+        return record.era == self._row.era or self.valid(now)
 
     def _was_mine(self, record: LeaseRecord | None) -> bool:
         """Tell whether an earlier process that this one replaces held the lease."""
-        return self._sole and record is not None and record.owner == self.owner
+        if not self._sole or record is None or record.era != self._row.era:
+            return False
+        return record.owner == self.owner
+
+    def _next_fence(self, record: LeaseRecord | None) -> int:
+        """Return a number greater than any that was granted in this or past eras."""
+        last = 0 if record is None else record.fence
+        return max(last, self._row.era * FENCES_PER_ERA) + 1
 
     def _write(self, old: LeaseRecord | None, fence: int, now: float) -> None:
         beat = 1 if old is None else old.beat + 1
-        value = msgspec.msgpack.encode(LeaseRecord(self.owner, fence, beat))
+        new = LeaseRecord(self.owner, fence, beat, self._row.era)
+        value = msgspec.msgpack.encode(new)
         put = Put(TABLE_LEASES, _key(self.group), value, self._row.version)
         if not self._platform.commit(put):
             self.lose()
--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -87,6 +87,8 @@
 # Another node's word that a server leaves holds for so long; the word is repeated while
 # that node's own read of the store says so.
 LEAVING_TOLD_S: Final = 2.5
+# Lifetimes that ended are remembered for longer than a copy of the store may be old.
+ENDED_KEEP_S: Final = 60.0
 # A server whose entry is gone is told to the others for so long.
 GONE_TOLD_S: Final = 4.0
 # So many of a model's newest versions are told with their ages.
--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -62,10 +62,12 @@
         "confirmed_at",
         "_told_at",
         "_wake",
+        "era",
         "lost",
         "after_read",
         "before_read",
         "mark",
+        "on_era",
         "on_return",
         "pace_s",
         "read_at",
@@ -90,6 +92,8 @@
         self._replace = replace
         self._apply = apply
         self._version: int | None = None
+        self.era: int | None = None
+        self.on_era: Callable[[], None] = lambda: None
         self.confirmed_at = float("-inf")
         self.lost = False
         self.on_return: Callable[[float], None] = lambda now: None
@@ -158,17 +162,33 @@
     def _read(self, sent_at: float) -> None:
         if self._version is None:
             snapshot = self._client.snapshot(self.table)
+            self._enter_era(snapshot.era)
             self._confirm(sent_at)
             self._replace(snapshot.rows)
             self._version = snapshot.version
             return
         wait_s = self.wait_s if self.reader else 0.0
         changes = self._client.follow(self.table, self._version, wait_s)
+        if changes.era != self.era:
+            # Its versions were given out again, so they say nothing of what is missing.
+            raise HistoryGone("the store came back from an older copy")
         self._confirm(sent_at)
         if changes.rows:
             self._apply(changes.rows)
         self._version = max(self._version, changes.version)
 
+    def _enter_era(self, era: int) -> None:
+        if self.era is not None and era != self.era:
+            _LOGGER.warning(
+                "Table %s is read anew in era %d",
+                self.table,
+                era,
+                extra={"era": era, "era_before": self.era},
+            )
+            self.on_return(clock.now())
+            self.on_era()
+        self.era = era
+
     def _confirm(self, sent_at: float) -> None:
         # A long gap is an outage even when no call failed, as in a suspended VM.
         gap_s = sent_at - self.confirmed_at
@@ -198,6 +218,7 @@
         "_server_rows",
         "_supervisor",
         "catalog",
+        "on_older_copy",
         "on_weights",
         "servers",
         "weights",
@@ -210,6 +231,7 @@
         self.servers = ServerTable()
         self.weights: dict[str, int] = {}
         self.weights_named: dict[str, list[tuple[int, float | None]]] = {}
+        self.on_older_copy: Callable[[], None] = lambda: None
         self.on_weights: Callable[[], None] = lambda: None
         self._malformed: set[tuple[str, str]] = set()
         self._supervisor: Supervisor | None = None
@@ -231,7 +253,9 @@
         )
         self._server_rows.on_return = self.servers.outage_ended
         self._server_rows.mark = self.servers.digest
-        self._config_rows.mark = lambda: b"%d" % self._newest
+        self._config_rows.mark = self._config_mark
+        self._config_rows.on_era = self._forget_versions
+        self._server_rows.on_era = self.servers.note_older_copy
         self._newest = 0
 
     def setup(self, app: Application) -> None:
@@ -273,13 +297,28 @@
     def told(self, table: str, mark: bytes, known_at: float, now: float) -> None:
         """Take another node's word on a read of a table."""
         if table == TABLE_OPERATOR:
-            # Whoever has a newer row has all before it as well.
-            equal = mark.isdigit() and int(mark) <= self._newest
+            # Whoever has a newer row of an era has all before it as well.
+            era, _, version = mark.partition(b".")
+            equal = era == b"%d" % (self._config_rows.era or 0) and (
+                version.isdigit() and int(version) <= self._newest
+            )
             self._config_rows.told(equal, known_at, now)
         elif table == TABLE_SERVERS:
             equal = mark == self.servers.digest()
             self._server_rows.told(equal, known_at, now)
 
+    def _config_mark(self) -> bytes:
+        return b"%d.%d" % (self._config_rows.era or 0, self._newest)
+
+    def _forget_versions(self) -> None:
+        """Compare no row with versions that the store has given out again.
+
+        Configurations and weights stay: operators write theirs again, and what was
+        acknowledged never goes back.
+        """
+        self._newest = 0
+        self.on_older_copy()
+
     def set_pace(self, nodes: int, drain_s: float) -> None:
         """Read less often in a large fleet, but in time for every drain."""
         extra_s = PACE_NODE_S * nodes
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -4,6 +4,7 @@
 import random
 import socket
 from collections.abc import Callable
+from typing import TypeVar
 
 import gevent
 import msgspec
@@ -46,6 +47,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 # An IPv4 address and a port.
 ADDRESS_BYTES = 6
 
@@ -373,18 +376,27 @@
             told = Confirmation(me, table, mark, beat.incarnation, beat.seq)
             self._send_to(beat.peer_address, msgspec.msgpack.encode(told))
 
-    def _register(self) -> None:
-        """Write this node's row and learn the others' addresses."""
+    def register_again(self) -> None:
+        """Write this node's row anew, which an older copy of the store may lack."""
+        self._supervisor.spawn("row", self._write_row, restart=Restart.NEVER)
+
+    def _write_row(self) -> None:
         row = msgspec.msgpack.encode(NodeRow(self._address, self._incarnation))
+        self._insist(lambda: self._client.write(TABLE_NODES, self.table.me, row))
+
+    def _insist(self, call: Callable[[], T]) -> T:
+        """Call the store until it answers."""
         while True:
             try:
-                self._client.write(TABLE_NODES, self.table.me, row)
-                rows = self._client.scan(TABLE_NODES)
-                break
+                return call()
             except PlatformError as exc:
                 _LOGGER.warning("Cannot register this node: %s", exc)
                 gevent.sleep(PEER_REGISTER_RETRY_S)
-        for item in rows:
+
+    def _register(self) -> None:
+        """Write this node's row and learn the others' addresses."""
+        self._write_row()
+        for item in self._insist(lambda: self._client.scan(TABLE_NODES)):
             try:
                 node = msgspec.msgpack.decode(item.value, type=NodeRow)
             except msgspec.DecodeError as exc:
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -4,8 +4,10 @@
 from hashlib import blake2b
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from arbutusyard.fleet.const import (
+    ENDED_KEEP_S,
     FAILURE_HALF_S,
     FAILURE_WEIGHT,
     GONE_TOLD_S,
@@ -126,12 +128,22 @@
 class ServerTable:
     """Follow the servers' entries; an entry that lapsed in an outage is waited for."""
 
-    __slots__ = ("_by_service", "_gone", "_outage_ended_at", "known", "servers")
+    __slots__ = (
+        "_by_service",
+        "_ended",
+        "_gone",
+        "_older_copy",
+        "_outage_ended_at",
+        "known",
+        "servers",
+    )
 
     def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
         self.known = False
+        self._ended: dict[tuple[str, int], float] = {}
         self._gone: dict[str, float] = {}
+        self._older_copy = False
         self._outage_ended_at = -RETURN_GRACE_S
         self._by_service: dict[str, list[Server]] | None = None
 
@@ -160,11 +172,25 @@
         """Take note that the store answers again after an outage."""
         self._outage_ended_at = now
 
+    def note_older_copy(self) -> None:
+        """Take note that the next whole table is an older one, from before a loss."""
+        self._older_copy = True
+
     def replace(self, entries: dict[str, ServerEntry], now: float) -> None:
         """Take a whole table; servers that are missing from it are gone."""
         self.known = True
         for entry in entries.values():
+            lifetime = (entry.server_id, entry.born_ms)
+            if self._older_copy and lifetime in self._ended:
+                # A server that is there after all writes its entry again.
+                _LOGGER.info(
+                    "Server %s had left when the older copy still names it",
+                    entry.server_id,
+                    extra={"server": entry.server_id, "born_ms": entry.born_ms},
+                )
+                continue
             self.update(entry)
+        self._older_copy = False
         for server_id in list(self.servers):
             if server_id not in entries:
                 self.remove(server_id, now)
@@ -179,6 +205,9 @@
             self._by_service = None
             _log_entry("Server %s of %s is known: %s, %s", entry)
             return
+        if known.entry.state is ServerState.DRAINING:
+            # A lifetime that drains does so to its end; the entry is an older one.
+            entry = replace(entry, state=ServerState.DRAINING)
         if known.entry.state is not entry.state:
             _log_entry("Server %s of %s changed: %s, %s", entry)
         if known.entry.service != entry.service:
@@ -206,6 +235,9 @@
             waited_s = now - self._outage_ended_at
             if server.gone_at is not None and waited_s >= RETURN_GRACE_S:
                 self._drop(server, now)
+        for lifetime, ended_at in list(self._ended.items()):
+            if now - ended_at > ENDED_KEEP_S:
+                del self._ended[lifetime]
 
     def suspects(self, now: float) -> list[Server]:
         """Return the suspected servers that should be tried again now."""
@@ -281,6 +313,7 @@
         server.dead = True
         del self.servers[server.entry.server_id]
         self._gone[server.entry.server_id] = now
+        self._ended[server.lifetime] = now
         self._by_service = None
         _LOGGER.info(
             "Server %s is gone",
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -113,6 +113,7 @@
         self._knowledge.bind_readers(peers.heard, peers.confirm)
         weights.bind(self.ready, lambda now: now - self._started_at)
         self._knowledge.on_weights = weights.wake
+        self._knowledge.on_older_copy = peers.register_again
 
     def setup(self, app: Application) -> None:
         """Serve the readiness, directory and metrics calls."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -35,6 +35,7 @@
         self.list_lag_s = list_lag_s
         self.weights_s = weights_s
         self.weight_slots = Semaphore(WEIGHT_STREAMS)
+        self.era = 0
         self.down = False
         self.delay_s = 0.0
         self.lose_answers = 0
@@ -92,6 +93,20 @@
             if change.get("removed") or (table, key) in self.rows
         ]
 
+    def copy(self) -> tuple[dict[tuple[str, str], tuple[bytes, int]], int]:
+        """Return the rows and the version as of now."""
+        return dict(self.rows), self.version
+
+    def come_back(
+        self, copy: tuple[dict[tuple[str, str], tuple[bytes, int]], int]
+    ) -> None:
+        """Go on from an older copy; versions after it are given out again."""
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.history = [item for item in self.history if item["ver"] <= self.version]
+        self.era += 1
+        self.changed.set()
+        self.changed = Event()
+
     def drop_history(self) -> None:
         """Forget every change so far."""
         self.history.clear()
@@ -114,6 +129,10 @@
     """Build the HTTP application."""
     app = bottle.Bottle()
 
+    @app.hook("after_request")
+    def name_era() -> None:
+        bottle.response.set_header("Store-Era", str(platform.era))
+
     def gate() -> None:
         if platform.down:
             raise bottle.HTTPError(503, "down")
@@ -158,7 +177,7 @@
         table, after = query["table"], int(query["after"])
         until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         while True:
-            if after < platform.history_from:
+            if not platform.history_from <= after <= platform.version:
                 return reply({"error": "history is gone"}, 410)
             if rows := platform.changes(table, after):
                 break
--- a/tests/control/test_leases.py
+++ b/tests/control/test_leases.py
@@ -53,6 +53,10 @@
     def deliver_late_writes(self):
         self.platform.deliver()
 
+    @rule(writes=st.integers(0, 4))
+    def return_from_an_older_copy(self, writes):
+        self.platform.go_back(writes)
+
     @invariant()
     def one_holder_and_no_order_goes_back(self):
         assert sum(lease.valid(self.now) for lease in self.leases) <= 1
@@ -86,3 +90,52 @@
     platform.faults = [fault]
     lease.refresh()
     assert not lease.valid(now[0])
+
+
+def leases(platform, now, *owners, sole=False):
+    return [Lease(platform, "g", owner, lambda: now[0], sole=sole) for owner in owners]
+
+
+def test_a_row_that_an_older_copy_lacks_is_waited_for_as_long_as_its_lease():
+    platform, now = FakePlatform(), [0.0]
+    first, second = leases(platform, now, "a", "b")
+    first.refresh()
+    granted = first.fence
+    platform.go_back(1)
+    now[0] = 0.5
+    second.refresh()
+    assert not second.valid(now[0])
+    now[0] += LEASE_S + DELIVERY_MAX_S + 0.1
+    second.refresh()
+    assert second.valid(now[0])
+    assert second.fence > granted
+
+
+def test_a_holder_whose_renewal_is_lost_goes_on_with_a_greater_number():
+    platform, now = FakePlatform(), [0.0]
+    first, second = leases(platform, now, "a", "b")
+    first.refresh()
+    granted = first.fence
+    platform.go_back(1)
+    now[0] = 1.0
+    first.refresh()
+    second.refresh()
+    assert first.valid(now[0])
+    assert not second.valid(now[0])
+    assert first.fence > granted
+
+
+def test_a_restarted_holder_does_not_take_an_older_copys_word_that_it_holds():
+    platform, now = FakePlatform(), [0.0]
+    first, second = leases(platform, now, "a", "b", sole=True)
+    first.refresh()
+    now[0] = LEASE_S + DELIVERY_MAX_S + 0.1
+    second.refresh()
+    now[0] += LEASE_S + DELIVERY_MAX_S + 0.1
+    second.refresh()
+    assert second.valid(now[0])
+    # The copy is of the time when the first one held the lease.
+    platform.go_back(2)
+    (again,) = leases(platform, now, "a", sole=True)
+    again.refresh()
+    assert not again.valid(now[0])
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -24,11 +24,20 @@
         self.faults = list(faults)
         self.late = []
         self.down = False
+        self.era = 0
+        self.copies = [({}, 0)]
+
+    def go_back(self, writes):
+        """Come back from a copy that lacks the last writes; start a new era."""
+        del self.copies[max(1, len(self.copies) - writes) :]
+        rows, self.versions = self.copies[-1]
+        self.rows = dict(rows)
+        self.era += 1
 
     def get(self, table, key):
         self._fail_read()
         value, version = self.rows.get((table, key), (b"", 0))
-        return Row(key, value, version)
+        return Row(key, value, version, self.era)
 
     def scan(self, table, prefix=""):
         self._fail_read()
@@ -95,4 +104,5 @@
             elif isinstance(op, Delete):
                 del self.rows[op.table, op.key]
             versions.append(self.versions)
+        self.copies.append((dict(self.rows), self.versions))
         return versions
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -5,14 +5,18 @@
 
 from arbutusyard import clock
 from arbutusyard.app import Application
+from arbutusyard.fleet.const import RETURN_GRACE_S
 from arbutusyard.fleet.knowledge import Knowledge
-from arbutusyard.fleet.messages import NamedWeights
+from arbutusyard.fleet.messages import Beat, NamedWeights
+from arbutusyard.fleet.peers import PeerCoordinator
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.exceptions import HistoryGone
 from arbutusyard.platform.models import Delete, Put
 from tests.fleet.support import CONFIG, Store, entry
 from tests.gateway.support import wait_for
 
+BEAT = Beat("n", 5, 1, "a:1", "a:2", "z", "r", True, False, 1, 0, ())
+
 
 @pytest.fixture
 def store():
@@ -151,20 +155,20 @@
     gevent.sleep(1.2)
     for _ in range(5):
         now = clock.now()
-        knowledge.told("op", b"1", now - 0.1, now)
+        knowledge.told("op", b"0.1", now - 0.1, now)
         knowledge.told("servers", knowledge.servers.digest(), now - 0.1, now)
         gevent.sleep(0.1)
     before = store.platform.reads
     for _ in range(6):
         now = clock.now()
-        knowledge.told("op", b"1", now - 0.1, now)
+        knowledge.told("op", b"0.1", now - 0.1, now)
         knowledge.told("servers", knowledge.servers.digest(), now - 0.1, now)
         gevent.sleep(0.1)
     assert store.platform.reads == before
     assert knowledge.config_age_s(clock.now()) < 0.3
     store.write("op", "config", {**CONFIG, "version": 8})
     now = clock.now()
-    knowledge.told("op", b"%d" % store.platform.version, now, now)
+    knowledge.told("op", b"0.%d" % store.platform.version, now, now)
     wait_for(lambda: knowledge.catalog.cfg.version == 8, 0.5)
 
 
@@ -172,7 +176,7 @@
     store.platform.down = True
     wait_for(lambda: knowledge.config_age_s(clock.now()) > 1.0)
     now = clock.now()
-    knowledge.told("op", b"%d" % (store.platform.version + 5), now, now)
+    knowledge.told("op", b"0.%d" % (store.platform.version + 5), now, now)
     knowledge.told("servers", b"otherwise", now, now)
     assert knowledge.config_age_s(now) > 1.0
     assert knowledge.servers_age_s(now) > 0.4
@@ -200,7 +204,7 @@
     store.platform.down = True
     wait_for(lambda: knowledge._config_rows.lost, 5)
     now = clock.now()
-    knowledge.told("op", b"1", now, now)
+    knowledge.told("op", b"0.1", now, now)
     assert knowledge._config_rows.lost
     assert ended == []
     assert knowledge.config_age_s(now) < 0.1
@@ -217,3 +221,94 @@
     ages = [knowledge.replaced_s("m", version, now) for version in (1, 2, 3, 4)]
     assert ages[0] > ages[1] + 0.1 > ages[2] + 0.2
     assert ages[3] == 0.0
+
+
+def config(version):
+    return {**CONFIG, "version": version}
+
+
+def test_a_store_that_comes_back_older_is_read_anew(store, knowledge):
+    copy = store.platform.copy()
+    for n in range(3):
+        store.write("op", f"version/m{n}", {"model": f"m{n}", "version": 2})
+    wait_for(lambda: knowledge.target("m2") == 2)
+    # The lost versions are given out again, to other rows, before this node reads.
+    store.platform.come_back(copy)
+    for n in range(3, 7):
+        store.write("op", f"version/m{n}", {"model": f"m{n}", "version": 5})
+    wait_for(lambda: [knowledge.target(f"m{n}") for n in range(3, 7)] == [5] * 4)
+
+
+def test_what_was_acknowledged_does_not_go_back_with_the_store(store, knowledge):
+    copy = store.platform.copy()
+    store.write("op", "config", config(9))
+    store.write("op", "version/m", {"model": "m", "version": 4})
+    wait_for(lambda: knowledge.target("m") == 4)
+    store.platform.come_back(copy)
+    wait_for(lambda: knowledge._config_rows.era == 1)
+    assert knowledge.catalog.cfg.version == 9
+    assert knowledge.target("m") == 4
+    store.write("op", "config", config(11))
+    wait_for(lambda: knowledge.catalog.cfg.version == 11)
+
+
+def test_a_word_of_another_era_confirms_nothing(store, knowledge):
+    copy = store.platform.copy()
+    store.write("op", "config", config(9))
+    wait_for(lambda: knowledge.catalog.cfg.version == 9)
+    store.platform.come_back(copy)
+    wait_for(lambda: knowledge._config_rows.era == 1)
+    knowledge.set_reader(False)
+    reads = store.platform.reads
+    # By its number the word is on an older row; of this era it is on a newer one.
+    now = clock.now()
+    knowledge.told("op", b"2.1", now, now)
+    wait_for(lambda: store.platform.reads > reads)
+
+
+def test_servers_that_an_older_copy_lacks_are_waited_for(store, knowledge):
+    copy = store.platform.copy()
+    store.write("servers", "new", entry(address="127.0.0.1:7"))
+    wait_for(lambda: knowledge.servers.get("new"))
+    store.platform.come_back(copy)
+    wait_for(lambda: knowledge._server_rows.era == 1)
+    gevent.sleep(0.1)
+    assert knowledge.servers.get("new").usable(clock.now())
+    store.write("servers", "new", entry(address="127.0.0.1:7", sequence=2))
+    gevent.sleep(RETURN_GRACE_S)
+    assert knowledge.servers.get("new")
+
+
+def test_servers_that_left_do_not_come_back_with_an_older_copy(store, knowledge):
+    store.write("servers", "a", entry())
+    store.write("servers", "b", entry(address="127.0.0.1:7"))
+    wait_for(lambda: knowledge.servers.get("a") and knowledge.servers.get("b"))
+    copy = store.platform.copy()
+    store.remove("servers", "a")
+    store.write("servers", "b", entry(address="127.0.0.1:7", state="draining"))
+    wait_for(lambda: not knowledge.servers.get("a"))
+    wait_for(lambda: not knowledge.servers.get("b").usable(clock.now()))
+    store.platform.come_back(copy)
+    wait_for(lambda: knowledge._server_rows.era == 1)
+    gevent.sleep(0.1)
+    assert not knowledge.servers.get("a")
+    assert not knowledge.servers.get("b").usable(clock.now())
+    # It was only cut off from the store, and says so itself.
+    store.write("servers", "a", entry(sequence=7))
+    wait_for(lambda: knowledge.servers.get("a"))
+
+
+def test_a_nodes_row_is_written_again_when_the_store_comes_back_without_it(
+    store, knowledge
+):
+    peers = PeerCoordinator(
+        "n", "127.0.0.1:0", (), PlatformClient(store.address), 5, lambda seq: BEAT
+    )
+    copy = store.platform.copy()
+    peers.setup(Application("test"))
+    knowledge.on_older_copy = peers.register_again
+    wait_for(lambda: ("nodes", "n") in store.platform.rows)
+    store.platform.come_back(copy)
+    assert ("nodes", "n") not in store.platform.rows
+    wait_for(lambda: ("nodes", "n") in store.platform.rows)
+    peers.unload()
