Let engines with newer weights serve when the age of their replacement is unknown

The store had lost its history, each node read the table anew, and weights named meanwhile were taken for named before the node's start: of unknown age. The choice then dropped every engine whose replacement has no known age, as long as one has: only the oldest weights were left.

Ruled out: engines out of use for loads (three of nine at most), silence, pauses.

Change: what is found when a table is read anew was named after the last read at the earliest; an engine is allowed when one with older weights is.

--- a/arbutusyard/fleet/knowledge.py
+++ b/arbutusyard/fleet/knowledge.py
@@ -73,6 +73,7 @@
         "read_at",
         "reader",
         "told_fresh_s",
+        "unseen_since",
         "wait_s",
     )
 
@@ -95,6 +96,7 @@
         self.era: int | None = None
         self.on_era: Callable[[], None] = lambda: None
         self.confirmed_at = float("-inf")
+        self.unseen_since: float | None = None
         self.lost = False
         self.on_return: Callable[[float], None] = lambda now: None
         self.before_read: Callable[[], list[Beat]] = list
@@ -162,6 +164,8 @@
     def _read(self, sent_at: float) -> None:
         if self._version is None:
             snapshot = self._client.snapshot(self.table)
+            known_at = self.confirmed_at
+            self.unseen_since = known_at if known_at > float("-inf") else None
             self._enter_era(snapshot.era)
             self._confirm(sent_at)
             self._replace(snapshot.rows)
@@ -172,6 +176,7 @@
         if changes.era != self.era:
             # Its versions were given out again, so they say nothing of what is missing.
             raise HistoryGone("the store came back from an older copy")
+        self.unseen_since = clock.now()
         self._confirm(sent_at)
         if changes.rows:
             self._apply(changes.rows)
@@ -403,9 +408,9 @@
         if target.version <= self.weights.get(target.model, 0):
             return
         self.weights[target.model] = target.version
-        # What was named before this node started has no known age.
-        named_now = self._config_rows.started
-        named_at = clock.now() if named_now else None
+        # What was named before this node started has no known age. Where a part of the
+        # history is missing it may have been named any time since the last read.
+        named_at = self._config_rows.unseen_since
         named = self.weights_named.setdefault(target.model, [])
         # Another node may have told of it first.
         if target.version not in dict(named):
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -148,16 +148,22 @@
         self, servers: list[Server], model: str, now: float
     ) -> list[Server]:
         """Leave out servers whose weights were replaced too long ago."""
-        allowed, unknown = [], []
-        for server in servers:
-            version = server.weights.get(model, 0)
+        oldest: int | None = None
+        for version in sorted({server.weights.get(model, 0) for server in servers}):
             age_s = self._knowledge.replaced_s(model, version, now)
-            if age_s is None:
-                unknown.append(server)
-            elif age_s <= self._weights_margin_s:
-                allowed.append(server)
-        # A node that just started can't know whether the old ones are overdue.
-        return allowed or unknown
+            if age_s is not None and age_s <= self._weights_margin_s:
+                oldest = version
+                break
+        if oldest is None:
+            # A node that just started can't know whether the old ones are overdue.
+            return [
+                server
+                for server in servers
+                if self._knowledge.replaced_s(model, server.weights.get(model, 0), now)
+                is None
+            ]
+        # What is newer was replaced later, also where that moment is not known.
+        return [s for s in servers if s.weights.get(model, 0) >= oldest]
 
     def _replaced(self, model: str, version: int, now: float) -> bool:
         """Tell whether answers of a version are already worth less."""
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -312,3 +312,14 @@
     assert ("nodes", "n") not in store.platform.rows
     wait_for(lambda: ("nodes", "n") in store.platform.rows)
     peers.unload()
+
+
+def test_weights_named_while_history_was_lost_have_an_age(store, knowledge):
+    # Else every engine with the weights before them counts as of unknown age.
+    store.platform.delay_s = 0.2
+    gevent.sleep(0.05)
+    store.write("op", "version/m", {"model": "m", "version": 2})
+    store.platform.drop_history()
+    store.platform.delay_s = 0.0
+    wait_for(lambda: knowledge.target("m") == 2)
+    assert 0 <= knowledge.replaced_s("m", 1, clock.now()) < 1.0
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -552,6 +552,21 @@
     assert (len(old.requests), len(new.requests)) == (0, 5)
 
 
+def test_newer_weights_are_not_left_out_for_older_ones_whose_age_is_known(run):
+    # Found on a day that loses history: all engines but those two versions behind were
+    # left out, and their queues grew to six seconds.
+    gateway, (old, new) = run(
+        whole_stream, whole_stream, repeat=Repeat.ONCE, streaming=True
+    )
+    gateway.knowledge.weights["m"] = 3
+    gateway.knowledge.weights_named["m"] = [(2, clock.now() - 3.0), (3, None)]
+    gateway.knowledge.servers.get("s1").weights["m"] = 2
+    gateway.knowledge.servers.get("s0").in_flight = 500
+    for _ in range(5):
+        assert gateway.call(Model="m", Prefix_Hash="aa:10").status == 200
+    assert (len(old.requests), len(new.requests)) == (0, 5)
+
+
 def test_an_engine_with_other_weights_than_believed_is_not_guessed_about(run):
     # Found in a score: the newest named version was taken for the engine's, so all
     # requests went there first and were turned away until the retry budget was spent.
