Check servers on another node's word less often, and never while standing by

A node that can't reach a server tells all others in each beat; each of 79 nodes opened a connection 0.7 s after it had last heard of the server, found it reachable, and did so again at the next beat. Nodes that stand by have nothing in flight, so they checked every time. Part of these lines came after the end of the traffic.

Ruled out: servers that really fail (340 tries), kept connections that expire.

Change: a repeated word is not checked within 4 s of hearing of the server, one that was just found not within 0.3 s; a node that stands by checks none.

--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -42,6 +42,10 @@
 QUIET_S = 0.7
 QUIET_READ_FACTOR = 2.0
 QUIET_MAX_S = 1.5
+# Another node's word that a server is silent is not checked so soon after this node
+# heard of the server: a word that was just found, and one that is repeated.
+JUST_FOUND_KEEP_S = 0.3
+WORD_KEEP_S = 4.0
 # By the users' page requests that begin on replaced weights by 1.5 s are worth as much;
 # they begin a while after they are sent.
 OLD_WEIGHTS_FREE_S = 1.2
@@ -426,17 +430,24 @@
     ) -> None:
         """Check servers that another node can't reach.
 
-        Those that were heard lately are checked only if that has just been found.
+        The teller may itself be cut off, and repeats its word in each beat: whoever has
+        heard of the server since needs no check for a while. A node that stands by
+        sends nothing to servers and checks none.
         """
+        if not server_ids or self._stands_by(now):
+            return
+        keep_s = JUST_FOUND_KEEP_S if just_found else WORD_KEEP_S
         for server_id in server_ids:
             server = self._knowledge.servers.get(server_id)
             if server is None or server.suspected:
                 continue
-            heard_at = max(server.heard_at, server.reached_at)
-            if just_found or now - heard_at > QUIET_S:
+            if now - max(server.heard_at, server.reached_at) > keep_s:
                 server.suspect(now, own_word=False)
                 self.on_check(server)
 
+    def _stands_by(self, now: float) -> bool:
+        return self._peers.large() and not self._peers.serves(self._peers.me, now)
+
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return what this node has in flight, for the other nodes."""
         return tuple(
