--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -16,6 +16,8 @@
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
 from arbutusyard.routing.chain import rank
 from arbutusyard.routing.parts import (
+    FETCH_TOKENS_MIN,
+    PREFILL_TOKENS_PER_S,
     Fetch,
     PartMap,
     Source,
@@ -24,7 +26,6 @@
 )
 from arbutusyard.routing.placement import (
     LARGE_TOKENS,
-    PREFILL_TOKENS_PER_S,
     SPREAD_S,
     ServerView,
     Work,
@@ -33,7 +34,7 @@
     express_lane,
 )
 
-# Parts below this size, in tokens, are not worth a server of their own.
+# Parts below this size, in tokens, are not worth a server of their own, nor news.
 HOME_PART_TOKENS = 512
 # Datagrams carry so many notes on parts at most.
 PART_NOTES_MAX = 64
@@ -73,6 +74,7 @@
     fetch: Fetch | None = None
     save_to: str = ""
     shared_pieces: tuple[bytes, ...] = ()
+    told: bool = False
     started: bool = False
 
     @property
@@ -246,8 +248,9 @@
             max(0, work.prompt_tokens - ready),
             fetch,
         )
-        if shared >= HOME_PART_TOKENS:
+        if shared >= FETCH_TOKENS_MIN:
             placement.shared_pieces = prompt.pieces[:-1]
+            placement.told = shared >= HOME_PART_TOKENS
             placement.save_to = self._save_to(prompt)
         return placement
 
@@ -364,10 +367,18 @@
         if placement.to_read > LARGE_TOKENS:
             self.on_load(_load(server), note)
 
-    def _note_parts(self, placement: Placement, read: bool, now: float) -> PartNote:
+    def _note_parts(
+        self, placement: Placement, read: bool, now: float
+    ) -> PartNote | None:
+        """Learn which parts a try leaves at its server; return what others are told.
+
+        Of small parts they learn from the cache store that they are saved to.
+        """
         server_id = placement.server.entry.server_id
         note = PartNote(server_id, placement.shared_pieces, read)
         self._learn_part(note, now)
+        if not placement.told:
+            return None
         if not self._peers.large():
             # In a large fleet a part that was read is told once, at once; beats that
             # repeat it would take up the narrow links.
--- a/arbutusyard/routing/parts.py
+++ b/arbutusyard/routing/parts.py
@@ -14,11 +14,13 @@
 SOURCE_KEEP_S: Final = 4.0
 # A cache store has room for all shared parts and keeps them much longer.
 STORE_KEEP_S: Final = 300.0
-# Fetching fewer tokens than that saves nothing.
-FETCH_TOKENS_MIN: Final = 512
+# Engines keep parts by blocks of so many tokens.
+FETCH_TOKENS_MIN: Final = 16
 # Another failure domain is at the end of a link half as fast.
 CROSS_DOMAIN_FACTOR: Final = 2.0
 BITS_PER_MB: Final = 1e6
+# Prompt tokens that an engine reads in a second, until answers teach better.
+PREFILL_TOKENS_PER_S: Final = 40_000.0
 # Nodes tell each other of parts by keys of that size.
 PART_KEY_BYTES: Final = 8
 
@@ -119,6 +121,8 @@
 ) -> Fetch | None:
     """Return the quickest source of the most tokens beyond those kept, if any.
 
+    A source from which they take longer to fetch than to read is none.
+
     Each source comes with the number of leading tokens that it holds.
     """
     best: Fetch | None = None
@@ -130,6 +134,8 @@
         expected_s = bits / (source.link_mbps * BITS_PER_MB)
         if source.failure_domain != failure_domain:
             expected_s *= CROSS_DOMAIN_FACTOR
+        if expected_s >= gain / PREFILL_TOKENS_PER_S:
+            continue
         fetch = Fetch(source.address, gain, expected_s)
         if best is None or (-gain, expected_s) < (-best.tokens, best.expected_s):
             best = fetch
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -5,9 +5,8 @@
 from msgspec import Struct
 
 from arbutusyard.routing.chain import rank
+from arbutusyard.routing.parts import PREFILL_TOKENS_PER_S
 
-# Prompt tokens that an engine reads in a second, until answers teach better.
-PREFILL_TOKENS_PER_S: Final = 40_000.0
 # Each request that runs beside slows an engine's tokens by about so much.
 RUNNING_COST_S: Final = 0.003
 # Time of a plain request that waits for a slot, until answers teach better.
