Fetch a small part only where its links are not long taken by large ones

There a part of 92 tokens takes 2 ms to read, but its fetch may stand behind a dossier's on the same link, 62 ms and more, since transfers of a link run one after another. On further a large one takes 2 ms.

--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -16,12 +16,12 @@
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
 from arbutusyard.routing.chain import rank
 from arbutusyard.routing.parts import (
-    FETCH_TOKENS_MIN,
     PREFILL_TOKENS_PER_S,
     Fetch,
     PartMap,
     Source,
     best_fetch,
+    least_fetch,
     part_key,
 )
 from arbutusyard.routing.placement import (
@@ -248,7 +248,7 @@
             max(0, work.prompt_tokens - ready),
             fetch,
         )
-        if shared >= FETCH_TOKENS_MIN:
+        if shared >= self._least_fetch(service):
             placement.shared_pieces = prompt.pieces[:-1]
             placement.told = shared >= HOME_PART_TOKENS
             placement.save_to = self._save_to(prompt)
@@ -292,6 +292,14 @@
         domain = server.entry.failure_domain
         return best_fetch(sources, cached, known.engine.token_bytes, domain)
 
+    def _least_fetch(self, service: str) -> float:
+        """Return from how many tokens on shared parts are worth keeping track of."""
+        catalog = self._knowledge.catalog
+        known = catalog.cfg.services.get(service) if catalog else None
+        if known is None or known.engine is None:
+            return HOME_PART_TOKENS
+        return least_fetch(known.engine.token_bytes, known.engine.link_mbps)
+
     def _sources(
         self, catalog: Catalog, engine: EngineTraits, prompt: Prompt
     ) -> list[tuple[Source, int]]:
--- a/arbutusyard/routing/parts.py
+++ b/arbutusyard/routing/parts.py
@@ -1,5 +1,6 @@
 """Remember who holds which parts of prompts, and where to fetch them from."""
 
+import math
 from hashlib import blake2b
 from typing import Final
 
@@ -18,6 +19,9 @@
 FETCH_TOKENS_MIN: Final = 16
 # Another failure domain is at the end of a link half as fast.
 CROSS_DOMAIN_FACTOR: Final = 2.0
+# A transfer that is ahead of another on a link is taken to be of so many tokens, the
+# size from which on prompts count as large.
+TRANSFER_AHEAD_TOKENS: Final = 4096
 BITS_PER_MB: Final = 1e6
 # Prompt tokens that an engine reads in a second, until answers teach better.
 PREFILL_TOKENS_PER_S: Final = 40_000.0
@@ -113,6 +117,22 @@
         return self._stores.match(pieces, now)
 
 
+def least_fetch(token_bytes: int, link_mbps: float) -> float:
+    """Return from how many tokens on a part is worth a fetch, infinite if never.
+
+    Transfers of a link run one after another, so a small part may wait for a large one;
+    below that size it is read sooner.
+    """
+    if link_mbps <= 0:
+        return math.inf
+    wait_s = _transfer_s(TRANSFER_AHEAD_TOKENS, token_bytes, link_mbps)
+    return max(FETCH_TOKENS_MIN, wait_s * PREFILL_TOKENS_PER_S)
+
+
+def _transfer_s(tokens: int, token_bytes: int, link_mbps: float) -> float:
+    return tokens * token_bytes * 8 / (link_mbps * BITS_PER_MB)
+
+
 def best_fetch(
     sources: list[tuple[Source, int]],
     kept_tokens: int,
@@ -128,10 +148,9 @@
     best: Fetch | None = None
     for source, tokens in sources:
         gain = tokens - kept_tokens
-        if gain < FETCH_TOKENS_MIN or source.link_mbps <= 0:
+        if gain < least_fetch(token_bytes, source.link_mbps):
             continue
-        bits = gain * token_bytes * 8
-        expected_s = bits / (source.link_mbps * BITS_PER_MB)
+        expected_s = _transfer_s(gain, token_bytes, source.link_mbps)
         if source.failure_domain != failure_domain:
             expected_s *= CROSS_DOMAIN_FACTOR
         if expected_s >= gain / PREFILL_TOKENS_PER_S:
