Learn how fast each engine reads prompts

Hypothesis: one constant of 40,000 tokens a second for engines that read 49,600, 61,800 and 125,000, that differ among themselves and turn slow, sets load against kept parts wrongly and takes sound engines for silent ones.

Change: each answer's time to the first event, less 20 ms, gives the tokens that it and those before it took; the average is kept for each engine, newest evidence first, and for its service, which a new engine is taken to be like. The choice of a server and the limits of silence go by it. What a fetch is worth, reading again and the pace of loads still go by the constant.

--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -18,6 +18,7 @@
     SUSPECT_MAX_S,
 )
 from arbutusyard.gateway.models import ServerEntry, ServerState
+from arbutusyard.routing.speed import ReadingSpeed
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -45,6 +46,7 @@
     leaving: bool = False
     gone_at: float | None = None
     dead: bool = False
+    speed: ReadingSpeed = field(default_factory=ReadingSpeed)
 
     @property
     def lifetime(self) -> tuple[str, int]:
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -16,7 +16,6 @@
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
 from arbutusyard.routing.chain import rank
 from arbutusyard.routing.parts import (
-    PREFILL_TOKENS_PER_S,
     Fetch,
     PartMap,
     Source,
@@ -33,6 +32,7 @@
     expected_s,
     express_lane,
 )
+from arbutusyard.routing.speed import ReadingSpeed
 
 # Parts below this size, in tokens, are not worth a server of their own, nor news.
 HOME_PART_TOKENS = 512
@@ -75,6 +75,8 @@
     save_to: str = ""
     shared_pieces: tuple[bytes, ...] = ()
     told: bool = False
+    tokens_ahead: int = 0
+    sent_at: float = 0.0
     started: bool = False
 
     @property
@@ -93,6 +95,7 @@
         "_peers",
         "_weights_margin_s",
         "_rng",
+        "_speeds",
         "has_connection",
         "on_check",
         "on_doubt",
@@ -116,6 +119,7 @@
         self._weights_margin_s = weights_margin_s
         self._notes: deque[list] = deque(maxlen=PART_NOTES_MAX)
         self.parts = PartMap()
+        self._speeds: dict[str, ReadingSpeed] = {}
         self._rng = random.Random(peers.me)
         self.has_connection: Callable[[Server, float], bool] = lambda server, now: True
         self.on_load: Callable[[ServerLoad, PartNote | None], None] = (
@@ -295,8 +299,8 @@
     def _least_told(self) -> int:
         """Return from how many tokens on other nodes are told of shared parts.
 
-        In a large fleet a datagram to each serving node costs more than a fetch from the
-        cache store, of whose parts all hear anyway.
+        In a large fleet a datagram to each serving node costs more than a fetch from a
+        cache store, and all hear of its parts anyway.
         """
         return LARGE_TOKENS if self._peers.large() else HOME_PART_TOKENS
 
@@ -367,8 +371,14 @@
             max(0, known_tokens - cached_tokens - (fetch.tokens if fetch else 0)),
             not self.has_connection(server, now),
             self._spread_s(),
+            self._tokens_s(server),
         )
 
+    def _tokens_s(self, server: Server) -> float:
+        """Return how many prompt tokens a server is expected to read in a second."""
+        known = self._speeds.get(server.entry.service)
+        return server.speed.tokens_s(known.tokens_s() if known else None)
+
     def _spread_s(self) -> float:
         """Return a random cost that keeps nodes that see the same from one choice."""
         return self._rng.uniform(0.0, SPREAD_S) if self._peers.large() else 0.0
@@ -376,6 +386,9 @@
     def started(self, placement: Placement, now: float) -> None:
         """Count a try as under way."""
         server = placement.server
+        _, ahead = self._peers.load(server.entry.server_id)
+        placement.tokens_ahead = ahead + server.prompt_tokens
+        placement.sent_at = now
         server.begin(placement.to_read, now)
         note = None
         if placement.shared_pieces:
@@ -411,11 +424,21 @@
 
     def first_event(self, placement: Placement, now: float) -> None:
         """Take note that a try's prompt was read."""
+        if placement.prompt is not None and now >= placement.server.loading_until:
+            self._learn_speed(placement, now)
         note = None
         if placement.shared_pieces:
             note = self._note_parts(placement, True, now)
         self.prompt_read(placement, note)
 
+    def _learn_speed(self, placement: Placement, now: float) -> None:
+        server = placement.server
+        tokens = placement.to_read + placement.tokens_ahead
+        took_s = now - placement.sent_at
+        server.speed.observe(tokens, took_s)
+        service = self._speeds.setdefault(server.entry.service, ReadingSpeed())
+        service.observe(tokens, took_s)
+
     def prompt_read(self, placement: Placement, note: PartNote | None = None) -> None:
         """Stop counting a try's prompt as waiting to be read."""
         large = placement.to_read > LARGE_TOKENS
@@ -448,7 +471,7 @@
     def _longest_quiet_s(self, server: Server) -> float:
         _, prompt_tokens = self._peers.load(server.entry.server_id)
         tokens = prompt_tokens + server.prompt_tokens
-        return QUIET_S + QUIET_READ_FACTOR * tokens / PREFILL_TOKENS_PER_S
+        return QUIET_S + QUIET_READ_FACTOR * tokens / self._tokens_s(server)
 
     def silent(self) -> tuple[str, ...]:
         """Return the servers that this node itself has found out of reach."""
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -67,6 +67,7 @@
     read_again_tokens: int = 0
     unconnected: bool = False
     spread_s: float = 0.0
+    tokens_s: float = PREFILL_TOKENS_PER_S
 
 
 def expected_s(work: Work, view: ServerView) -> float:
@@ -89,7 +90,7 @@
     if view.express and own > LARGE_TOKENS:
         cost += EXPRESS_COST_S
     cost += READ_AGAIN_COST_S * view.read_again_tokens + view.fetch_s
-    cost += (own + view.prompt_tokens) / PREFILL_TOKENS_PER_S
+    cost += (own + view.prompt_tokens) / view.tokens_s
     cost += view.spread_s
     return cost + RUNNING_COST_S * view.in_flight + full
 
--- /dev/null
+++ b/tests/routing/test_speed.py
@@ -0,0 +1,45 @@
+"""Engines of unequal speed, one of which turns slow while it is busy."""
+
+import pytest
+
+from arbutusyard.routing.parts import PREFILL_TOKENS_PER_S
+from arbutusyard.routing.placement import ServerView, Work, choose
+from arbutusyard.routing.speed import OVERHEAD_S, ReadingSpeed
+
+PROMPT = 12_000
+
+
+def read(speed, tokens_s, times=20, tokens=PROMPT):
+    for _ in range(times):
+        speed.observe(tokens, tokens / tokens_s + OVERHEAD_S)
+
+
+@pytest.mark.parametrize("tokens_s", [6_000, 49_600, 125_000])
+def test_the_speed_is_learned_from_answers(tokens_s):
+    speed = ReadingSpeed()
+    assert speed.tokens_s() == PREFILL_TOKENS_PER_S
+    read(speed, tokens_s)
+    assert speed.tokens_s() == pytest.approx(tokens_s, rel=0.25)
+
+
+def test_an_engine_that_turns_slow_is_known_to_be_after_a_few_answers():
+    speed = ReadingSpeed()
+    read(speed, 80_000)
+    read(speed, 10_000, times=6)
+    assert speed.tokens_s() < 25_000
+
+
+def test_a_new_engine_is_taken_to_be_like_the_others_of_its_service():
+    assert ReadingSpeed().tokens_s(120_000.0) == pytest.approx(120_000)
+
+
+def test_small_prompts_say_nothing_of_the_speed():
+    speed = ReadingSpeed()
+    read(speed, 1_000, tokens=300)
+    assert speed.tokens_s() == PREFILL_TOKENS_PER_S
+
+
+def test_prompts_leave_a_slow_engine_for_one_that_has_more_in_hand():
+    slow = ServerView("slow", "z", 16, 1, 0, 0, False, 0.0, tokens_s=10_000)
+    fast = ServerView("fast", "z", 16, 4, 20_000, 0, False, 0.0, tokens_s=80_000)
+    assert choose(Work("z", PROMPT), [slow, fast]).server_id == "fast"
