Log the request rate that a server accepts, and know it at each request's end

A node now decodes the limit of an answer, logs each change of it, and writes the limit that it knew into the line of each ended request, so that its own requests to a limited server can be counted. Routing does not use the limit yet.

--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -43,6 +43,8 @@
     mismatch_until: float = 0.0
     reported_leaving_until: float = 0.0
     paused_until: float = 0.0
+    # Requests per second that the server accepts from all nodes; None without a limit.
+    limit_s: float | None = None
     leaving: bool = False
     removed_at: float | None = None
     dead: bool = False
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -89,6 +89,7 @@
     __slots__ = (
         "_admission",
         "_fleet_state",
+        "_malformed_limit_ids",
         "_malformed_pause_ids",
         "_peers",
         "_pool",
@@ -108,6 +109,7 @@
         self._peers = peers
         self._router = router
         self._pool = pool
+        self._malformed_limit_ids: set[str] = set()
         self._malformed_pause_ids: set[str] = set()
 
     def dispatch(
@@ -257,11 +259,12 @@
         return None
 
     def _apply_server_headers(self, server: Server, head: AnswerHead) -> None:
-        """Apply an answer's headers on draining and on the pause it asks for."""
+        """Apply an answer's headers on draining, limits and pauses."""
         if head.leaving:
             server_id, started_at_ms = server.incarnation
             if self._fleet_state.servers.mark_leaving(server_id, started_at_ms):
                 self._router.on_leaving(server.incarnation)
+        self._apply_limit(server, head)
         if head.status != 503 or not head.pause_text:
             return
         if head.pause_s is not None:
@@ -275,6 +278,31 @@
                 extra={"server": server.entry.server_id},
             )
 
+    def _apply_limit(self, server: Server, head: AnswerHead) -> None:
+        """Record the request rate that a server accepts, as its answer states it."""
+        server_id = server.entry.server_id
+        if head.server_id not in ("", server_id):
+            return
+        if head.limit_text and head.limit_s is None:
+            if server_id not in self._malformed_limit_ids:
+                self._malformed_limit_ids.add(server_id)
+                _LOGGER.warning(
+                    "Server %s sent a malformed Server-Limit header: %r",
+                    server_id,
+                    head.limit_text,
+                    extra={"server": server_id},
+                )
+            return
+        if head.limit_s == server.limit_s or not (head.limit_text or head.stamped):
+            return
+        server.limit_s = head.limit_s
+        _LOGGER.info(
+            "Server %s accepts %s requests/s",
+            server_id,
+            "unlimited" if head.limit_s is None else head.limit_s,
+            extra={"server": server_id, "limit_s": head.limit_s},
+        )
+
     def _process_not_run(
         self, exchange: Exchange, placement: Placement, head: AnswerHead
     ) -> AttemptResult:
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -181,6 +181,10 @@
     # Pause that a full server asks for, in seconds; None if absent or malformed.
     pause_s: float | None = None
     pause_text: str = ""
+    # Requests per second that the server accepts from all nodes together; None if
+    # absent or malformed.
+    limit_s: float | None = None
+    limit_text: str = ""
 
 
 class Refusal(Struct, frozen=True):
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -255,4 +255,5 @@
         "fetched": fetch.tokens if fetch else 0,
         "fetch_from": fetch.address if fetch else "",
         "saved_to": placement.save_to,
+        "limit_s": placement.server.limit_s,
     }
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -3,6 +3,7 @@
 The header names are those of the platform's protocol; comments explain misleading ones.
 """
 
+import re
 from typing import Final
 
 from arbutusyard.const import MS_PER_S
@@ -44,6 +45,11 @@
 RETRY_AFTER: Final = b"retry-after"
 # "1" on every answer of a server that is about to stop.
 SERVER_LEAVING: Final = b"server-leaving"
+# The requests per second, a decimal number, that a server accepts from all nodes.
+SERVER_LIMIT: Final = b"server-limit"
+# Highest limit that is told apart from higher ones, in requests per second.
+SERVER_LIMIT_MAX_S: Final = 1e9
+DECIMAL_NUMBER: Final = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
 
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -178,6 +184,8 @@
                 head.length = int(value)
             case b"server-leaving":
                 head.leaving = _decode_text(value) == "1"
+            case b"server-limit":
+                _read_limit(head, value)
             case b"retry-after":
                 head.pause_text = _decode_text(value)
                 head.pause_s = _parse_number(value)
@@ -187,6 +195,15 @@
     return head
 
 
+def _read_limit(head: AnswerHead, value: bytes) -> None:
+    """Set the request rate that a server accepts; the lowest of several counts."""
+    head.limit_text = _decode_text(value)
+    if DECIMAL_NUMBER.fullmatch(head.limit_text) is None:
+        return
+    limit_s = min(float(head.limit_text), SERVER_LIMIT_MAX_S)
+    head.limit_s = limit_s if head.limit_s is None else min(head.limit_s, limit_s)
+
+
 def refusal_headers(req: CallerRequest | None, refusal: Refusal) -> Headers:
     """Return the headers of a refusal that this node answers itself."""
     headers: Headers = []
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -114,3 +114,28 @@
 def test_the_weights_version_is_read_from_the_first_line_of_an_event():
     assert event_weights_version(b"weight-versions: 4\nid: 2\ndata: x\n\n") == 4
     assert event_weights_version(b"id: 2\ndata: x\n\n") is None
+
+
+@pytest.mark.parametrize(
+    ("values", "limit_s"),
+    [
+        ((b"1.8",), 1.8),
+        ((b" 0 ",), 0.0),
+        ((b"0.000001",), 0.000001),
+        ((b"7", b"3.5"), 3.5),
+        ((b"7", b"many"), 7.0),
+        ((b"1" * 400,), 1e9),
+        ((b"",), None),
+        ((b"many",), None),
+        ((b"-1",), None),
+        ((b"nan",), None),
+        ((b"inf",), None),
+        ((b"1_0",), None),
+        ((b"1,8",), None),
+        ((b"0x10",), None),
+        ((), None),
+    ],
+)
+def test_a_server_limit_is_a_decimal_number_and_the_lowest_one_counts(values, limit_s):
+    head = read_answer(200, [(b"server-limit", value) for value in values])
+    assert head.limit_s == limit_s
