Add a failing test: servers get more requests than the limit that they named

The check is the platform's: from contact_ms after the first naming, at most one and a half times the limit over 4 s plus 5, summed over the processes that had passed such an answer on half a second before. The servers of the soak now put the limit on every answer, also on refusals, reports and orders.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -57,6 +57,7 @@
         self.revision = 0
         self.fencing_token = 0
         self.loading = False
+        self.limit_header = ""
         self._connection_tasks = set()
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
@@ -68,6 +69,16 @@
         """Return the link through which the nodes reach this server."""
         return self._link
 
+    def name_limit(self, limit_s):
+        """Name the requests per second that this server accepts from all nodes."""
+        self._ledger.limits.name_limit(self.server_id, limit_s, self._ledger.now())
+        self.limit_header = f"Server-Limit: {limit_s}\r\n"
+
+    def end_limit(self):
+        """Stop naming a limit."""
+        self.limit_header = ""
+        self._ledger.limits.end_limit(self.server_id)
+
     def crash(self):
         """Stop at once, without a report; the server's entry expires later."""
         gevent.killall([*self._tasks, *self._connection_tasks], block=False)
@@ -123,6 +134,7 @@
         try:
             reader = sock.makefile("rb")
             while request := read_message(reader):
+                self._ledger.record_arrival(self.server_id, request)
                 self._handle(sock, request)
                 if request.last:
                     return
@@ -144,9 +156,9 @@
         elif request.first.startswith("POST /-/order"):
             self._handle_order(sock, request)
         elif self.is_engine and self.loading:
-            sock.sendall(not_run(request))
+            sock.sendall(not_run(request, headers=self.limit_header))
         elif self.is_engine and self._expects_other_version(request):
-            sock.sendall(not_run(request, "421 Misdirected"))
+            sock.sendall(not_run(request, "421 Misdirected", self.limit_header))
         else:
             self._execute(sock, request)
 
@@ -161,7 +173,9 @@
             "models": [{"name": MODEL, "version": self.version}],
             "born": self.started_at_ms,
         }
-        return answer(request, body=json.dumps(report).encode(), headers="")
+        return answer(
+            request, body=json.dumps(report).encode(), headers=self.limit_header
+        )
 
     def _handle_order(self, sock, request):
         order = json.loads(request.body)
@@ -171,7 +185,7 @@
             request.last = True
             return
         status = self._apply_order(order)
-        sock.sendall(answer(request, f"{status} X", b"", ""))
+        sock.sendall(answer(request, f"{status} X", b"", self.limit_header))
 
     def _apply_order(self, order):
         """Apply an order to load weights; return the HTTP status."""
@@ -195,7 +209,8 @@
     def _execute(self, sock, request):
         fault = self.fault if self._rng.random() < FAULTY_FRACTION else ""
         if fault == "shed":
-            sock.sendall(not_run(request, headers="Retry-After: 0.7\r\n"))
+            headers = f"Retry-After: 0.7\r\n{self.limit_header}"
+            sock.sendall(not_run(request, headers=headers))
             return
         run = self._ledger.record_run(self.server_id, request)
         gevent.sleep(self._rng.uniform(0, 2 * MEAN_WORK_S))
@@ -204,7 +219,7 @@
         if fault == "reset":
             request.last = True
             return
-        headers = IDENTITY_HEADERS.format(self.server_id)
+        headers = IDENTITY_HEADERS.format(self.server_id) + self.limit_header
         if self.state == "draining":
             headers += "Server-Leaving: 1\r\n"
         if self.is_engine:
--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -18,6 +18,12 @@
 RECOVER_S: Final = 12.0
 # Time until every engine has loaded new target weights.
 VERSION_S: Final = 8.0
+# A server's limit on requests per second: the factor and the additional requests that
+# are tolerated, the window, and how long ago a node must have passed on the limit.
+LIMIT_FACTOR: Final = 1.5
+LIMIT_SLACK: Final = 5
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_TOLD_S: Final = 0.5
 # Duration of a lease.
 LEASE_S: Final = 3.0
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from tests.soak.const import CONTACT_S, DRAIN_S, REVOKE_S
+from tests.soak.limits import LimitCheck
 
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -22,9 +23,16 @@
     node: str
     sent_at: float
     body: bytes = b""
+    # The start of the node whose process the request was sent to, counted from 1.
+    start_count: int = 0
     status: int | None = None
     ended_at: float | None = None
 
+    @property
+    def process(self):
+        """Return the process that the request was sent to: node and start."""
+        return (self.node, self.start_count)
+
 
 @dataclass(slots=True)
 class Run:
@@ -51,6 +59,7 @@
     salt_scopes: dict[str, tuple] = field(default_factory=dict)
     token_holders: dict[int, str] = field(default_factory=dict)
     disturbed_at: dict[str, float] = field(default_factory=dict)
+    limits: LimitCheck = field(default_factory=LimitCheck)
     started_at: float = field(default_factory=time.monotonic)
 
     def now(self):
@@ -82,6 +91,20 @@
             now - self.disturbed_at.get(name, -CONTACT_S) >= CONTACT_S for name in names
         )
 
+    def record_arrival(self, server_id, request):
+        """Record that a request reached a backend server, and check its limit."""
+        attempt = self.attempts.get(request.headers.get("request-id", ""))
+        if attempt is None:
+            # Orders and reports; their sender is not known, so each of them counts.
+            process, excused = ("", 0), False
+            self.limits.record_answer(server_id, process, -CONTACT_S)
+        else:
+            process = attempt.process
+            excused = not self.is_undisturbed(attempt.node, server_id)
+        excess = self.limits.record_arrival(server_id, process, excused, self.now())
+        if excess:
+            self.add_violation("LIMIT", excess)
+
     def record_run(self, server_id, request):
         """Record that a backend server begins to execute a request, and check it."""
         request_id = request.headers.get("request-id", "")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -49,7 +49,8 @@
 class World:
     """Run a whole system under the faults that one seed draws."""
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, max_think_time_s=MAX_THINK_TIME_S):
+        self._max_think_time_s = max_think_time_s
         self.rng = random.Random(seed)
         self._rollback_rng = (
             random.Random(f"return {seed}") if seed >= FIRST_ROLLBACK_SEED else None
@@ -174,8 +175,11 @@
         self.ledger.mark_disturbed(node.name)
         node.start()
 
-    def run(self, duration_s, pause_s=1.0, timed=True):
-        """Serve clients during the faults and after them; return the ledger."""
+    def run(self, duration_s=0.0, pause_s=1.0, timed=True, faults=None):
+        """Serve clients during the faults and after them; return the ledger.
+
+        `faults` replaces the random faults.
+        """
         try:
             for node in self.nodes:
                 node.start()
@@ -183,7 +187,11 @@
             for number in range(CLIENTS):
                 self._tasks.append(gevent.spawn(self._run_client, number))
             self._tasks.append(gevent.spawn(self._probe_configuration))
-            FaultInjector(self, self.rng, self._rollback_rng).run(duration_s, pause_s)
+            if faults is not None:
+                faults()
+            else:
+                injector = FaultInjector(self, self.rng, self._rollback_rng)
+                injector.run(duration_s, pause_s)
             self._check_recovery(timed)
         finally:
             gevent.killall(self._tasks)
@@ -229,7 +237,7 @@
         reusable = None
         count = 0
         while True:
-            gevent.sleep(rng.uniform(0, MAX_THINK_TIME_S))
+            gevent.sleep(rng.uniform(0, self._max_think_time_s))
             count += 1
             node, sock = reusable or self._connect(rng)
             if sock is None:
@@ -266,6 +274,7 @@
             request_id, kind, kind == "once", key, account, node.name, 0.0, body
         )
         attempt.sent_at = self.ledger.now()
+        attempt.start_count = node.start_count
         self.ledger.attempts[request_id] = attempt
         path = path or ROUTES[kind][0] + "x"
         try:
@@ -277,6 +286,10 @@
         if received is None:
             self.ledger.record_outcome(attempt, None, b"", False)
             return False
+        if "server-limit" in received.headers:
+            self.ledger.limits.record_answer(
+                received.headers.get("instance-id"), attempt.process, self.ledger.now()
+            )
         self.ledger.record_outcome(
             attempt, received.status, received.body, received.complete
         )
