Keep the requests of all nodes to a server within the limit that it names

Cause: an answer's limit was passed on and used by nothing. The class of fault is a limit that all VMs share: a fix on each node alone would have let eight nodes send eight times the limit.

Change: ServerLimits. Each limit is shared by 3 nodes and one more for each request/s of it, chosen alike on all nodes by rendezvous hashing among the serving nodes; each sends at its part of the rate by a token bucket of at most half a second, the others send nothing. So all together send at most 4.5 times the limit, plus the number of these nodes, in 4 s. News of a limit goes to all nodes at once, and three nodes repeat it in their heartbeats. A lower limit holds at once and counts what was sent before it; a higher one, or none, holds once no lower one was stated for 1 s. The share of a node that is no longer seen stays unused for 10 s of observed time, and a node that starts uses none for 2 s, so cuts, pauses and restarts take no share twice. What exceeds a limit goes to other servers; if there is none it is refused at once, and refused requests are told to return one after the other as the limits allow. Segments have no affinity to limited servers.

--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -71,6 +71,19 @@
     age_s: float
 
 
+class ServerLimitReport(Struct, frozen=True, array_like=True):
+    """Hold how many requests per second an incarnation accepts from all nodes.
+
+    `limit_s` is None when its answers state no limit any more. `age_s` tells how many
+    seconds ago the newest of these answers came.
+    """
+
+    server_id: str
+    started_at_ms: int
+    limit_s: float | None
+    age_s: float
+
+
 class ReadConfirmation(Struct, frozen=True, array_like=True, tag="confirm"):
     """Report the result of a read of the store to one other node.
 
@@ -114,7 +127,7 @@
 
 
 class ServerUpdate(Struct, frozen=True, array_like=True, tag="servers"):
-    """Report at once which servers are unreachable, superseded or draining.
+    """Report at once which servers are unreachable, superseded, draining or limited.
 
     `replaced` lists servers that another incarnation superseded. `leaving` lists the
     incarnations that announced that they are draining, by server id and start.
@@ -124,6 +137,7 @@
     unreachable: tuple[str, ...]
     replaced: tuple[str, ...]
     leaving: tuple[tuple[str, int], ...] = ()
+    limits: tuple[ServerLimitReport, ...] = ()
 
 
 class Heartbeat(Struct, frozen=True, array_like=True, tag="beat"):
@@ -159,6 +173,7 @@
     next_in_s: float = 0.25
     # Packed addresses of the serving nodes for clients, by region.
     entries: tuple[tuple[str, bytes], ...] = ()
+    limits: tuple[ServerLimitReport, ...] = ()
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -37,6 +37,7 @@
     NodeRow,
     ReadConfirmation,
     SegmentUpdate,
+    ServerLimitReport,
     ServerLoad,
     ServerUpdate,
 )
@@ -66,6 +67,7 @@
         "_failure_domain",
         "_incarnation",
         "_pending_leaving",
+        "_pending_limits",
         "_wake",
         "_readers_seen_at",
         "_registered",
@@ -110,6 +112,7 @@
         self._readers_seen_at: dict[str, float] = {}
         self._registered = False
         self._pending_leaving: set[tuple[str, int]] = set()
+        self._pending_limits: dict[tuple[str, int], ServerLimitReport] = {}
         self._pending_replaced: set[str] = set()
         self._pending_unreachable: set[str] = set()
         self._rng = random.Random(name)
@@ -271,14 +274,21 @@
         unreachable: tuple[str, ...] = (),
         replaced: tuple[str, ...] = (),
         leaving: tuple[tuple[str, int], ...] = (),
+        limits: tuple[ServerLimitReport, ...] = (),
     ) -> None:
-        """Broadcast, after a short delay, which servers requests found unusable."""
+        """Broadcast, after a short delay, what requests found out about servers."""
         is_scheduled = bool(
-            self._pending_unreachable or self._pending_replaced or self._pending_leaving
+            self._pending_unreachable
+            or self._pending_replaced
+            or self._pending_leaving
+            or self._pending_limits
         )
         self._pending_unreachable.update(unreachable)
         self._pending_replaced.update(replaced)
         self._pending_leaving.update(leaving)
+        for report in limits:
+            incarnation = (report.server_id, report.started_at_ms)
+            self._pending_limits[incarnation] = report
         if not is_scheduled:
             delay_s = self._rng.uniform(0.0, SERVER_UPDATE_DELAY_MAX_S)
             self._supervisor.spawn(
@@ -292,17 +302,26 @@
             tuple(self._pending_replaced),
         )
         leaving = tuple(self._pending_leaving)
+        limits = tuple(self._pending_limits.values())
         self._pending_unreachable.clear()
         self._pending_replaced.clear()
         self._pending_leaving.clear()
-        if unreachable or replaced or leaving:
-            self._broadcast(ServerUpdate(self.table.me, unreachable, replaced, leaving))
+        self._pending_limits.clear()
+        if unreachable or replaced or leaving or limits:
+            self._broadcast(
+                ServerUpdate(self.table.me, unreachable, replaced, leaving, limits)
+            )
 
     def _apply_server_update(self, update: ServerUpdate, now: float) -> None:
         # What a peer has reported does not have to be reported again.
         self._pending_unreachable.difference_update(update.unreachable)
         self._pending_replaced.difference_update(update.replaced)
         self._pending_leaving.difference_update(update.leaving)
+        for report in update.limits:
+            incarnation = (report.server_id, report.started_at_ms)
+            pending = self._pending_limits.get(incarnation)
+            if pending is not None and pending.limit_s == report.limit_s:
+                del self._pending_limits[incarnation]
         self.on_servers(update, now)
 
     def _broadcast(self, update: LoadUpdate | EngineUpdate | ServerUpdate) -> None:
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -1,6 +1,7 @@
 """Track the backend servers by incarnation, and which of them may take requests."""
 
 import logging
+from collections.abc import Callable
 from hashlib import blake2b
 
 from msgspec import Struct, field
@@ -43,8 +44,6 @@
     mismatch_until: float = 0.0
     reported_leaving_until: float = 0.0
     paused_until: float = 0.0
-    # Requests per second that the server accepts from all nodes; None without a limit.
-    limit_s: float | None = None
     leaving: bool = False
     removed_at: float | None = None
     dead: bool = False
@@ -167,12 +166,22 @@
                 group.append(server)
         return self._by_service.get(service, [])
 
-    def usable_in_s(self, service: str, now: float) -> float:
+    def usable_in_s(
+        self,
+        service: str,
+        now: float,
+        limit_wait_s: Callable[[tuple[str, int]], float] = lambda incarnation: 0.0,
+    ) -> float:
         """Return in how many seconds the first server of a service may be used.
 
         0 if that is unknown, for example because all servers are draining.
+        `limit_wait_s` returns how long an incarnation's limit defers a request.
         """
-        waits = (s.usable_in_s(now) for s in self.of_service(service) if s.is_staying)
+        waits = (
+            max(server.usable_in_s(now), limit_wait_s(server.incarnation))
+            for server in self.of_service(service)
+            if server.is_staying
+        )
         return min(waits, default=0.0)
 
     def outage_ended(self, now: float) -> None:
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -141,6 +141,7 @@
                 server.suspect(clock.now())
                 if not was_suspected:
                     self._router.on_unreachable(server.entry.server_id)
+            self._router.limits.give_back(server.incarnation)
             self._router.forget_segments(placement)
             result = self._record_failure(
                 exchange, placement, AttemptResult.NOT_SENT, exc
@@ -213,7 +214,7 @@
         if exchange.executions + 1 >= exchange.route.max_attempts:
             return False
         others = self._fleet_state.servers.of_service(exchange.service)
-        return any(other.usable(now) for other in others)
+        return any(self._router.accepts(other, now) for other in others)
 
     def _connection_cap(self, service: str, now: float) -> int:
         catalog = self._fleet_state.catalog
@@ -293,15 +294,10 @@
                     extra={"server": server_id},
                 )
             return
-        if head.limit_s == server.limit_s or not (head.limit_text or head.stamped):
-            return
-        server.limit_s = head.limit_s
-        _LOGGER.info(
-            "Server %s accepts %s requests/s",
-            server_id,
-            "unlimited" if head.limit_s is None else head.limit_s,
-            extra={"server": server_id, "limit_s": head.limit_s},
-        )
+        # Refusals may come from something in front of the server; that they state no
+        # limit does not end one.
+        if head.limit_s is not None or head.stamped:
+            self._router.record_limit(server, head.limit_s, clock.now())
 
     def _process_not_run(
         self, exchange: Exchange, placement: Placement, head: AnswerHead
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -107,6 +107,7 @@
         self._router.on_leaving = lambda incarnation: peers.broadcast_servers(
             leaving=(incarnation,)
         )
+        self._router.on_limit = lambda report: peers.broadcast_servers(limits=(report,))
         self._router.has_connection = self._pool.has_idle_connection
         peers.on_engines = self._router.apply_engine_statuses
         peers.on_segment_update = lambda update, now: (
@@ -209,6 +210,7 @@
             leaving_incarnations=self._fleet_state.servers.announced_leaving(),
             capacity=self._cfg.capacity,
             rate_s=self._relay.rate.rate_s(now),
+            limits=self._router.limits.reports(now),
         )
 
     def _apply_confirmation(
@@ -223,6 +225,7 @@
         self._fleet_state.servers.apply_leaving(update.replaced, update.name, now)
         for server_id, started_at_ms in update.leaving:
             self._fleet_state.servers.mark_leaving(server_id, started_at_ms)
+        self._router.limits.apply_reports(update.limits, now)
 
     def _apply_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         self._caches.apply_statuses(heartbeat.cache_store_statuses)
@@ -235,6 +238,7 @@
         )
         for server_id, started_at_ms in heartbeat.leaving_incarnations:
             self._fleet_state.servers.mark_leaving(server_id, started_at_ms)
+        self._router.limits.apply_reports(heartbeat.limits, now)
 
     def reload(self, cfg: NodeSettings) -> None:
         """Apply changed settings; changed addresses need a restart."""
@@ -249,6 +253,7 @@
 
     def _tick(self, now: float) -> None:
         self._fleet_state.servers.sweep(now)
+        self._router.tick(now)
         nodes = len(self._peers.table.peers) + 1
         reads = self._peers.reads_for_others(now) or self._weights.fencing_token > 0
         self._fleet_state.set_reader(reads)
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -119,9 +119,7 @@
                 now,
             )
             if placement is None:
-                usable_in_s = self._fleet_state.servers.usable_in_s(
-                    exchange.service, now
-                )
+                usable_in_s = self._router.usable_in_s(exchange.service, now)
                 if now + usable_in_s < wait_until:
                     gevent.sleep(SERVER_WAIT_INTERVAL_S)
                     exchange.excluded.clear()
@@ -165,9 +163,8 @@
             self._dispatcher.answer(exchange, *exchange.fallback_answer)
             return "failed_by_server"
         if exchange.executions == 0:
-            servers = self._fleet_state.servers
-            usable_in_s = servers.usable_in_s(exchange.service, clock.now())
-            refusal = Refusal(503, reason, max(RETRY_AFTER_S, usable_in_s))
+            retry_after_s = self._router.retry_after_s(exchange.service, clock.now())
+            refusal = Refusal(503, reason, max(RETRY_AFTER_S, retry_after_s))
         else:
             refusal = Refusal(
                 504 if reason == AttemptResult.LATE.value else 502, reason
@@ -232,6 +229,7 @@
                 "account": account,
                 "service": exchange.service,
                 **_placement_fields(exchange.placement),
+                "limit_s": self._known_limit_s(exchange.placement),
                 "tries": exchange.attempts,
                 "runs": exchange.executions,
                 "config": catalog.cfg.version if catalog else None,
@@ -241,6 +239,12 @@
             },
         )
 
+    def _known_limit_s(self, placement: Placement | None) -> float | None:
+        """Return the known limit of the last server in requests per second."""
+        if placement is None:
+            return None
+        return self._router.limits.limit_s(placement.server.incarnation)
+
 
 def _placement_fields(placement: Placement | None) -> dict[str, object]:
     """Return the log fields of the last placement."""
@@ -255,5 +259,4 @@
         "fetched": fetch.tokens if fetch else 0,
         "fetch_from": fetch.address if fetch else "",
         "saved_to": placement.save_to,
-        "limit_s": placement.server.limit_s,
     }
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -9,11 +9,17 @@
 
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.const import UPDATE_HEARTBEATS
-from arbutusyard.fleet.messages import EngineStatus, SegmentUpdate, ServerLoad
+from arbutusyard.fleet.messages import (
+    EngineStatus,
+    SegmentUpdate,
+    ServerLimitReport,
+    ServerLoad,
+)
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
+from arbutusyard.limits.server_limits import ServerLimits
 from arbutusyard.routing.chain import rank
 from arbutusyard.routing.placement import (
     LARGE_TOKENS,
@@ -106,9 +112,11 @@
         "_rng",
         "_service_speeds",
         "has_connection",
+        "limits",
         "on_check",
         "on_weights_mismatch",
         "on_leaving",
+        "on_limit",
         "on_load",
         "on_replaced",
         "on_unreachable",
@@ -127,6 +135,7 @@
         self._domain = failure_domain
         self._superseded_max_s = superseded_max_s
         self._segment_updates: deque[list] = deque(maxlen=SEGMENT_UPDATES_MAX)
+        self.limits = ServerLimits(peers.me)
         self.segments = SegmentMap()
         self._service_speeds: dict[str, PrefillSpeed] = {}
         self._rng = random.Random(peers.me)
@@ -135,6 +144,7 @@
             lambda load, segments: None
         )
         self.on_leaving: Callable[[tuple[str, int]], None] = lambda incarnation: None
+        self.on_limit: Callable[[ServerLimitReport], None] = lambda report: None
         self.on_check: Callable[[Server], None] = lambda server: None
         self.on_weights_mismatch: Callable[[Server], None] = lambda server: None
         self.on_replaced: Callable[[str], None] = lambda server_id: None
@@ -153,7 +163,7 @@
         servers = [
             server
             for server in self._fleet_state.servers.of_service(service)
-            if server.usable(now) and server.entry.server_id not in excluded
+            if self.accepts(server, now) and server.entry.server_id not in excluded
         ]
         if req.model:
             servers = self._with_allowed_weights(servers, req.model, now)
@@ -163,6 +173,41 @@
             return self._place_plain(servers, now)
         return self._place_prompt(req, account, service, objective_s, servers, now)
 
+    def accepts(self, server: Server, now: float) -> bool:
+        """Return whether this node may send a server a request now."""
+        return server.usable(now) and self.limits.wait_s(server.incarnation, now) <= 0
+
+    def usable_in_s(self, service: str, now: float) -> float:
+        """Return in how many seconds a server of a service may take a request.
+
+        0 if that is unknown, for example because all servers are draining.
+        """
+        return self._fleet_state.servers.usable_in_s(
+            service, now, lambda incarnation: self.limits.retry_in_s(incarnation, now)
+        )
+
+    def retry_after_s(self, service: str, now: float) -> float:
+        """Return in how many seconds a refused request should be retried."""
+        servers = self._fleet_state.servers.of_service(service)
+        usable = (server.incarnation for server in servers if server.usable(now))
+        wait_s = self.usable_in_s(service, now)
+        return self.limits.spread_retry_s(service, usable, wait_s, now)
+
+    def record_limit(self, server: Server, limit_s: float | None, now: float) -> None:
+        """Apply the limit that an answer of a server states, None if it states none."""
+        report = self.limits.observe(server.incarnation, limit_s, now)
+        if report is not None:
+            self.on_limit(report)
+
+    def tick(self, now: float) -> None:
+        """Update which nodes share the limits of servers, and forget old limits."""
+        self.limits.update_nodes([node.name for node in self._peers.ranked(now)], now)
+        self.limits.sweep(self._is_known, now)
+
+    def _is_known(self, incarnation: tuple[str, int]) -> bool:
+        server = self._fleet_state.servers.get(incarnation[0])
+        return server is not None and server.incarnation == incarnation
+
     def _with_allowed_weights(
         self, servers: list[Server], model: str, now: float
     ) -> list[Server]:
@@ -210,9 +255,12 @@
     ) -> Placement:
         group = account.name if account is not None and account.isolated else ""
         newest = max(server.weights.get(req.model, 0) for server in servers)
+        # A server with a limit is a candidate now and then, while all requests for the
+        # same segments should go to the same server.
+        steady = [s for s in servers if self.limits.limit_s(s.incarnation) is None]
         newest_ids = [
             server.entry.server_id
-            for server in servers
+            for server in steady or servers
             if server.weights.get(req.model, 0) == newest
         ]
         affinity_target = _affinity_target(req, group, newest_ids)
@@ -407,6 +455,7 @@
         placement.tokens_ahead = ahead + server.prompt_tokens
         placement.sent_at = now
         server.count_sent(placement.prefill_tokens, now)
+        self.limits.count_sent(server.incarnation, now)
         update = None
         if placement.shared_segment_keys:
             update = self._record_segments(placement, False, now)
--- a/arbutusyard/limits/bucket.py
+++ b/arbutusyard/limits/bucket.py
@@ -12,10 +12,13 @@
     later requests wait for.
     """
 
-    __slots__ = ("_level", "_updated_at")
+    __slots__ = ("_burst_s", "_level", "_updated_at")
 
-    def __init__(self, now: float) -> None:
-        self._level = math.inf
+    def __init__(
+        self, now: float, level: float = math.inf, burst_s: float = BURST_S
+    ) -> None:
+        self._burst_s = burst_s
+        self._level = level
         self._updated_at = now
 
     def wait_s(self, rate: float, now: float) -> float:
@@ -29,12 +32,17 @@
         """Remove tokens from the bucket."""
         self._level -= tokens
 
+    def drain(self, level: float, rate: float, now: float) -> None:
+        """Lower the level to at most `level`."""
+        self._refill(rate, now)
+        self._level = min(self._level, level)
+
     def give_back(self, tokens: float) -> None:
         """Return tokens that were not used."""
         self._level += tokens
 
     def _refill(self, rate: float, now: float) -> None:
-        capacity = rate * BURST_S
+        capacity = rate * self._burst_s
         refilled = self._level + rate * (now - self._updated_at)
         self._level = min(capacity, refilled)
         self._updated_at = now
