Count orders and reports against the limit of a server

The limit covers all requests, so the node that rolls out weights now counts its orders and reports against its share, and polls a loading server with a limit no faster than the limit, up to 1 s. Before, polls every 0.15 s alone could exceed a low limit. The test fails without the counting.

--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -116,7 +116,9 @@
         peers.on_servers = self._apply_server_update
         peers.on_confirmation = self._apply_confirmation
         self._fleet_state.set_read_hooks(peers.live_heartbeats, peers.confirm)
-        weights.bind(self.is_ready, lambda now: now - self._started_at)
+        weights.bind(
+            self.is_ready, lambda now: now - self._started_at, self._router.limits
+        )
         self._fleet_state.on_target_weights = weights.wake
         self._fleet_state.on_store_rollback = peers.rewrite_row
 
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -14,6 +14,7 @@
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.models import ServerState
+from arbutusyard.limits.server_limits import ServerLimits
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.exceptions import PlatformOutcomeUnknown
 from arbutusyard.platform.servers import ServerClient
@@ -56,6 +57,7 @@
         "_fleet_state",
         "_lease",
         "_lease_attempted_at",
+        "_limits",
         "_roll_out_limit_s",
         "_load_time_s",
         "_loading",
@@ -101,17 +103,22 @@
         self._engine_statuses: dict[str, tuple[EngineStatus, float]] = {}
         self._orders_taken: dict[tuple[str, int], int] = {}
         self._retry_at: dict[tuple[str, int], float] = {}
+        self._limits = ServerLimits(node)
         self._ready: Callable[[float], bool] = lambda now: False
         self._uptime_s: Callable[[float], float] = lambda now: 0.0
         self._supervisor: Supervisor | None = None
         self._wake = Event()
 
     def bind(
-        self, ready: Callable[[float], bool], uptime_s: Callable[[float], float]
+        self,
+        ready: Callable[[float], bool],
+        uptime_s: Callable[[float], float],
+        limits: ServerLimits,
     ) -> None:
-        """Set the functions that return this node's readiness and its uptime."""
+        """Set what tells this node's readiness and uptime, and the servers' limits."""
         self._ready = ready
         self._uptime_s = uptime_s
+        self._limits = limits
 
     def setup(self, app: Application) -> None:
         """Start planning loads."""
@@ -395,6 +402,7 @@
         )
         outcome: OrderOutcome | None = None
         cause = ""
+        self._limits.count_sent(server.incarnation, clock.now())
         try:
             outcome = self._client.order_load(order)
         except PlatformOutcomeUnknown as exc:
@@ -436,11 +444,13 @@
                 return
             if not report.loading and outcome is not OrderOutcome.ACCEPTED:
                 return
-            gevent.sleep(REPORT_POLL_S)
+            interval_s = self._limits.poll_interval_s(server.incarnation)
+            gevent.sleep(max(REPORT_POLL_S, interval_s))
 
     def _read_report(self, server: Server) -> ServerReport | None:
         """Return a server's report after applying it, or None without a valid one."""
         entry = server.entry
+        self._limits.count_sent(server.incarnation, clock.now())
         try:
             report = self._client.report(entry.address, entry.server_id)
         except PlatformOutcomeUnknown as exc:
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -14,6 +14,7 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.models import ServerEntry, ServerState
 from arbutusyard.gateway.router import PlacementRouter
+from arbutusyard.limits.server_limits import ServerLimits
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.rows import read_configuration
 from arbutusyard.platform.servers import ServerClient
@@ -110,7 +111,8 @@
         self.weights = WeightsCoordinator(
             name, self.fleet_state, self.peers, client, ServerClient(), 3.0, 8.0
         )
-        self.weights.bind(lambda now: self.ready, lambda now: self.up_s)
+        self.limits = ServerLimits("n1")
+        self.weights.bind(lambda now: self.ready, lambda now: self.up_s, self.limits)
         self.ready, self.up_s = True, 0.0
         self.fleet_state._config_watcher.read_at = float("inf")
         self.weights.setup(Application("test"))
@@ -340,3 +342,20 @@
     wait_for(lambda: engine.version == 2 and not node.weights._loading)
     # The time that this load took counts in planning the next ones.
     assert node.weights._downtime_s > 1.7
+
+
+def test_orders_and_reports_count_against_a_limit(make_nodes, monkeypatch):
+    counted = []
+    monkeypatch.setattr(
+        ServerLimits,
+        "count_sent",
+        lambda self, incarnation, now: counted.append(incarnation),
+    )
+    engine = Engine()
+    (node,) = make_nodes([engine], "n1")
+    node.limits.observe(("e0", 5), 4.0, clock.now())
+    assert node.limits.poll_interval_s(("e0", 5)) == 0.25
+    node.set_target(2)
+    wait_for(lambda: node.versions() == {2}, 12)
+    assert len(engine.server.requests) >= 3
+    assert counted == [("e0", 5)] * len(engine.server.requests)
