Spend limits on large prompts, and let limited engines be affinity targets

Cause: with two of five engines at 1.8 requests/s, small prompts used up the limits, and the large ones crowded the remaining engines. A limit counts requests, so a large prompt makes the most of it: on an engine with a limit a prompt below the average size of its service now costs 0.5 s more. An engine that may take a request is an affinity target like any other; no engine with a limit is reserved for small prompts.

--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -43,6 +43,8 @@
 # Size of the smallest first segment that has an affinity target, and of the smallest
 # shared segments that the nodes of a small fleet broadcast, in tokens.
 AFFINITY_SEGMENT_TOKENS = 512
+# Weight of the newest prompt in the average size of a service's prompts, from 0 to 1.
+PROMPT_WEIGHT = 0.02
 # Segment updates in one heartbeat.
 SEGMENT_UPDATES_MAX = 64
 # Time without a byte after which a server with requests in flight is unresponsive, in
@@ -106,6 +108,7 @@
     __slots__ = (
         "_domain",
         "_fleet_state",
+        "_mean_prompt_tokens",
         "_segment_updates",
         "_peers",
         "_superseded_max_s",
@@ -135,6 +138,7 @@
         self._domain = failure_domain
         self._superseded_max_s = superseded_max_s
         self._segment_updates: deque[list] = deque(maxlen=SEGMENT_UPDATES_MAX)
+        self._mean_prompt_tokens: dict[str, float] = {}
         self.limits = ServerLimits(peers.me)
         self.segments = SegmentMap()
         self._service_speeds: dict[str, PrefillSpeed] = {}
@@ -255,18 +259,22 @@
     ) -> Placement:
         group = account.name if account is not None and account.isolated else ""
         newest = max(server.weights.get(req.model, 0) for server in servers)
-        # A server with a limit is a candidate now and then, while all requests for the
-        # same segments should go to the same server.
-        steady = [s for s in servers if self.limits.limit_s(s.incarnation) is None]
-        newest_ids = [
-            server.entry.server_id
-            for server in steady or servers
-            if server.weights.get(req.model, 0) == newest
-        ]
+        newest_servers = [s for s in servers if s.weights.get(req.model, 0) == newest]
+        newest_ids = [server.entry.server_id for server in newest_servers]
         affinity_target = _affinity_target(req, group, newest_ids)
-        reserved = reserved_engines(newest_ids)
+        # A server with a limit is a candidate only now and then.
+        reserved = reserved_engines(
+            [s.entry.server_id for s in newest_servers if not self._is_limited(s)]
+        )
         shared_tokens = sum(segment.tokens for segment in req.segments[:-1])
-        work = Work(self._domain, max(1, req.prompt_tokens), shared_tokens, objective_s)
+        tokens = max(1, req.prompt_tokens)
+        work = Work(
+            self._domain,
+            tokens,
+            shared_tokens,
+            objective_s,
+            self._is_small(service, tokens),
+        )
         prompts: dict[int, Prompt] = {}
         fetches: dict[str, Fetch | None] = {}
         views = []
@@ -318,6 +326,15 @@
             placement.save_to = self._choose_store(prompt)
         return placement
 
+    def _is_limited(self, server: Server) -> bool:
+        return self.limits.limit_s(server.incarnation) is not None
+
+    def _is_small(self, service: str, tokens: int) -> bool:
+        """Return whether a prompt is below the recent average of its service."""
+        mean = self._mean_prompt_tokens.get(service, float(tokens))
+        self._mean_prompt_tokens[service] = mean + PROMPT_WEIGHT * (tokens - mean)
+        return tokens < mean
+
     def _look_up_prompt(
         self, req: CallerRequest, group: str, version: int, now: float
     ) -> Prompt:
@@ -437,6 +454,7 @@
             not self.has_connection(server, now),
             self._random_cost_s(),
             self._prefill_tokens_s(server),
+            self._is_limited(server),
         )
 
     def _prefill_tokens_s(self, server: Server) -> float:
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -41,6 +41,9 @@
 # Additional cost of a large prompt on an engine reserved for small ones, in seconds; it
 # goes there only when all other engines take longer by more than this.
 RESERVED_COST_S: Final = 1.5
+# Cost of spending a part of an engine's limit on a prompt below the average size, in
+# seconds. A limit counts requests, so large prompts make the most of it.
+LIMITED_COST_S: Final = 0.5
 # Number of engines of which one is reserved for small prompts.
 RESERVED_RATIO: Final = 5
 # Minimum number of engines of which one is reserved; of fewer than three, none is.
@@ -54,6 +57,8 @@
     prompt_tokens: int = 0
     shared_tokens: int = 0
     objective_s: float = DEFAULT_OBJECTIVE_S
+    # The prompt is smaller than the average of its service.
+    small: bool = False
 
 
 class ServerView(Struct, frozen=True):
@@ -75,6 +80,7 @@
     unconnected: bool = False
     random_cost_s: float = 0.0
     tokens_s: float = PREFILL_TOKENS_PER_S
+    limited: bool = False
 
 
 def expected_s(work: Work, view: ServerView) -> float:
@@ -96,6 +102,8 @@
     missing = max(0.0, work.prompt_tokens - available)
     if view.reserved and missing > LARGE_TOKENS:
         cost += RESERVED_COST_S
+    if view.limited and work.small:
+        cost += LIMITED_COST_S
     cost += RECOMPUTE_COST_S * view.recompute_tokens + view.fetch_s
     cost += (missing + view.prompt_tokens) / view.tokens_s
     cost += view.random_cost_s
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -194,3 +194,15 @@
     assert segments.cached_by_stores(keys, 1.0) == {}
     segments.set_store_epoch("st", 2)
     assert segments.cached_by_stores(keys, 1.0) == {}
+
+
+def test_a_limit_is_spent_on_large_prompts_while_other_engines_have_room():
+    # With two of five engines limited, small prompts used up the limits, and large ones
+    # delayed all others on the remaining engines.
+    limited = view("e1", limited=True)
+    busy = view("e2", in_flight=8, prompt_tokens=3_000)
+    small = replace(SMALL, small=True)
+    assert choose(small, [limited, busy]).server_id == "e2"
+    assert choose(LARGE, [limited, busy]).server_id == "e1"
+    saturated = replace(busy, prompt_tokens=60_000)
+    assert choose(small, [limited, saturated]).server_id == "e1"
