--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -294,8 +294,8 @@
                     extra={"server": server_id},
                 )
             return
-        # Refusals may come from something in front of the server; that they state no
-        # limit does not end one.
+        # A server may leave the limit out of refusals, so only the answer to a request
+        # that it executed ends it by stating none.
         if head.limit_s is not None or head.stamped:
             self._router.record_limit(server, head.limit_s, clock.now())
 
--- a/arbutusyard/limits/server_limits.py
+++ b/arbutusyard/limits/server_limits.py
@@ -38,16 +38,19 @@
 
 
 class ServerLimit(Struct):
-    """Hold the limit of one incarnation and this node's share of it."""
+    """Hold the limit of one incarnation and this node's share of it.
+
+    The limit is in requests per second, and None after it has ended.
+    """
 
-    # Requests per second; None after the limit has ended.
     limit_s: float | None
     # When the newest known answer with this limit came.
     stated_at: float
-    # When an answer or another node last stated the limit.
+    # When an answer or another node last told this node of the limit.
     heard_at: float
     bucket: TokenBucket
-    # The nodes by rank for this server, and the version of the nodes they are from.
+    # The nodes by rank for this server, and the version of the set of nodes they are
+    # from.
     ranked: list[str]
     ranked_version: int = -1
     has_share: bool = False
@@ -210,7 +213,10 @@
         for incarnation, limit in list(self._limits.items()):
             if now - limit.heard_at <= LIMIT_RETENTION_S:
                 continue
-            if limit.limit_s is None or not (limit.has_share and is_known(incarnation)):
+            shared = limit.limit_s is not None and self._share_s(
+                incarnation, limit, now
+            )
+            if not (shared and is_known(incarnation)):
                 del self._limits[incarnation]
 
     def _apply(
@@ -255,7 +261,7 @@
     ) -> None:
         """Count the requests that all nodes sent before they knew a limit against it.
 
-        Each node has sent about as many as this one, at most one more.
+        The estimate takes each node to have sent one request more than this one.
         """
         rate_s = self._share_s(incarnation, limit, now)
         if not rate_s:
