--- a/tests/limits/test_server_limits.py
+++ b/tests/limits/test_server_limits.py
@@ -354,6 +354,18 @@
     assert limits.wait_s(SERVER, LIMIT_RETENTION_S + 0.1) == 0
 
 
+def test_a_node_that_has_gained_a_share_does_not_forget_the_limit():
+    limits = ServerLimits("a")
+    limits.update_nodes([f"n{n}" for n in range(9)], 0.0)
+    limits.observe(SERVER, 2.0, 0.0)
+    for step in range(4 * 40):
+        limits.update_nodes(["a"], 0.25 * step)
+    limits.sweep(lambda incarnation: True, 40.0)
+    assert limits.limit_s(SERVER) == 2.0
+    limits.sweep(lambda incarnation: False, 40.0)
+    assert limits.limit_s(SERVER) is None
+
+
 def test_few_nodes_repeat_a_limit_in_few_reports():
     names = [f"n{n}" for n in range(40)]
     reporters = 0
