Start under a new limit as soon as the earlier requests allow

Cause: after a limit was stated its server got nothing for up to 4 s, since all requests of the last 4 s counted in full, and the other engines were flooded. Then the sharing nodes sent at the same moment.

Change: the first requests are delayed only for what exceeds the platform's tolerance when the limit begins to be enforced, after `contact_ms` of the settings, and the sharing nodes begin one after the other. A limit that is lowered while it holds gets no such grace.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -52,6 +52,7 @@
         peers.table,
         cfg.failure_domain,
         cfg.weights_s - WEIGHTS_MARGIN_S,
+        cfg.limit_grace_s,
     )
     relay = Relay(cfg, fleet_state, peers.table, router, pool, metrics)
     ingress = Ingress(cfg.callers_address, fleet_state, relay, cfg.max_fds)
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -19,6 +19,7 @@
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
+from arbutusyard.limits.const import LIMIT_GRACE_S
 from arbutusyard.limits.server_limits import ServerLimits
 from arbutusyard.routing.chain import rank
 from arbutusyard.routing.placement import (
@@ -132,6 +133,7 @@
         peers: PeerTable,
         failure_domain: str,
         superseded_max_s: float,
+        limit_grace_s: float = LIMIT_GRACE_S,
     ) -> None:
         self._fleet_state = fleet_state
         self._peers = peers
@@ -139,7 +141,7 @@
         self._superseded_max_s = superseded_max_s
         self._segment_updates: deque[list] = deque(maxlen=SEGMENT_UPDATES_MAX)
         self._mean_prompt_tokens: dict[str, float] = {}
-        self.limits = ServerLimits(peers.me)
+        self.limits = ServerLimits(peers.me, limit_grace_s)
         self.segments = SegmentMap()
         self._service_speeds: dict[str, PrefillSpeed] = {}
         self._rng = random.Random(peers.me)
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from arbutusyard.limits.const import LIMIT_GRACE_S
+
 
 class NodeSettings(Struct, frozen=True):
     """Hold settings read at start or reload; addresses as IP:port, times in seconds."""
@@ -28,3 +30,5 @@
     metrics_address: str = ""
     # Number of processor cores, or less if the network link is the bottleneck.
     capacity: float = 1.0
+    # Time from the first statement of a server's limit until it is enforced.
+    limit_grace_s: float = LIMIT_GRACE_S
--- a/arbutusyard/limits/const.py
+++ b/arbutusyard/limits/const.py
@@ -18,6 +18,16 @@
 # Window in which the requests to a server with a limit are counted, in seconds, by the
 # platform's specification.
 LIMIT_WINDOW_S: Final = 4.0
+# Time after the first statement of a limit from which it is enforced, in seconds, where
+# the settings name none.
+LIMIT_GRACE_S: Final = 3.0
+# Time within which the nodes learn of a limit, in seconds: an answer's first byte and a
+# datagram.
+LIMIT_REACTION_S: Final = 0.3
+# Requests that the platform's specification tolerates in a window: a multiple of what
+# the limit allows, and a number of requests, here less a margin of 3.
+LIMIT_TOLERANCE: Final = 1.5
+LIMIT_TOLERANCE_REQUESTS: Final = 2
 # Minimum number of nodes that share a server's limit; one more for each request per
 # second of the limit. Each of them may send one request at any time, and all of these
 # together stay within the burst that the platform's specification tolerates.
--- a/arbutusyard/limits/server_limits.py
+++ b/arbutusyard/limits/server_limits.py
@@ -16,12 +16,16 @@
 from arbutusyard.limits.const import (
     LIMIT_BURST_S,
     LIMIT_CHANGE_FRACTION,
+    LIMIT_GRACE_S,
     LIMIT_MIN_S,
     LIMIT_POLL_INTERVAL_MAX_S,
     LIMIT_RAISE_DELAY_S,
+    LIMIT_REACTION_S,
     LIMIT_REPORTERS,
     LIMIT_REPORTS_MAX,
     LIMIT_RETENTION_S,
+    LIMIT_TOLERANCE,
+    LIMIT_TOLERANCE_REQUESTS,
     LIMIT_WINDOW_S,
     OBSERVED_STEP_MAX_S,
     RETRY_SPREAD_MAX_S,
@@ -60,6 +64,7 @@
     """Decide when this node may send a request to a server with a limit."""
 
     __slots__ = (
+        "_grace_s",
         "_limits",
         "_me",
         "_names",
@@ -72,8 +77,9 @@
         "_version",
     )
 
-    def __init__(self, me: str) -> None:
+    def __init__(self, me: str, grace_s: float = LIMIT_GRACE_S) -> None:
         self._me = me
+        self._grace_s = grace_s
         self._limits: dict[Incarnation, ServerLimit] = {}
         # When the next refused request to a service should return.
         self._retry_at: dict[str, float] = {}
@@ -235,7 +241,7 @@
             self._limits[incarnation] = limit
             limit.has_share = self._share_s(incarnation, limit, now) > 0
             limit.bucket = TokenBucket(now, 0.0, LIMIT_BURST_S)
-            self._count_earlier(incarnation, limit, now)
+            self._delay_for_earlier(incarnation, limit, self._grace_s, now)
             _log_limit(incarnation, limit_s)
             return True
         if limit.limit_s is None and limit_s is None:
@@ -250,29 +256,44 @@
         limit.stated_at = stated_at
         limit.limit_s = limit_s
         if new_s < LIMIT_CHANGE_FRACTION * previous_s:
-            self._count_earlier(incarnation, limit, now)
+            # The grace time begins with the first limit only.
+            grace_s = self._grace_s if math.isinf(previous_s) else 0.0
+            self._delay_for_earlier(incarnation, limit, grace_s, now)
         elif previous_s >= LIMIT_CHANGE_FRACTION * new_s:
             return False
         _log_limit(incarnation, limit_s)
         return True
 
-    def _count_earlier(
-        self, incarnation: Incarnation, limit: ServerLimit, now: float
+    def _delay_for_earlier(
+        self,
+        incarnation: Incarnation,
+        limit: ServerLimit,
+        grace_s: float,
+        now: float,
     ) -> None:
-        """Count the requests that all nodes sent before they knew a limit against it.
+        """Delay this node's next request for what all nodes sent before the limit.
 
-        The estimate takes each node to have sent one request more than this one.
+        Those requests still count when the limit is enforced, after the grace time. The
+        sharing nodes begin one after the other. The estimate takes each node to have
+        sent one request more than this one.
         """
-        rate_s = self._share_s(incarnation, limit, now)
-        if not rate_s:
+        share_s = self._share_s(incarnation, limit, now)
+        if not share_s:
             return
         total_s = max(limit.limit_s, LIMIT_MIN_S)
         recent = sum(
             at >= now - LIMIT_WINDOW_S for at in self._sent_at.get(incarnation, ())
         )
-        estimate = (recent + 1) * max(1, len(self._seen_at_s))
-        debt_s = min(LIMIT_WINDOW_S, max(0.0, estimate / total_s - LIMIT_WINDOW_S))
-        limit.bucket.drain(-debt_s * rate_s, rate_s, now)
+        earlier_s = (recent + 1) * max(1, len(self._seen_at_s)) / LIMIT_WINDOW_S
+        grace_s = min(grace_s, LIMIT_WINDOW_S)
+        counted = earlier_s * (LIMIT_WINDOW_S - grace_s + LIMIT_REACTION_S)
+        tolerated = (
+            LIMIT_TOLERANCE * total_s * LIMIT_WINDOW_S + LIMIT_TOLERANCE_REQUESTS
+        )
+        excess = counted + total_s * grace_s - tolerated
+        delay_s = min(LIMIT_WINDOW_S, max(0.0, excess / total_s))
+        delay_s += limit.ranked.index(self._me) / total_s
+        limit.bucket.drain(-delay_s * share_s, share_s, now)
 
     def _share_s(
         self, incarnation: Incarnation, limit: ServerLimit, now: float
--- a/arbutusyard/platform/settings.py
+++ b/arbutusyard/platform/settings.py
@@ -8,6 +8,7 @@
 from arbutusyard.const import MS_PER_S
 from arbutusyard.exceptions import SetupFailed
 from arbutusyard.gateway.settings import NodeSettings
+from arbutusyard.limits.const import LIMIT_GRACE_S
 
 SETTINGS_VARIABLE: Final = "ARBUTUSYARD_CONFIG"
 # Link bandwidth that one core can use, in Mbit/s. On a slower link the bodies of long
@@ -42,6 +43,8 @@
     version_ms: float = 8000
     # Maximum time that clients may cache the list of nodes.
     ttl_max_s: float = 5
+    # Time from the first statement of a server's limit until it is enforced.
+    contact_ms: float = LIMIT_GRACE_S * MS_PER_S
 
 
 class Store(Struct):
@@ -154,6 +157,7 @@
         weights_s=bounds.version_ms / MS_PER_S,
         directory_keep_max_s=bounds.ttl_max_s,
         max_fds=file.limits.max_fds,
+        limit_grace_s=bounds.contact_ms / MS_PER_S,
         capacity=_capacity_cores(file.limits),
         metrics_address=f"{file.ip}:{metrics_port}",
     )
--- a/tests/limits/test_server_limits.py
+++ b/tests/limits/test_server_limits.py
@@ -366,6 +366,37 @@
     assert limits.limit_s(SERVER) is None
 
 
+def test_earlier_requests_delay_the_first_ones_under_a_limit_and_nodes_take_turns():
+    # While two engines got nothing for 4 s, the others were flooded.
+    names = ["a", "b", "c", "d"]
+    waits = {}
+    for sent in (0, 3, 40):
+        for name in names:
+            limits = ServerLimits(name)
+            for step in range(20):
+                limits.update_nodes(names, 0.25 * step)
+            for _ in range(sent):
+                limits.count_sent(SERVER, 4.9)
+            limits.observe(SERVER, 2.0, 5.0)
+            waits[sent, name] = limits.wait_s(SERVER, 5.0)
+    assert sorted(waits[0, name] for name in names) == pytest.approx([0, 0.5, 1, 1.5])
+    assert sorted(waits[3, name] for name in names) == pytest.approx([0, 0.5, 1, 1.5])
+    assert min(waits[40, name] for name in names) >= CONTACT_S
+
+
+@pytest.mark.parametrize("count", [2, 8])
+def test_nodes_keep_a_limit_that_is_lowered_while_it_holds(count):
+    fleet = started_fleet(count, 30.0, 5)
+    fleet.name_limit(12.0)
+    fleet.run(8.0)
+    fleet.name_limit(2.0)
+    # The requests of the last window were within the limit that held then.
+    fleet.run(WINDOW_S)
+    fleet.worst = 0.0
+    fleet.run(8.0)
+    assert fleet.worst <= 0
+
+
 def test_few_nodes_repeat_a_limit_in_few_reports():
     names = [f"n{n}" for n in range(40)]
     reporters = 0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -37,6 +37,10 @@
     cfg = decode_settings(json.dumps(FILE).encode(), 1)
     assert (cfg.name, cfg.revoke_s, cfg.lease_s) == ("n1", 5.0, 3.0)
     assert cfg.peer_address == "10.0.0.1:3"
+    assert cfg.limit_grace_s == 3.0
+    bounds = {**FILE["bounds"], "contact_ms": 1500}
+    cfg = decode_settings(json.dumps({**FILE, "bounds": bounds}).encode(), 1)
+    assert cfg.limit_grace_s == 1.5
 
 
 def test_without_a_control_address_the_peer_address_has_the_first_internal_port():
