--- a/arbutusyard/limits/server_limits.py
+++ b/arbutusyard/limits/server_limits.py
@@ -321,9 +321,13 @@
 
 
 def _log_limit(incarnation: Incarnation, limit_s: float | None) -> None:
+    extra = {"server": incarnation[0], "limit_s": limit_s}
+    if limit_s is None:
+        _LOGGER.info("Server %s has no limit any more", incarnation[0], extra=extra)
+        return
     _LOGGER.info(
-        "Server %s accepts %s requests/s",
+        "Server %s accepts %s requests/s from all nodes",
         incarnation[0],
-        "unlimited" if limit_s is None else limit_s,
-        extra={"server": incarnation[0], "limit_s": limit_s},
+        limit_s,
+        extra=extra,
     )
--- a/tests/limits/test_server_limits.py
+++ b/tests/limits/test_server_limits.py
@@ -32,6 +32,7 @@
 ANSWER_STEPS = 2
 # Time after which a node takes a silent one for dead, in steps.
 TIMEOUT_STEPS = 25
+# Number of nodes above which all have the same view, which is faster to simulate.
 SAME_VIEW_NODES = 12
 
 
@@ -47,6 +48,7 @@
         self.next_at = next_at
 
     def sees(self, now):
+        """Return the names of this node and of those that it takes for alive."""
         limit_s = TIMEOUT_STEPS * STEP_S
         alive = [name for name, at in self.heard_at.items() if now - at <= limit_s]
         return [self.name, *alive]
@@ -55,11 +57,12 @@
 class SimulatedFleet:
     """Nodes that all send to one server as much as they may."""
 
-    def __init__(self, count, rate_s, seed, loss=0.0, limit_s=None):
+    def __init__(self, count, rate_s, seed, loss=0.0):
         self.rng = random.Random(seed)
         self.rate_s = rate_s
         self.loss = loss
-        self.limit_s = limit_s
+        # The limit that the server states, and when it first stated one.
+        self.limit_s = None
         self.named_at = math.inf
         self.now = 0.0
         self.step = 0
@@ -67,18 +70,18 @@
             SimulatedNode(f"n{n}", self.rng.uniform(0.0, count / rate_s))
             for n in range(count)
         ]
-        # Large fleets are simulated with the same view on all nodes, which is faster.
         self.same_view = count > SAME_VIEW_NODES
         self.all_names = frozenset(node.name for node in self.nodes)
         self.events = deque()
         self.arrivals = deque()
         self.total = 0
-        # Nodes that are cut off, by the last step of the cut; paused ones likewise.
+        # Last step in which a node is cut off from the others, or paused, by name.
         self.cut = {}
         self.paused = {}
         # When nodes started again, which excuses them. The rule also excuses nodes that
         # are cut off or paused, but their shares stay theirs.
         self.restarted_at = {}
+        # Greatest number of requests above what the rule allows.
         self.worst = 0.0
 
     def name_limit(self, limit_s):
@@ -104,7 +107,7 @@
         for node in self.nodes:
             if self.paused.get(node.name, 0) >= self.step:
                 continue
-            if (self.step + hash_step(node.name)) % HEARTBEAT_STEPS == 0:
+            if (self.step + heartbeat_phase(node.name)) % HEARTBEAT_STEPS == 0:
                 names = self.all_names if self.same_view else node.sees(self.now)
                 node.limits.update_nodes(names, self.now)
                 node.limits.sweep(lambda incarnation: True, self.now)
@@ -177,7 +180,8 @@
         self.worst = max(self.worst, counted - FACTOR * self.limit_s * WINDOW_S - SLACK)
 
 
-def hash_step(name):
+def heartbeat_phase(name):
+    """Return the step, of HEARTBEAT_STEPS, in which a node sends its heartbeats."""
     return sum(name.encode()) % HEARTBEAT_STEPS
 
 
