Log how an answer was framed and what was left over at its end

'Request ended' names the framing of the newest answer, the number of events relayed, the last event id and the bytes after the last complete event, so that a log tells an answer that ended with its connection from one whose server framed a part as complete. No decision changes.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -78,6 +78,12 @@
     excluded: set[str] = field(default_factory=set)
     last_event_id: str = ""
     first_event_at: float | None = None
+    # Number of events relayed to the client, over all attempts.
+    events: int = 0
+    # Head of the newest answer that was relayed or is being read.
+    head: AnswerHead | None = None
+    # Bytes after the last complete event of the newest stream.
+    incomplete_bytes: int = 0
     placement: Placement | None = None
     # A server's error answer, relayed if no other server answers.
     fallback_answer: tuple[AnswerHead, bytes] | None = None
@@ -232,6 +238,7 @@
         """Read an answer and relay it; return how the attempt failed if it did."""
         server = placement.server
         model = exchange.req.model
+        exchange.head = head
         if model and head.weights_version is not None:
             server.weights[model] = head.weights_version
         self._apply_server_headers(server, head)
@@ -387,8 +394,10 @@
             if not caller.sent_head:
                 caller.send_head(head.status, self.with_connection_header(head.headers))
             caller.send_data(b"".join(event.data for event in events))
+            exchange.events += len(events)
             exchange.last_event_id = events[-1].event_id or exchange.last_event_id
             self._record_weights(exchange, placement, events)
+        exchange.incomplete_bytes = len(splitter.remaining())
         if not caller.sent_head:
             caller.send_head(head.status, self.with_connection_header(head.headers))
         if splitter.remaining():
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -162,6 +162,15 @@
     resume_after: str = ""
 
 
+class Framing(enum.Enum):
+    """Name how the end of an answer's body is marked."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    # The body ends with its connection.
+    CLOSE = "close"
+
+
 class AnswerHead(Struct):
     """Hold the head of a backend server's answer."""
 
@@ -176,6 +185,7 @@
     closes: bool = False
     keep_s: float | None = None
     length: int | None = None
+    framing: Framing = Framing.CLOSE
     # The server is draining and takes no more requests in this incarnation.
     leaving: bool = False
     # Pause that a full server asks for, in seconds; None if absent or malformed.
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -11,6 +11,7 @@
     AnswerHead,
     CallerRequest,
     Dispatch,
+    Framing,
     PromptSegment,
     Refusal,
 )
@@ -182,6 +183,11 @@
                 head.keep_s = _keep_alive_timeout_s(value)
             case b"content-length":
                 head.length = int(value)
+                if head.framing is Framing.CLOSE:
+                    head.framing = Framing.LENGTH
+            case b"transfer-encoding":
+                # It takes precedence over Content-Length.
+                head.framing = Framing.CHUNKED
             case b"server-leaving":
                 head.leaving = _decode_text(value) == "1"
             case b"server-limit":
