--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -1,6 +1,8 @@
 """Gateway and scripted backend servers that run in the test process."""
 
+import contextlib
 import socket
+import struct
 from types import SimpleNamespace
 
 import gevent
@@ -29,6 +31,7 @@
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.metrics.deferred import DeferredMetrics
 
+NO_LINGER = struct.pack("ii", 1, 0)
 STAMP = "Response-Stamp: s\r\n"
 SETTINGS = NodeSettings(
     name="n1",
@@ -85,6 +88,8 @@
                 return
             if request.last:
                 break
+        if request is not None and request.reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         sock.close()
 
     def stop(self):
@@ -107,7 +112,11 @@
     else:
         body = reader.read(int(headers.get("content-length", 0)))
     return SimpleNamespace(
-        first=request_line.decode().strip(), headers=headers, body=body, last=False
+        first=request_line.decode().strip(),
+        headers=headers,
+        body=body,
+        last=False,
+        reset=False,
     )
 
 
@@ -232,27 +241,35 @@
     while line := reader.readline().strip():
         name, _, value = line.decode().partition(":")
         headers[name.strip().lower()] = value.strip()
-    body, complete = b"", True
-    if headers.get("transfer-encoding") == "chunked":
-        while True:
-            size = reader.readline().strip()
-            if not size:
-                complete = False
-                break
-            data = reader.read(int(size, 16) + 2)[:-2]
-            if not int(size, 16):
-                break
-            body += data
-    else:
-        body = reader.read(int(headers.get("content-length", 0)))
+    chunks, complete = [], False
+    # The reset of a connection ends its answer early, in any framing.
+    with contextlib.suppress(ConnectionResetError):
+        complete = read_body(reader, headers, chunks)
     return SimpleNamespace(
         status=int(status_line.split()[1]),
         headers=headers,
-        body=body,
+        body=b"".join(chunks),
         complete=complete,
     )
 
 
+def read_body(reader, headers, chunks):
+    """Append the body of an answer to `chunks`; return whether it is complete."""
+    if headers.get("transfer-encoding") == "chunked":
+        while size := reader.readline().strip():
+            data = reader.read(int(size, 16) + 2)[:-2]
+            if not int(size, 16):
+                return True
+            chunks.append(data)
+        return False
+    if "content-length" in headers:
+        chunks.append(reader.read(int(headers["content-length"])))
+        return len(chunks[0]) == int(headers["content-length"])
+    while data := reader.read1(65_536):
+        chunks.append(data)
+    return True
+
+
 def wait_for(condition, timeout_s=3.0):
     """Wait until a condition is true; fail after the timeout."""
     with gevent.Timeout(timeout_s):
