Treat a stream that ends inside an event as broken off

Cause: an answer without length or chunks ends with its connection, and the relay took the FIN for the end of the message, forwarded the part of an event that was left in the splitter and wrote the end of its own framing. A server that frames a part as complete had the same effect.

Now the relay only ends a stream after a whole event, whatever framed it; else the attempt has failed, to be resumed where the route allows it, and otherwise the client's connection ends without the end of its framing. A stream that is framed by its connection and has no event at all has been broken off, too. Events may end with CRLF or CR, or a stream with such line ends would now always count as broken.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -35,6 +35,7 @@
     AnswerHead,
     CallerRequest,
     Dispatch,
+    Framing,
     RetryPolicy,
     Route,
 )
@@ -369,7 +370,10 @@
         conn: ServerConnection,
         head: AnswerHead,
     ) -> None:
-        """Relay complete events as they arrive, and remaining bytes at the end."""
+        """Relay complete events as they arrive.
+
+        Raise AnswerBroken if the stream ends inside an event, however it is framed.
+        """
         splitter = EventSplitter()
         caller = exchange.conn
         gap_limit_s = _gap_limit_s(exchange.route)
@@ -398,6 +402,10 @@
             exchange.last_event_id = events[-1].event_id or exchange.last_event_id
             self._record_weights(exchange, placement, events)
         exchange.incomplete_bytes = len(splitter.remaining())
+        if splitter.is_inside_event():
+            raise AnswerBroken(f"{conn.address} ended its stream inside an event")
+        if head.framing is Framing.CLOSE and not placement.first_event_seen:
+            raise AnswerBroken(f"{conn.address} ended its stream before an event")
         if not caller.sent_head:
             caller.send_head(head.status, self.with_connection_header(head.headers))
         if splitter.remaining():
