Reset a client's connection when its end would complete a broken answer

A client of HTTP/1.0 gets no chunks: the end of its connection is the end of its answer. Now such a connection is reset; clients of HTTP/1.1 still get a FIN, as a reset could discard events that they have not read and their framing shows the break.

--- a/arbutusyard/gateway/caller.py
+++ b/arbutusyard/gateway/caller.py
@@ -12,6 +12,7 @@
 from arbutusyard import clock
 from arbutusyard.gateway.const import (
     CALLER_WRITE_TIMEOUT_S,
+    NO_LINGER,
     PIPELINED_BYTES,
     READ_BYTES,
 )
@@ -26,7 +27,15 @@
 class CallerConnection:
     """Read requests and write answers on the connection of one client."""
 
-    __slots__ = ("_pipelined_bytes", "_eof", "_h11", "_limits", "_sock", "sent_head")
+    __slots__ = (
+        "_eof",
+        "_h11",
+        "_has_length",
+        "_limits",
+        "_pipelined_bytes",
+        "_sock",
+        "sent_head",
+    )
 
     def __init__(self, sock: socket.socket, limits: IngressLimits) -> None:
         self._sock = sock
@@ -36,6 +45,7 @@
         )
         self._pipelined_bytes = 0
         self._eof = False
+        self._has_length = False
         self.sent_head = False
 
     def read_request(self) -> CallerRequest | None:
@@ -84,6 +94,7 @@
     def send_head(self, status: int, headers: Headers) -> None:
         """Write the head of an answer."""
         self.sent_head = True
+        self._has_length = any(name == b"content-length" for name, _ in headers)
         self._send(h11.Response(status_code=status, headers=headers))
 
     def send_data(self, data: bytes) -> None:
@@ -149,11 +160,21 @@
         return True
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; reset it if its end would complete a broken answer."""
         with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_RDWR)
+            if self._end_completes_answer():
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            else:
+                self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
+    def _end_completes_answer(self) -> bool:
+        """Tell whether an answer has begun that only its connection's end delimits."""
+        if self._h11.our_state is not h11.SEND_BODY or self._has_length:
+            return False
+        # Clients of older versions get no chunks.
+        return self._h11.their_http_version < b"1.1"
+
     def _read_head(self) -> h11.Request | None:
         timeout_s = self._limits.idle_timeout_s
         started_at: float | None = None
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -1,9 +1,12 @@
 """Define the constants of relaying."""
 
+import struct
 from typing import Final
 
 # Maximum number of bytes read from a socket at once.
 READ_BYTES: Final = 65_536
+# SO_LINGER value, enabled with 0 s: closing resets the connection.
+NO_LINGER: Final = struct.pack("ii", 1, 0)
 # Timeout of a write to a client, in seconds; after it the connection is closed.
 CALLER_WRITE_TIMEOUT_S: Final = 10.0
 # Number of bytes that a client may pipeline while its request is served. Above it, no
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -3,9 +3,7 @@
 import contextlib
 import logging
 import socket
-import struct
 from collections.abc import Callable
-from typing import Final
 
 import gevent
 import h11
@@ -22,6 +20,7 @@
     KEEPALIVE_COUNT,
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
+    NO_LINGER,
     PRE_ANSWER_BYTES_MAX,
     PRE_ANSWER_MESSAGES_MAX,
     PROBE_PAUSE_S,
@@ -42,9 +41,6 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-# SO_LINGER value, enabled with 0 s: closing resets the connection.
-NO_LINGER: Final = struct.pack("ii", 1, 0)
-
 
 class ServerConnection:
     """Carry requests over a connection to a backend server, one at a time."""
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import socket
-import struct
 from types import SimpleNamespace
 
 import gevent
@@ -13,6 +12,7 @@
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.state import FleetState
+from arbutusyard.gateway.const import NO_LINGER
 from arbutusyard.gateway.ingress import Ingress
 from arbutusyard.gateway.models import (
     Account,
@@ -31,7 +31,6 @@
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.metrics.deferred import DeferredMetrics
 
-NO_LINGER = struct.pack("ii", 1, 0)
 STAMP = "Response-Stamp: s\r\n"
 SETTINGS = NodeSettings(
     name="n1",
