Check that what follows a broken-off answer continues it

After a part of an answer had been relayed, nothing checked that what came next continued it. A gap in the ids of a stream passed unseen; a large body that broke off was requested again from another server, whose answer could not be sent any more; an error answer to a resumed stream ended in an internal error; and a stream of events without ids would have been repeated from its start.

An answer is only continued where the route allows it and ids say where. Ids that have been consecutive must stay so, across servers too: a gap breaks the attempt, which is resumed after the last event relayed. Ids that only increase are accepted, as the protocol allows them.

--- a/arbutusyard/gateway/events.py
+++ b/arbutusyard/gateway/events.py
@@ -12,11 +12,18 @@
 EVENT_END: Final = re.compile(rb"\n\n|\r\n\r\n|\r\r")
 
 
+# Maximum number of digits of an event id that is compared as a number; 64-bit integers
+# have up to 20.
+EVENT_ID_DIGITS_MAX: Final = 20
+
+
 class StreamEvent(Struct, frozen=True):
     """Hold a complete event as received, with its id if it has one."""
 
     data: bytes
     event_id: str
+    # The event carries a piece of the answer, and no id after which to resume.
+    unnumbered: bool = False
 
 
 class EventSplitter:
@@ -37,7 +44,7 @@
         start = 0
         for match in EVENT_END.finditer(data):
             raw = data[start : match.end()]
-            events.append(StreamEvent(raw, _event_id(raw)))
+            events.append(_read_event(raw))
             start = match.end()
         self._buffer = data[start:]
         if len(self._buffer) > EVENT_BYTES_MAX:
@@ -53,8 +60,56 @@
         return bool(self._buffer.strip(b"\r\n"))
 
 
-def _event_id(event: bytes) -> str:
-    for line in event.splitlines():
+class EventSequence:
+    """Check that the events of one answer continue one another over its streams.
+
+    Ids only have to increase, so a gap shows only in an answer whose ids were
+    consecutive up to it.
+    """
+
+    __slots__ = ("_is_consecutive", "has_unnumbered", "last_id")
+
+    def __init__(self, resume_after: str = "") -> None:
+        # The id after which another stream has to continue.
+        self.last_id = resume_after
+        # Unnumbered events were relayed, so no id says where to continue.
+        self.has_unnumbered = False
+        self._is_consecutive: bool | None = None
+
+    def accept(self, events: list[StreamEvent]) -> tuple[list[StreamEvent], str]:
+        """Return the events to relay, without repeated ones, and what is wrong.
+
+        The text is empty, or names the gap that the returned events end before.
+        """
+        accepted = []
+        for event in events:
+            if not _is_number(event.event_id):
+                self.last_id = event.event_id or self.last_id
+                self.has_unnumbered = self.has_unnumbered or event.unnumbered
+            elif not _is_number(self.last_id):
+                self._is_consecutive = int(event.event_id) in (0, 1)
+                self.last_id = event.event_id
+            else:
+                number, last = int(event.event_id), int(self.last_id)
+                if number <= last:
+                    continue
+                if self._is_consecutive and number > last + 1:
+                    return accepted, f"event {number} after event {last}"
+                if self._is_consecutive is None:
+                    self._is_consecutive = number == last + 1
+                self.last_id = event.event_id
+            accepted.append(event)
+        return accepted, ""
+
+
+def _is_number(event_id: str) -> bool:
+    return event_id.isdecimal() and len(event_id) <= EVENT_ID_DIGITS_MAX
+
+
+def _read_event(raw: bytes) -> StreamEvent:
+    has_data = False
+    for line in raw.splitlines():
         if line.startswith(b"id:"):
-            return line[3:].strip().decode("latin-1")
-    return ""
+            return StreamEvent(raw, line[3:].strip().decode("latin-1"))
+        has_data = has_data or line.startswith(b"data")
+    return StreamEvent(raw, "", has_data)
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -22,7 +22,7 @@
     REFUSAL_PAUSE_S,
     REFUSAL_READ_TIMEOUT_S,
 )
-from arbutusyard.gateway.events import EventSplitter, StreamEvent
+from arbutusyard.gateway.events import EventSequence, EventSplitter, StreamEvent
 from arbutusyard.gateway.exceptions import (
     AnswerBroken,
     AnswerLate,
@@ -77,7 +77,7 @@
     # Attempts that failed before a byte was sent.
     connect_failures: int = 0
     excluded: set[str] = field(default_factory=set)
-    last_event_id: str = ""
+    sequence: EventSequence = field(default_factory=EventSequence)
     first_event_at: float | None = None
     # Number of events relayed to the client, over all attempts.
     events: int = 0
@@ -89,6 +89,14 @@
     # A server's error answer, relayed if no other server answers.
     fallback_answer: tuple[AnswerHead, bytes] | None = None
 
+    def can_continue(self) -> bool:
+        """Tell whether another server's answer can follow what the client has got."""
+        if not self.conn.sent_head:
+            return True
+        if self.route.retry_policy is not RetryPolicy.RESUME:
+            return False
+        return not self.sequence.has_unnumbered
+
 
 class Dispatcher:
     """Send requests to one server at a time and report how the attempt ended."""
@@ -183,7 +191,7 @@
             cache_source=placement.fetch.address if placement.fetch else "",
             cache_sink=placement.save_to,
             urgency=_urgency(exchange.route, account),
-            resume_after=exchange.last_event_id or req.resume_after,
+            resume_after=exchange.sequence.last_id,
         )
         conn.send(req.method, req.target, dispatch_headers(req, dispatch), req.body)
 
@@ -249,6 +257,8 @@
             return self._process_not_run(exchange, placement, head)
         if head.encoded:
             raise AnswerBroken("answer has an encoded body")
+        if exchange.conn.sent_head and head.status >= 300:
+            raise AnswerBroken(f"status {head.status} does not continue the stream")
         if head.status < 300 and not head.stamped:
             raise AnswerBroken("answer has no Response-Stamp header")
         if exchange.route.streaming and head.status < 300:
@@ -382,25 +392,12 @@
             data = _read_event_data(conn, exchange.deadline, event_at + gap_limit_s)
             if data is None:
                 break
-            events = [
-                event
-                for event in splitter.feed(data)
-                if not _already_relayed(event.event_id, exchange.last_event_id)
-            ]
-            if not events:
-                continue
-            event_at = clock.now()
-            if not placement.first_event_seen:
-                placement.first_event_seen = True
-                self._router.record_first_event(placement, clock.now())
-            if exchange.first_event_at is None:
-                exchange.first_event_at = clock.now()
-            if not caller.sent_head:
-                caller.send_head(head.status, self.with_connection_header(head.headers))
-            caller.send_data(b"".join(event.data for event in events))
-            exchange.events += len(events)
-            exchange.last_event_id = events[-1].event_id or exchange.last_event_id
-            self._record_weights(exchange, placement, events)
+            events, gap = exchange.sequence.accept(splitter.feed(data))
+            if events:
+                event_at = clock.now()
+                self._relay_events(exchange, placement, head, events)
+            if gap:
+                raise AnswerBroken(f"{conn.address} sent {gap}")
         exchange.incomplete_bytes = len(splitter.remaining())
         if splitter.is_inside_event():
             raise AnswerBroken(f"{conn.address} ended its stream inside an event")
@@ -412,6 +409,26 @@
             caller.send_data(splitter.remaining())
         caller.end()
 
+    def _relay_events(
+        self,
+        exchange: Exchange,
+        placement: Placement,
+        head: AnswerHead,
+        events: list[StreamEvent],
+    ) -> None:
+        caller = exchange.conn
+        now = clock.now()
+        if not placement.first_event_seen:
+            placement.first_event_seen = True
+            self._router.record_first_event(placement, now)
+        if exchange.first_event_at is None:
+            exchange.first_event_at = now
+        if not caller.sent_head:
+            caller.send_head(head.status, self.with_connection_header(head.headers))
+        caller.send_data(b"".join(event.data for event in events))
+        exchange.events += len(events)
+        self._record_weights(exchange, placement, events)
+
     @staticmethod
     def _record_weights(
         exchange: Exchange, placement: Placement, events: list[StreamEvent]
@@ -493,9 +510,3 @@
                 f"{conn.address} sent no complete event in time"
             ) from exc
         raise
-
-
-def _already_relayed(event_id: str, last_id: str) -> bool:
-    if not event_id.isdigit() or not last_id.isdigit():
-        return False
-    return int(event_id) <= int(last_id)
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -17,6 +17,7 @@
     SERVER_WAIT_FRACTION,
     SERVER_WAIT_INTERVAL_S,
 )
+from arbutusyard.gateway.events import EventSequence
 from arbutusyard.gateway.exchange import AttemptResult, Dispatcher, Exchange
 from arbutusyard.gateway.models import CallerRequest, Refusal, RetryPolicy
 from arbutusyard.gateway.pool import ServerPool
@@ -94,7 +95,13 @@
     ) -> None:
         deadline = req.arrived_at + admitted.time_limit_s
         exchange = Exchange(
-            req, conn, admitted.route, admitted.account, admitted.service, deadline
+            req,
+            conn,
+            admitted.route,
+            admitted.account,
+            admitted.service,
+            deadline,
+            sequence=EventSequence(req.resume_after),
         )
         self._retry_budget.count_request(admitted.service, now)
         outcome = "caller_gone"
@@ -149,6 +156,8 @@
                 exchange.executions += 1
                 if exchange.route.retry_policy is RetryPolicy.ONCE:
                     return False
+                if not exchange.can_continue():
+                    return False
                 return exchange.executions < exchange.route.max_attempts
             case AttemptResult.LATE:
                 exchange.executions += 1
@@ -232,7 +241,7 @@
                 "limit_s": self._known_limit_s(exchange.placement),
                 "framing": exchange.head.framing.value if exchange.head else "",
                 "events": exchange.events,
-                "last_event_id": exchange.last_event_id,
+                "last_event_id": exchange.sequence.last_id,
                 "incomplete_bytes": exchange.incomplete_bytes,
                 "tries": exchange.attempts,
                 "runs": exchange.executions,
--- a/tests/gateway/test_answer_ends.py
+++ b/tests/gateway/test_answer_ends.py
@@ -10,7 +10,14 @@
 from hypothesis import strategies as st
 
 from arbutusyard.gateway.models import RetryPolicy
-from tests.gateway.support import STAMP, chunk, event, read_answer, request_bytes
+from tests.gateway.support import (
+    STAMP,
+    answer,
+    chunk,
+    event,
+    read_answer,
+    request_bytes,
+)
 
 FRAMING_HEADERS = {
     "length": "Content-Length: {size}\r\n",
@@ -132,3 +139,56 @@
     got = send(gateway, http_version)
     assert got is None or not got.complete
     assert got is None or got.body in (b"", event(1))
+
+
+def breaking(framing, parts, cut_bytes):
+    """Return a script that ends the connection before the last bytes of its answer."""
+
+    def script(request):
+        request.last = True
+        data = b"".join(framed_answer(request, framing, parts))
+        yield data[: len(data) - cut_bytes]
+
+    return script
+
+
+def relay_two(run, first, second, **route):
+    """Return the answer of a gateway whose first server is asked first, and servers."""
+    gateway, servers = run(first, second, **route)
+    gateway.fleet_state.servers.get("s1").in_flight = 3
+    return send(gateway), servers
+
+
+def test_nothing_is_retried_after_a_part_of_a_large_body_was_relayed(run):
+    body = [b"x" * 1_500_000]
+    got, servers = relay_two(
+        run, breaking("length", body, 9), breaking("length", body, 0)
+    )
+    assert not got.complete
+    assert [len(server.requests) for server in servers] == [1, 0]
+
+
+@pytest.mark.parametrize("status", ["404 Not Found", "500 Error", "302 Found"])
+def test_another_status_does_not_continue_a_stream(run, caplog, status):
+    got, servers = relay_two(
+        run,
+        breaking("chunked", [event(1), event(2)], 9),
+        lambda request: iter([answer(request, status)]),
+        retry_policy=RetryPolicy.RESUME,
+        streaming=True,
+    )
+    assert (got.complete, len(servers[1].requests)) == (False, 1)
+    assert "failed unexpectedly" not in caplog.text
+
+
+def test_a_stream_of_events_without_ids_is_not_resumed(run):
+    parts = [b"data: x\n\n", b"data: y\n\n"]
+    got, servers = relay_two(
+        run,
+        breaking("chunked", parts, 9),
+        breaking("chunked", parts, 0),
+        retry_policy=RetryPolicy.RESUME,
+        streaming=True,
+    )
+    assert not got.complete
+    assert servers[1].requests == []
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from arbutusyard.gateway.events import EventSplitter
+from arbutusyard.gateway.events import EventSequence, EventSplitter, StreamEvent
 
 
 @given(
@@ -38,3 +38,41 @@
     splitter = EventSplitter()
     splitter.feed(b"id: 1\n\n" + data)
     assert splitter.is_inside_event() is inside
+
+
+def numbered(*ids):
+    return [StreamEvent(b"", str(event_id)) for event_id in ids]
+
+
+@pytest.mark.parametrize(
+    ("resume_after", "ids", "accepted", "complete"),
+    [
+        ("", (1, 2, 3), (1, 2, 3), True),
+        ("", (0, 1, 1, 2), (0, 1, 2), True),
+        ("", (1, 2, 4), (1, 2), False),
+        ("3", (2, 3, 4, 5), (4, 5), True),
+        ("3", (4, 6), (4,), False),
+        # Ids only have to increase.
+        ("", (10, 20, 30), (10, 20, 30), True),
+        ("3", (10, 20), (10, 20), True),
+        ("", ("9" * 5000, "9" * 5000), ("9" * 5000, "9" * 5000), True),
+    ],
+)
+def test_repeated_events_are_dropped_and_gaps_in_consecutive_ids_found(
+    resume_after, ids, accepted, complete
+):
+    sequence = EventSequence(resume_after)
+    events, gap = sequence.accept(numbered(*ids))
+    assert [event.event_id for event in events] == [str(number) for number in accepted]
+    assert bool(gap) is not complete
+    assert sequence.last_id == str(accepted[-1])
+
+
+@pytest.mark.parametrize(
+    ("data", "has_unnumbered"),
+    [(b"data: x\n\n", True), (b": ping\n\n", False), (b"id: 2\ndata: x\n\n", False)],
+)
+def test_only_unnumbered_data_prevents_a_resume(data, has_unnumbered):
+    sequence = EventSequence()
+    sequence.accept(EventSplitter().feed(b"id: 1\ndata: x\n\n" + data))
+    assert sequence.has_unnumbered is has_unnumbered
