Let the servers of tests and of the soak answer in all framings

The soak's servers now draw a length, chunks or neither for each answer, and answers that break off end at any byte with FIN or reset. The soak's links sent a FIN before a reset, which would have completed an answer without a length; they no longer do. Answers that clients read are complete only with all bytes of their length.

Properties over cut, framing and FIN or reset hold for the client of engines, for reads and writes of the store and for the reports of servers: JSON and the closing event show a cut.

--- a/tests/gateway/test_answer_ends.py
+++ b/tests/gateway/test_answer_ends.py
@@ -10,30 +10,21 @@
 from hypothesis import strategies as st
 
 from arbutusyard.gateway.models import RetryPolicy
+from tests.framing import FRAMINGS, frame
 from tests.gateway.support import (
     STAMP,
     answer,
-    chunk,
     event,
     read_answer,
     request_bytes,
 )
 
-FRAMING_HEADERS = {
-    "length": "Content-Length: {size}\r\n",
-    "chunked": "Transfer-Encoding: chunked\r\n",
-    "close": "",
-}
-
 
 def framed_answer(request, framing, parts, headers=STAMP):
     """Return the head of an answer and its body as sent in a framing."""
-    body = b"".join(parts)
-    if framing == "chunked":
-        body = b"".join(map(chunk, parts)) + b"0\r\n\r\n"
-    framing_header = FRAMING_HEADERS[framing].format(size=len(body))
+    framing_headers, body = frame(framing, parts)
     name = request.headers["request-id"]
-    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\n{headers}{framing_header}\r\n"
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\n{headers}{framing_headers}\r\n"
     return head.encode(), body
 
 
@@ -69,8 +60,8 @@
 STREAMS = {
     "total": st.integers(2, 5),
     "fault": st.sampled_from(["none", "repeated", "skipped"]),
-    "framing": st.sampled_from(list(FRAMING_HEADERS)),
-    "next_framing": st.sampled_from(list(FRAMING_HEADERS)),
+    "framing": st.sampled_from(FRAMINGS),
+    "next_framing": st.sampled_from(FRAMINGS),
     "cut": st.floats(0.0, 1.0),
     "reset": st.booleans(),
     "resumable": st.booleans(),
@@ -126,7 +117,7 @@
 
 # Guards against incident qai-yard-inc1-order: a stream that ended inside an event
 # reached its client as a complete answer.
-@pytest.mark.parametrize("framing", FRAMING_HEADERS)
+@pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("http_version", ["1.1", "1.0"])
 def test_a_stream_that_ends_inside_an_event_is_visibly_incomplete(
     run, framing, http_version
--- /dev/null
+++ b/tests/platform/test_answer_ends.py
@@ -0,0 +1,76 @@
+"""Test that no part of an answer of the store or of a server counts as the whole."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutusyard.platform.client import PlatformClient
+from arbutusyard.platform.exceptions import PlatformError
+from arbutusyard.platform.servers import ServerClient
+from tests.framing import FRAMINGS, frame
+from tests.raw_server import RawServer
+
+ENDS = (st.sampled_from(FRAMINGS), st.floats(0.0, 1.0), st.booleans())
+ROWS = [
+    {"table": "t", "part": "", "key": f"k{n}", "value": "", "ver": n} for n in (1, 2)
+]
+STORE_ANSWER = {"rows": ROWS, "ver": 12, "now_ms": 1}
+REPORT = {"busy": False, "sequence": 12, "models": [{"name": "m", "version": 34}]}
+EVENTS = {"boot_epoch": 12, "next": 34, "events": [[1, "+", "s", "id", 8, "m"]]}
+
+
+@pytest.fixture
+def server():
+    running = RawServer()
+    yield running
+    running.stop()
+
+
+def set_answer(server, framing, cut, reset, body):
+    data = json.dumps(body).encode()
+    headers, framed = frame(framing, [data[:9], data[9:]])
+    whole = f"HTTP/1.1 200 OK\r\n{headers}\r\n".encode() + framed
+    server.data, server.reset = whole[: int(cut * len(whole))], reset
+
+
+@given(*ENDS)
+def test_rows_and_changes_are_read_whole_or_not_at_all(server, framing, cut, reset):
+    set_answer(server, framing, cut, reset, STORE_ANSWER)
+    client = PlatformClient(server.address)
+    for read in (
+        lambda: client.snapshot("t"),
+        lambda: client.follow("t", 1, 0.0),
+    ):
+        try:
+            answer = read()
+        except PlatformError:
+            continue
+        assert [row.version for row in answer.rows] == [1, 2]
+        assert answer.version == 12
+
+
+@given(*ENDS)
+def test_a_write_counts_as_done_only_with_its_status(server, framing, cut, reset):
+    set_answer(server, framing, cut, reset, {"ver": 123})
+    try:
+        client = PlatformClient(server.address)
+        client.write("t", "k", b"v")
+    except PlatformError:
+        return
+    assert b" 200 " in server.data
+
+
+@given(*ENDS)
+def test_reports_and_cache_events_are_read_whole(server, framing, cut, reset):
+    client = ServerClient()
+    try:
+        set_answer(server, framing, cut, reset, REPORT)
+        report = client.report(server.address, "s0")
+        assert (report.orders_taken, report.weights) == (12, {"m": 34})
+        set_answer(server, framing, cut, reset, EVENTS)
+        batch = client.poll_cache_events(server.address, 0)
+        assert (batch.epoch, batch.position, len(batch.events)) == (12, 34, 1)
+    except PlatformError:
+        return
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -2,11 +2,14 @@
 
 import json
 import random
+import socket
 
 import gevent
 from gevent.server import StreamServer
 
-from tests.gateway.support import answer, chunk, not_run, read_message, stream_head
+from arbutusyard.gateway.const import NO_LINGER
+from tests.framing import FRAMINGS, frame
+from tests.gateway.support import answer, not_run, read_message
 from tests.soak.const import (
     DRAIN_S,
     ENTRY_EXPIRY_S,
@@ -42,6 +45,8 @@
         self._ledger = ledger
         self._store = store
         self._rng = rng
+        # Separate generator, so that framings leave a seed's other faults unchanged.
+        self._framing_rng = random.Random(f"framing {name} {service}")
         self._start_count = 0
         self._link = None
         self._tasks = []
@@ -227,15 +232,9 @@
         elif fault == "errors":
             sock.sendall(answer(request, "500 Error", b"no", headers))
         else:
-            body = plain_body(self.server_id, request.headers["request-id"])
-            data = answer(request, body=body, headers=headers)
-            if fault == "torn":
-                sock.sendall(data[:-3])
-                request.last = True
-                return
-            sock.sendall(data)
-            if fault == "extra":
-                sock.sendall(data)
+            self._send_plain(sock, request, headers, fault)
+        if request.last and fault == "torn":
+            return
         run.answered = True
         if fault == "extra" and request.headers["request-id"][-1] in "02468ace":
             self._send_garbage(sock)
@@ -246,16 +245,59 @@
             sock.sendall(b"\x00" * 4096)
             gevent.sleep(EVENT_INTERVAL_S)
 
+    def _send_plain(self, sock, request, headers, fault):
+        body = plain_body(self.server_id, request.headers["request-id"])
+        head, data, framing = self._framed(request, headers, [body])
+        if fault == "torn":
+            # A FIN would complete an answer that ends with its connection.
+            end_fraction = self._framing_rng.random()
+            reset = framing == "close" or self._framing_rng.random() < 0.5
+            self._break_off(sock, request, head + data, end_fraction, reset)
+            return
+        sock.sendall(head + data)
+        if framing == "close":
+            request.last = True
+        elif fault == "extra":
+            sock.sendall(head + data)
+
     def _stream(self, sock, request, headers, fault):
+        """Send a stream event by event, or a part of it that ends anywhere."""
         request_id = request.headers["request-id"]
         total = random.Random(request_id).randint(1, MAX_EVENTS)
         first = int(request.headers.get("last-event-id", 0)) + 1
-        version = f"Weight-Versions: {self.version}\r\n"
-        sock.sendall(stream_head(request, headers + version))
-        for number in range(first, total + 1):
-            if fault in ("torn", "errors") and number > total // 2:
-                request.last = True
-                return
-            sock.sendall(chunk(stream_event(request_id, number, total)))
+        events = [stream_event(request_id, n, total) for n in range(first, total + 1)]
+        headers += f"Weight-Versions: {self.version}\r\n"
+        headers += "Content-Type: text/event-stream\r\n"
+        head, data, framing = self._framed(request, headers, events)
+        if fault in ("torn", "errors"):
+            reset = self._framing_rng.random() < 0.5
+            end_fraction = self._framing_rng.random()
+            if framing == "close" and not reset:
+                # Between two events a FIN would complete the stream.
+                data = b"".join(events[: len(events) // 2 + 1])[:-1]
+                end_fraction = 1.0
+            self._break_off(sock, request, head + data, end_fraction, reset)
+            return
+        sock.sendall(head)
+        size = max(1, len(data) // max(1, len(events)))
+        for start in range(0, len(data), size):
+            sock.sendall(data[start : start + size])
             gevent.sleep(EVENT_INTERVAL_S)
-        sock.sendall(b"0\r\n\r\n")
+        if framing == "close":
+            request.last = True
+
+    def _framed(self, request, headers, parts):
+        """Return the head and the body of an answer in a random framing, and that."""
+        framing = self._framing_rng.choice(FRAMINGS)
+        framing_headers, data = frame(framing, parts)
+        name = request.headers["request-id"]
+        lines = f"HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\n{headers}{framing_headers}"
+        return f"{lines}\r\n".encode(), data, framing
+
+    @staticmethod
+    def _break_off(sock, request, data, end_fraction, reset):
+        """Send a part of an answer, and end its connection with a FIN or a reset."""
+        request.last = True
+        sock.sendall(data[: int(len(data) * end_fraction)])
+        if reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -113,8 +113,7 @@
 
 
 def _reset_connection(sock):
+    # No shutdown first: its FIN would complete an answer that ends with its connection.
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
     sock.close()
