Take no part of the stored configuration for the whole

The object with the newest configuration is read when the store's rows cannot be. If its answer has no length, the end of the connection ends it: a part raised an error that no caller handles, and an empty one counted as absent, so as a configuration without any workload. Both now count as a failed read.

test_an_object_that_ends_early_is_no_configuration failed before (DecodeError on an answer cut in its half) and passes.

--- a/arbutusyard/config/store.py
+++ b/arbutusyard/config/store.py
@@ -219,7 +219,13 @@
         data = self._platform.get_object(f"{OBJECT_PREFIX}newest")
         if not data:
             return Configuration(0, "")
-        return msgspec.msgpack.decode(data, type=Configuration)
+        try:
+            return msgspec.msgpack.decode(data, type=Configuration)
+        except msgspec.DecodeError as exc:
+            # Nothing else shows that an answer without a length is incomplete.
+            raise PlatformOutcomeUnknown(
+                f"the stored configuration is incomplete: {exc}"
+            ) from exc
 
 
 def _with_workload(old: Configuration, change: Change) -> Configuration:
--- a/arbutusyard/platform/client.py
+++ b/arbutusyard/platform/client.py
@@ -115,10 +115,17 @@
         self._request("PUT", path, data, timeout_s=WRITE_TIMEOUT_S)
 
     def get_object(self, key: str) -> bytes:
-        """Read an object; return empty bytes when it is absent."""
+        """Read an object; return empty bytes when it is absent.
+
+        An answer without a length may be incomplete, which only its content shows.
+        """
         path = PATH_OBJECT_GET + quote(key, safe="")
         resp = self._request("GET", path, accept=(200, 404))
-        return resp.data if resp.status == 200 else b""
+        if resp.status == 404:
+            return b""
+        if not resp.data:
+            raise PlatformOutcomeUnknown(f"GET {path}: answer is empty")
+        return resp.data
 
     def vms(self) -> VmList:
         """Read the operators' list of VMs, which the own interface uses."""
