Let a test's server answer a route that streams with an event

test_node_serves_reloads_settings_and_drains_before_it_exits failed with 502 since a stream that ends inside an event counts as broken off: its route streams and its server answered 'ok', which is the beginning of an event. The platform's streams consist of events, so the server was wrong, not the check, which stays as it is. Not seen before as only the tests of the gateway and of the platform's adapter were run then.

--- a/tests/cli/test_node.py
+++ b/tests/cli/test_node.py
@@ -16,6 +16,7 @@
 from tests.gateway.support import (
     ScriptedServer,
     answer,
+    event,
     read_answer,
     request_bytes,
     wait_for,
@@ -93,7 +94,7 @@
 @pytest.fixture
 def running_node(tmp_path):
     store = Store()
-    server = ScriptedServer(lambda request: iter([answer(request)]))
+    server = ScriptedServer(lambda request: iter([answer(request, body=event(1))]))
     store.write("op", "config", CONFIG)
     store.write("servers", "s1", entry(server.address, models=[]))
     node = NodeProcess(tmp_path, store)
