--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct
 
+from arbutusyard.quarantine.models import QuarantineNews
+
 
 class ServerLoad(Struct, frozen=True, array_like=True):
     """Hold the number and prompt tokens of a node's requests in flight at a server."""
@@ -140,6 +142,13 @@
     limits: tuple[ServerLimitReport, ...] = ()
 
 
+class QuarantineUpdate(Struct, frozen=True, array_like=True, tag="quarantine"):
+    """Report at once what a node found out about segments that may crash servers."""
+
+    name: str
+    news: QuarantineNews
+
+
 class Heartbeat(Struct, frozen=True, array_like=True, tag="beat"):
     """Report the state of a node to the other nodes."""
 
@@ -174,6 +183,7 @@
     # Packed addresses of the serving nodes for clients, by region.
     entries: tuple[tuple[str, bytes], ...] = ()
     limits: tuple[ServerLimitReport, ...] = ()
+    quarantine: QuarantineNews | None = None
 
 
 class NodeRow(Struct, frozen=True):
@@ -183,4 +193,11 @@
     incarnation: int
 
 
-Datagram = Heartbeat | ReadConfirmation | LoadUpdate | EngineUpdate | ServerUpdate
+Datagram = (
+    Heartbeat
+    | ReadConfirmation
+    | LoadUpdate
+    | EngineUpdate
+    | ServerUpdate
+    | QuarantineUpdate
+)
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -35,6 +35,7 @@
     Heartbeat,
     LoadUpdate,
     NodeRow,
+    QuarantineUpdate,
     ReadConfirmation,
     SegmentUpdate,
     ServerLimitReport,
@@ -44,6 +45,7 @@
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.exceptions import PlatformError
+from arbutusyard.quarantine.models import QuarantineNews
 from arbutusyard.supervisor import Restart, Supervisor
 
 _LOGGER = logging.getLogger(__name__)
@@ -84,6 +86,7 @@
         "on_heartbeat",
         "on_confirmation",
         "on_engines",
+        "on_quarantine",
         "on_segment_update",
         "on_servers",
         "on_tick",
@@ -138,6 +141,9 @@
         self.on_servers: Callable[[ServerUpdate, float], None] = lambda update, now: (
             None
         )
+        self.on_quarantine: Callable[[QuarantineUpdate, float], None] = (
+            lambda update, now: None
+        )
         self.on_tick: Callable[[float], None] = lambda now: None
         self.rejected = 0
 
@@ -269,6 +275,10 @@
         me, seq = self.table.me, self._next_seq()
         self._broadcast(EngineUpdate(me, self._incarnation, seq, status))
 
+    def broadcast_quarantine(self, news: QuarantineNews) -> None:
+        """Broadcast at once what is known about segments that may crash servers."""
+        self._broadcast(QuarantineUpdate(self.table.me, news))
+
     def broadcast_servers(
         self,
         unreachable: tuple[str, ...] = (),
@@ -324,7 +334,9 @@
                 del self._pending_limits[incarnation]
         self.on_servers(update, now)
 
-    def _broadcast(self, update: LoadUpdate | EngineUpdate | ServerUpdate) -> None:
+    def _broadcast(
+        self, update: LoadUpdate | EngineUpdate | ServerUpdate | QuarantineUpdate
+    ) -> None:
         data = msgspec.msgpack.encode(update)
         now = clock.now()
         heartbeats = self.table.live_heartbeats(now)
@@ -390,6 +402,8 @@
                         self.on_segment_update(datagram.segments, now)
                 case ServerUpdate():
                     self._apply_server_update(datagram, now)
+                case QuarantineUpdate():
+                    self.on_quarantine(datagram, now)
                 case EngineUpdate():
                     if self.table.apply_engine_update(datagram):
                         self.on_engines((datagram.status,), now)
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -42,6 +42,9 @@
 from arbutusyard.gateway.pool import ServerConnection, ServerPool, connection_cap
 from arbutusyard.gateway.router import Placement, PlacementRouter
 from arbutusyard.platform.headers import dispatch_headers, event_weights_version
+from arbutusyard.quarantine.const import BEGIN_S
+from arbutusyard.quarantine.coordinator import SegmentQuarantine
+from arbutusyard.quarantine.models import Quarantined
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -70,6 +73,8 @@
     account: Account | None
     service: str
     deadline: float
+    # Keys of the segments that the prompt may share with others.
+    segment_keys: tuple[bytes, ...] = ()
     # Failed attempts whose request was sent; one past its deadline is not counted.
     attempts: int = 0
     # Failed attempts that a server may have executed.
@@ -108,6 +113,7 @@
         "_malformed_pause_ids",
         "_peers",
         "_pool",
+        "_quarantine",
         "_router",
     )
 
@@ -118,12 +124,14 @@
         peers: PeerTable,
         router: PlacementRouter,
         pool: ServerPool,
+        quarantine: SegmentQuarantine,
     ) -> None:
         self._admission = admission
         self._fleet_state = fleet_state
         self._peers = peers
         self._router = router
         self._pool = pool
+        self._quarantine = quarantine
         self._malformed_limit_ids: set[str] = set()
         self._malformed_pause_ids: set[str] = set()
 
@@ -137,15 +145,17 @@
         self._router.begin_attempt(placement, now)
         conn: ServerConnection | None = None
         complete_head: AnswerHead | None = None
+        exchange.head = None
         try:
             conn = self._pool.acquire(server, cap, now)
-            conn.should_abandon = lambda: self._should_abandon(exchange, server)
+            conn.should_abandon = lambda: self._should_abandon(exchange, placement)
             if exchange.conn.has_disconnected():
                 # On a busy node a client's request is read together with the end of
                 # its connection.
                 raise CallerGone("client disconnected before its request was relayed")
             self._send(exchange, placement, conn)
             head = conn.read_head(exchange.req.request_id, exchange.deadline)
+            exchange.head = head
             result = self._process_answer(exchange, placement, conn, head)
             complete_head = head
         except NotSent as exc:
@@ -166,6 +176,8 @@
             result = self._record_failure(
                 exchange, placement, AttemptResult.BROKEN, exc
             )
+            if conn is not None and conn.ended:
+                self._record_evidence(exchange, placement, clock.now())
         except AnswerLate as exc:
             server.count_outcome(True, clock.now())
             result = self._record_failure(exchange, placement, AttemptResult.LATE, exc)
@@ -195,7 +207,40 @@
         )
         conn.send(req.method, req.target, dispatch_headers(req, dispatch), req.body)
 
-    def _should_abandon(self, exchange: Exchange, server: Server) -> bool:
+    def _record_evidence(
+        self, exchange: Exchange, placement: Placement, now: float
+    ) -> None:
+        """Record whether an attempt that broke off may have crashed its server."""
+        keys = exchange.segment_keys
+        if not keys:
+            return
+        first_event_at = placement.first_event_at
+        if first_event_at is not None and now - first_event_at >= BEGIN_S:
+            self._quarantine.record_answer(keys, now)
+            return
+        server = placement.server
+        if not self._quarantine.may_be_deadly(keys, now) or not server.is_staying:
+            return
+        if not self._pool.has_crashed(server):
+            return
+        now = clock.now()
+        if not server.suspected:
+            server.suspect(now)
+            self._router.on_unreachable(server.entry.server_id)
+        begun = exchange.head is not None and first_event_at is None
+        self._quarantine.record_crash(server.incarnation, keys, begun, now)
+        _LOGGER.info(
+            "Server %s crashed before it sent an event",
+            server.entry.server_id,
+            extra={
+                "request_id": exchange.req.request_id,
+                "server": server.entry.server_id,
+                "begun": begun,
+                "segment_keys": [key.hex() for key in keys],
+            },
+        )
+
+    def _should_abandon(self, exchange: Exchange, placement: Placement) -> bool:
         """Tell whether to retry an unresponsive server's request on another one.
 
         A saturated server may look unresponsive too, above all to one of many nodes. It
@@ -204,6 +249,11 @@
         the other nodes.
         """
         now = clock.now()
+        server = placement.server
+        if placement.first_event_at is None and isinstance(
+            self._quarantine.judge(exchange.segment_keys, now), Quarantined
+        ):
+            return True
         if not self._router.is_unresponsive(server, now):
             return False
         may_be_prefilling = self._router.may_be_prefilling(server, now)
@@ -247,7 +297,6 @@
         """Read an answer and relay it; return how the attempt failed if it did."""
         server = placement.server
         model = exchange.req.model
-        exchange.head = head
         if model and head.weights_version is not None:
             server.weights[model] = head.weights_version
         self._apply_server_headers(server, head)
@@ -264,6 +313,7 @@
         if exchange.route.streaming and head.status < 300:
             self._relay_stream(exchange, placement, conn, head)
             server.count_outcome(False, clock.now())
+            self._quarantine.record_answer(exchange.segment_keys, clock.now())
             return None
         body = self._read_or_relay_body(exchange, conn, head)
         server.count_outcome(head.status >= 500, clock.now())
@@ -274,6 +324,8 @@
             return self._record_failure(
                 exchange, placement, AttemptResult.FAILED, f"status {head.status}"
             )
+        if head.status < 300:
+            self._quarantine.record_answer(exchange.segment_keys, clock.now())
         self.answer(exchange, head, body)
         return None
 
@@ -401,7 +453,7 @@
         exchange.incomplete_bytes = len(splitter.remaining())
         if splitter.is_inside_event():
             raise AnswerBroken(f"{conn.address} ended its stream inside an event")
-        if head.framing is Framing.CLOSE and not placement.first_event_seen:
+        if head.framing is Framing.CLOSE and placement.first_event_at is None:
             raise AnswerBroken(f"{conn.address} ended its stream before an event")
         if not caller.sent_head:
             caller.send_head(head.status, self.with_connection_header(head.headers))
@@ -418,8 +470,8 @@
     ) -> None:
         caller = exchange.conn
         now = clock.now()
-        if not placement.first_event_seen:
-            placement.first_event_seen = True
+        if placement.first_event_at is None:
+            placement.first_event_at = now
             self._router.record_first_event(placement, now)
         if exchange.first_event_at is None:
             exchange.first_event_at = now
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -47,6 +47,7 @@
         "_metrics",
         "_peers",
         "_pool",
+        "_quarantined",
         "_relay",
         "_rng",
         "_router",
@@ -82,6 +83,8 @@
         self._servers: list[WSGIServer] = []
         self._started_at = clock.now()
         self._was_ready = False
+        # Number of quarantined segments that the metrics show.
+        self._quarantined = 0
 
     def register_callbacks(
         self,
@@ -115,6 +118,10 @@
         )
         peers.on_servers = self._apply_server_update
         peers.on_confirmation = self._apply_confirmation
+        self._relay.quarantine.on_news = self._broadcast_quarantine
+        peers.on_quarantine = lambda update, now: self._relay.quarantine.apply(
+            update.news, update.name, now
+        )
         self._fleet_state.set_read_hooks(peers.live_heartbeats, peers.confirm)
         weights.bind(
             self.is_ready, lambda now: now - self._started_at, self._router.limits
@@ -213,6 +220,7 @@
             capacity=self._cfg.capacity,
             rate_s=self._relay.rate.rate_s(now),
             limits=self._router.limits.reports(now),
+            quarantine=self._relay.quarantine.heartbeat_news(now),
         )
 
     def _apply_confirmation(
@@ -241,6 +249,19 @@
         for server_id, started_at_ms in heartbeat.leaving_incarnations:
             self._fleet_state.servers.mark_leaving(server_id, started_at_ms)
         self._router.limits.apply_reports(heartbeat.limits, now)
+        if heartbeat.quarantine is not None:
+            self._relay.quarantine.apply(heartbeat.quarantine, heartbeat.name, now)
+
+    def _count_quarantined(self) -> None:
+        quarantined = len(self._relay.quarantine)
+        if quarantined != self._quarantined:
+            self._quarantined = quarantined
+            self._metrics.set_quarantined(quarantined)
+
+    def _broadcast_quarantine(self) -> None:
+        news = self._relay.quarantine.take_urgent(clock.now())
+        if news is not None:
+            self._peers.broadcast_quarantine(news)
 
     def reload(self, cfg: NodeSettings) -> None:
         """Apply changed settings; changed addresses need a restart."""
@@ -261,6 +282,7 @@
         self._fleet_state.set_reader(reads)
         self._fleet_state.set_read_intervals(nodes, self._cfg.drain_s)
         self._pool.sweep(now)
+        self._count_quarantined()
         for server in self._fleet_state.servers.suspects(now):
             gevent.spawn(self._probe, server)
         ready = self.is_ready(now)
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -55,6 +55,7 @@
         "_server",
         "_sock",
         "address",
+        "ended",
         "idle_until",
         "should_abandon",
     )
@@ -69,6 +70,8 @@
         self._head_bytes = 0
         self._head_started_at: float | None = None
         self.address = server.entry.address
+        # The server ended or reset the connection.
+        self.ended = False
         self.idle_until = 0.0
         self.should_abandon: Callable[[], bool] = lambda: False
 
@@ -235,6 +238,7 @@
                 self._check_head(clock.now())
             data = self._receive(remaining_s, deadline)
             self._server.last_byte_at = clock.now()
+            self.ended = not data
             self._head_bytes += len(data)
             if self._head_started_at is None:
                 self._head_started_at = self._server.last_byte_at
@@ -272,11 +276,14 @@
                         f"{self.address}: connection failed: {exc}"
                     ) from exc
                 if self.should_abandon():
-                    raise AnswerBroken(f"{self.address} is unresponsive") from exc
+                    raise AnswerBroken(
+                        f"{self.address} is unresponsive or must not answer"
+                    ) from exc
                 started_at = now
                 poll_s = max(0.001, min(deadline - now, UNRESPONSIVE_CHECK_INTERVAL_S))
                 self._sock.settimeout(poll_s)
             except OSError as exc:
+                self.ended = True
                 raise AnswerBroken(f"{self.address}: connection failed: {exc}") from exc
 
 
@@ -361,6 +368,20 @@
             extra={"server": server.entry.server_id, "own_word": server.first_hand},
         )
 
+    def has_crashed(self, server: Server) -> bool:
+        """Tell whether the address of a server refuses connections.
+
+        The port of a process closes with it. A server that only ended a connection, or
+        that cannot be reached, does not refuse another one.
+        """
+        try:
+            conn = self._connect(server)
+        except Unreachable as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        conn.idle_until = clock.now() + IDLE_KEEP_S - IDLE_MARGIN_S
+        self._idle.setdefault(conn.incarnation, []).append(conn)
+        return False
+
     def _connect(self, server: Server) -> ServerConnection:
         address = server.entry.address
         incarnation = server.incarnation
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -26,6 +26,9 @@
 from arbutusyard.limits.retry_budget import RetryBudget
 from arbutusyard.metrics.deferred import DeferredMetrics
 from arbutusyard.platform.headers import refusal_headers
+from arbutusyard.quarantine.const import RETRY_AFTER_MAX_S
+from arbutusyard.quarantine.coordinator import SegmentQuarantine, shared_keys
+from arbutusyard.quarantine.models import Quarantined, Suspect
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -41,6 +44,7 @@
         "_metrics",
         "_peers",
         "_router",
+        "quarantine",
         "rate",
     )
 
@@ -54,7 +58,10 @@
         metrics: DeferredMetrics,
     ) -> None:
         self._admission = Admission(fleet_state, cfg.revoke_s)
-        self._dispatcher = Dispatcher(self._admission, fleet_state, peers, router, pool)
+        self.quarantine = SegmentQuarantine(peers.me)
+        self._dispatcher = Dispatcher(
+            self._admission, fleet_state, peers, router, pool, self.quarantine
+        )
         self._fleet_state = fleet_state
         self._peers = peers
         self._router = router
@@ -101,6 +108,7 @@
             admitted.account,
             admitted.service,
             deadline,
+            shared_keys(req.model, req.segments) if req.model else (),
             sequence=EventSequence(req.resume_after),
         )
         self._retry_budget.count_request(admitted.service, now)
@@ -117,6 +125,15 @@
             now = clock.now()
             if now >= exchange.deadline:
                 return self._answer_failure(exchange, "late")
+            suspect_key = b""
+            match self.quarantine.judge(exchange.segment_keys, now):
+                case Quarantined() as found:
+                    return self._answer_quarantined(exchange, found, now)
+                case Suspect(wait_s=wait_s) if wait_s > 0:
+                    gevent.sleep(wait_s)
+                    continue
+                case Suspect(key=key):
+                    suspect_key = key
             placement = self._router.place(
                 exchange.req,
                 exchange.account,
@@ -124,6 +141,7 @@
                 exchange.route.objective_s,
                 exchange.excluded,
                 now,
+                suspect_key,
             )
             if placement is None:
                 usable_in_s = self._router.usable_in_s(exchange.service, now)
@@ -163,7 +181,31 @@
                 exchange.executions += 1
                 return False
 
-    def _answer_failure(self, exchange: Exchange, reason: str) -> str:
+    def _answer_quarantined(
+        self, exchange: Exchange, found: Quarantined, now: float
+    ) -> str:
+        """Answer a request with a quarantined segment; return the outcome's name."""
+        quarantine = found.quarantine
+        shared = exchange.req.segments[:-1][-len(exchange.segment_keys) :]
+        _LOGGER.info(
+            "Request has a quarantined segment",
+            extra={
+                "request_id": exchange.req.request_id,
+                "segment": shared[found.index].segment_id,
+                "segment_key": exchange.segment_keys[found.index].hex(),
+                "crashes": quarantine.crashes,
+                "servers": quarantine.servers,
+                "reporters": quarantine.reporters,
+                "age_s": round(now - quarantine.since, 3),
+                "left_s": round(found.left_s, 3),
+            },
+        )
+        retry_after_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_S, found.left_s))
+        return self._answer_failure(exchange, "quarantined", retry_after_s)
+
+    def _answer_failure(
+        self, exchange: Exchange, reason: str, retry_after_s: float = 0.0
+    ) -> str:
         """Answer a request that no server answered; return the outcome's name."""
         if exchange.conn.sent_head:
             # The client sees that its answer is incomplete.
@@ -172,7 +214,9 @@
             self._dispatcher.answer(exchange, *exchange.fallback_answer)
             return "failed_by_server"
         if exchange.executions == 0:
-            retry_after_s = self._router.retry_after_s(exchange.service, clock.now())
+            retry_after_s = retry_after_s or self._router.retry_after_s(
+                exchange.service, clock.now()
+            )
             refusal = Refusal(503, reason, max(RETRY_AFTER_S, retry_after_s))
         else:
             refusal = Refusal(
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -95,7 +95,7 @@
     broadcast: bool = False
     tokens_ahead: int = 0
     sent_at: float = 0.0
-    first_event_seen: bool = False
+    first_event_at: float | None = None
 
     @property
     def cache_salt(self) -> str:
@@ -164,8 +164,12 @@
         objective_s: float,
         excluded: set[str],
         now: float,
+        suspect_key: bytes = b"",
     ) -> Placement | None:
-        """Choose the best usable server; return None when there is none."""
+        """Choose the best usable server; return None when there is none.
+
+        The key of a suspect segment selects one server, the same on all nodes.
+        """
         servers = [
             server
             for server in self._fleet_state.servers.of_service(service)
@@ -175,6 +179,9 @@
             servers = self._with_allowed_weights(servers, req.model, now)
         if not servers:
             return None
+        if suspect_key:
+            by_id = {server.entry.server_id: server for server in servers}
+            servers = [by_id[rank(suspect_key, by_id)[0]]]
         if not req.model:
             return self._place_plain(servers, now)
         return self._place_prompt(req, account, service, objective_s, servers, now)
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -58,6 +58,10 @@
             "record_answer", account, work_class, first_token_s, whole_s, tokens
         )
 
+    def set_quarantined(self, segments: int) -> None:
+        """Set the number of quarantined segments."""
+        self._record("set_quarantined", segments)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self._metrics is None:
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -46,6 +46,7 @@
         "_hit_tokens",
         "_labels",
         "_provider",
+        "_quarantined",
         "_recomputed_tokens",
         "_refusals",
         "_requests",
@@ -82,6 +83,7 @@
         self._refusals = meter.create_counter("arbutusyard_refusals")
         self._retries = meter.create_counter("arbutusyard_retries")
         self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
+        self._quarantined = meter.create_gauge("arbutusyard_quarantined_segments")
         self._recomputed_tokens = meter.create_counter("arbutusyard_recomputed_tokens")
 
     def count_request(self, account: str, work_class: str, outcome: str) -> None:
@@ -123,6 +125,10 @@
         """Count retries of a request."""
         self._retries.add(retries)
 
+    def set_quarantined(self, segments: int) -> None:
+        """Set the number of quarantined segments."""
+        self._quarantined.set(segments)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
--- /dev/null
+++ b/arbutusyard/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Keep prompt segments that crash backend servers away from them."""
--- /dev/null
+++ b/arbutusyard/quarantine/coordinator.py
@@ -0,0 +1,497 @@
+"""Find the prompt segments that crash servers, from crashes and from answers."""
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from hashlib import blake2b
+
+from arbutusyard.gateway.models import PromptSegment
+from arbutusyard.quarantine.const import (
+    AWAITED_CRASHES,
+    BEGUN_CRASHES,
+    CRASH_REQUESTS_MAX,
+    CRASHES_MAX,
+    EVIDENCE_S,
+    KEY_BYTES,
+    NEWS_CRASHES_MAX,
+    NEWS_HEARTBEATS,
+    NEWS_QUARANTINED_MAX,
+    NEWS_SOUND_MAX,
+    QUARANTINE_FIRST_S,
+    QUARANTINE_MAX_S,
+    QUARANTINED_MAX,
+    SEGMENTS_MAX,
+    SETTLE_S,
+    SHARED_CRASHES,
+    SOUND_MAX,
+    SOUND_NEWS_INTERVAL_S,
+    SOUND_NEWS_MAX,
+    SOUND_S,
+)
+from arbutusyard.quarantine.models import (
+    Crash,
+    CrashedRequest,
+    CrashReport,
+    Incarnation,
+    Judgement,
+    Quarantine,
+    Quarantined,
+    QuarantineNews,
+    QuarantineReport,
+    Sound,
+    SoundReport,
+    Suspect,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+Keys = tuple[bytes, ...]
+
+
+def shared_keys(model: str, segments: tuple[PromptSegment, ...]) -> Keys:
+    """Return a key for each segment but the last, which belongs to the request."""
+    return tuple(
+        blake2b(
+            f"{len(model)}:{model}{segment.segment_id}".encode(), digest_size=KEY_BYTES
+        ).digest()
+        for segment in segments[:-1][-SEGMENTS_MAX:]
+    )
+
+
+class SegmentQuarantine:
+    """Judge prompts by the crashes and the answers that all nodes have reported.
+
+    A crash ends all requests of its server, so it is evidence against each segment of
+    those whose answers had not begun, and proof against none. An answer proves its
+    segments sound. What remains in several crashes is quarantined.
+    """
+
+    __slots__ = (
+        "_crashes",
+        "_me",
+        "_own_crashes",
+        "_quarantined",
+        "_report_offset",
+        "_settles_at",
+        "_sound",
+        "_sound_news",
+        "_sound_reported_at",
+        "_suspects",
+        "_urgent_crashes",
+        "_urgent_quarantined",
+        "_urgent_sound",
+        "on_news",
+    )
+
+    def __init__(self, me: str) -> None:
+        self._me = me
+        # When the newest answer on each segment came, in order of time.
+        self._sound: OrderedDict[bytes, float] = OrderedDict()
+        self._crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
+        # The segments that any of these crashes is evidence against.
+        self._suspects: frozenset[bytes] = frozenset()
+        self._quarantined: OrderedDict[bytes, Quarantine] = OrderedDict()
+        # What the next heartbeats repeat, and how often.
+        self._own_crashes: dict[Incarnation, int] = {}
+        self._sound_news: dict[bytes, int] = {}
+        self._sound_reported_at: OrderedDict[bytes, float] = OrderedDict()
+        self._report_offset = 0
+        # What has not been reported yet, in order.
+        self._urgent_crashes: dict[Incarnation, None] = {}
+        self._urgent_quarantined: dict[bytes, None] = {}
+        self._urgent_sound: dict[bytes, None] = {}
+        # When the evidence of the newest crash is complete.
+        self._settles_at: float | None = None
+        # Called when the other nodes have to know something at once.
+        self.on_news: Callable[[], None] = lambda: None
+
+    def __len__(self) -> int:
+        """Return the number of quarantined segments."""
+        return len(self._quarantined)
+
+    def judge(self, keys: Keys, now: float) -> Judgement:
+        """Judge a prompt by the keys of its shared segments."""
+        if not self._suspects and not self._quarantined:
+            return Sound()
+        self._settle(now)
+        for index, key in enumerate(keys):
+            quarantine = self._quarantined.get(key)
+            if quarantine is not None and now < quarantine.until:
+                return Quarantined(index, quarantine.until - now, quarantine)
+        for key in reversed(keys):
+            if key in self._quarantined or key in self._suspects:
+                wait_s = 0.0 if self._settles_at is None else self._settles_at - now
+                return Suspect(key, wait_s)
+        return Sound()
+
+    def record_answer(self, keys: Keys, now: float) -> None:
+        """Record that a server answered a prompt, or began to, and did not crash."""
+        for key in keys:
+            if self._record_sound(key, now):
+                self._report_sound(key, now)
+                self.on_news()
+
+    def may_be_deadly(self, keys: Keys, now: float) -> bool:
+        """Tell whether a prompt has a segment that is not known to be sound."""
+        return any(not self._is_sound(key, now) for key in keys)
+
+    def record_crash(
+        self, incarnation: Incarnation, keys: Keys, begun: bool, now: float
+    ) -> None:
+        """Record that a server crashed before it sent an event on a prompt."""
+        report = CrashReport(*incarnation, (CrashedRequest(keys, begun),))
+        if self._add_crash(report, self._me, now):
+            self._own_crashes[incarnation] = NEWS_HEARTBEATS
+            self._urgent_crashes[incarnation] = None
+            self._await_evidence(now)
+            self.on_news()
+
+    def apply(self, news: QuarantineNews, reporter: str, now: float) -> None:
+        """Apply what another node reports."""
+        for sound in news.sound[:NEWS_SOUND_MAX]:
+            self._record_sound(sound.key, now - max(0.0, sound.age_s))
+        changed = False
+        for report in news.crashes:
+            changed = self._add_crash(report, reporter, now) or changed
+        for report in news.quarantined:
+            self._apply_quarantine(report, reporter, now)
+        if changed:
+            self._await_evidence(now)
+        if self._urgent_sound:
+            self.on_news()
+
+    def take_urgent(self, now: float) -> QuarantineNews | None:
+        """Return what the other nodes have to know at once; None without news."""
+        if not (self._urgent_crashes or self._urgent_quarantined or self._urgent_sound):
+            return None
+        news = QuarantineNews(
+            self._crash_reports(self._urgent_crashes, now),
+            self._sound_reports(self._urgent_sound, now),
+            self._quarantine_reports(self._urgent_quarantined, now),
+        )
+        self._urgent_crashes.clear()
+        self._urgent_quarantined.clear()
+        self._urgent_sound.clear()
+        return news
+
+    def heartbeat_news(self, now: float) -> QuarantineNews | None:
+        """Return what this node's next heartbeat repeats; None without news."""
+        self._settle(now)
+        self._forget(now)
+        keys = list(self._quarantined)
+        start = self._report_offset % max(1, len(keys))
+        if len(keys) > NEWS_QUARANTINED_MAX:
+            self._report_offset = start + NEWS_QUARANTINED_MAX
+            keys = (keys + keys)[start : start + NEWS_QUARANTINED_MAX]
+        news = QuarantineNews(
+            self._crash_reports(self._own_crashes, now),
+            self._sound_reports(self._sound_news, now),
+            self._quarantine_reports(keys, now),
+        )
+        _count_down(self._own_crashes)
+        _count_down(self._sound_news)
+        return news if news.crashes or news.sound or news.quarantined else None
+
+    def _record_sound(self, key: bytes, answered_at: float) -> bool:
+        """Record an answer on a segment; return whether that refutes evidence."""
+        if answered_at < self._sound.get(key, answered_at):
+            return False
+        self._sound[key] = answered_at
+        self._sound.move_to_end(key)
+        while len(self._sound) > SOUND_MAX:
+            self._sound.popitem(last=False)
+        return self._refute(key, answered_at)
+
+    def _is_sound(self, key: bytes, now: float) -> bool:
+        answered_at = self._sound.get(key)
+        return answered_at is not None and now - answered_at <= SOUND_S
+
+    def _report_sound(self, key: bytes, now: float) -> None:
+        """Tell the other nodes that a segment is sound, as one of them doubts it."""
+        if now - self._sound_reported_at.get(key, -SOUND_S) < SOUND_NEWS_INTERVAL_S:
+            return
+        if len(self._sound_news) >= SOUND_NEWS_MAX:
+            return
+        self._sound_reported_at[key] = now
+        self._sound_reported_at.move_to_end(key)
+        while len(self._sound_reported_at) > SOUND_NEWS_MAX:
+            self._sound_reported_at.popitem(last=False)
+        self._sound_news[key] = NEWS_HEARTBEATS
+        self._urgent_sound[key] = None
+
+    def _add_crash(self, report: CrashReport, reporter: str, now: float) -> bool:
+        """Add a node's evidence of a crash; return whether it is new."""
+        incarnation = (report.server_id, report.started_at_ms)
+        suspects: list[CrashedRequest] = []
+        for request in report.requests[:CRASH_REQUESTS_MAX]:
+            keys = []
+            for key in request.keys[-SEGMENTS_MAX:]:
+                if not self._is_sound(key, now):
+                    keys.append(key)
+                elif reporter != self._me:
+                    self._report_sound(key, now)
+            if keys:
+                suspects.append(CrashedRequest(tuple(keys), request.begun))
+        if not suspects:
+            return False
+        crash = self._crashes.get(incarnation)
+        if crash is None:
+            self._count_trials(suspects, now)
+            crash = self._crashes[incarnation] = Crash(now - max(0.0, report.age_s))
+            while len(self._crashes) > CRASHES_MAX:
+                self._crashes.popitem(last=False)
+        crash.reporters.add(reporter)
+        changed = False
+        for request in suspects:
+            known = crash.requests.get(request.keys)
+            if known is None and len(crash.requests) >= CRASH_REQUESTS_MAX:
+                continue
+            if known is None or (request.begun and not known):
+                crash.requests[request.keys] = request.begun
+                changed = True
+        return changed
+
+    def _count_trials(self, requests: list[CrashedRequest], now: float) -> None:
+        """Count another crash on quarantined segments; extend an ended quarantine."""
+        for key in {key for request in requests for key in request.keys}:
+            quarantine = self._quarantined.get(key)
+            if quarantine is None:
+                continue
+            quarantine.crashes += 1
+            if now >= quarantine.until:
+                quarantine.duration_s = min(QUARANTINE_MAX_S, 2 * quarantine.duration_s)
+                quarantine.until = now + quarantine.duration_s
+                self._urgent_quarantined[key] = None
+                self.on_news()
+                _LOGGER.warning(
+                    "Segment stays quarantined: a trial of it crashed a server",
+                    extra={
+                        "segment_key": key.hex(),
+                        "crashes": quarantine.crashes,
+                        "quarantine_s": quarantine.duration_s,
+                    },
+                )
+
+    def _refute(self, key: bytes, answered_at: float) -> bool:
+        """Drop the evidence that an answer refutes; return whether there was any.
+
+        An answer long before a crash does not refute it.
+        """
+        quarantine = self._quarantined.get(key)
+        if quarantine is None and key not in self._suspects:
+            return False
+        if quarantine is not None and quarantine.since - answered_at <= SOUND_S:
+            del self._quarantined[key]
+            _LOGGER.info(
+                "Segment is no longer quarantined: an answer on it came",
+                extra={"segment_key": key.hex()},
+            )
+        for incarnation, crash in list(self._crashes.items()):
+            if crash.at - answered_at > SOUND_S:
+                continue
+            requests: dict[Keys, bool] = {}
+            for keys, begun in crash.requests.items():
+                if rest := tuple(item for item in keys if item != key):
+                    requests[rest] = begun or requests.get(rest, False)
+            crash.requests = requests
+            if not requests:
+                del self._crashes[incarnation]
+        self._update_suspects()
+        return True
+
+    def _update_suspects(self) -> None:
+        self._suspects = frozenset(
+            key
+            for crash in self._crashes.values()
+            for keys in crash.requests
+            for key in keys
+        )
+
+    def _forget(self, now: float) -> None:
+        """Forget evidence that is too old, and segments that nobody tries again."""
+        old = [i for i, crash in self._crashes.items() if now - crash.at > EVIDENCE_S]
+        for incarnation in old:
+            del self._crashes[incarnation]
+        if old:
+            self._update_suspects()
+        for key, quarantine in list(self._quarantined.items()):
+            if now - quarantine.until > EVIDENCE_S:
+                del self._quarantined[key]
+                _LOGGER.info(
+                    "Segment is no longer quarantined: no request with it came",
+                    extra={"segment_key": key.hex()},
+                )
+
+    def _await_evidence(self, now: float) -> None:
+        self._update_suspects()
+        self._settles_at = now + SETTLE_S
+
+    def _settle(self, now: float) -> None:
+        """Quarantine the segments that explain several crashes, if all is known."""
+        if self._settles_at is None or now < self._settles_at:
+            return
+        self._settles_at = None
+        while (key := self._most_suspect()) is not None:
+            self._quarantine(key, now)
+
+    def _most_suspect(self) -> bytes | None:
+        """Return a segment to quarantine, None without one.
+
+        Crashes that a quarantined segment explains are no evidence against others.
+        """
+        unexplained = [
+            crash for crash in self._crashes.values() if not self._is_explained(crash)
+        ]
+        begun: dict[bytes, int] = {}
+        awaited: dict[bytes, int] = {}
+        for crash in unexplained:
+            for key in {key for keys in crash.requests for key in keys}:
+                awaited[key] = awaited.get(key, 0) + 1
+            begun_keys = {
+                key
+                for keys, was_begun in crash.requests.items()
+                if was_begun
+                for key in keys
+            }
+            for key in begun_keys:
+                begun[key] = begun.get(key, 0) + 1
+        for crash in unexplained:
+            key = _distinct_key(crash, begun, awaited)
+            if key is None:
+                continue
+            extra = SHARED_CRASHES if self._leads_others(key) else 0
+            if (
+                begun.get(key, 0) >= BEGUN_CRASHES + extra
+                or awaited[key] >= AWAITED_CRASHES + extra
+            ):
+                return key
+        return None
+
+    def _is_explained(self, crash: Crash) -> bool:
+        return any(key in self._quarantined for keys in crash.requests for key in keys)
+
+    def _leads_others(self, key: bytes) -> bool:
+        """Tell whether a segment was the first of several in a request."""
+        return any(
+            keys[0] == key and len(keys) > 1
+            for crash in self._crashes.values()
+            for keys in crash.requests
+        )
+
+    def _quarantine(self, key: bytes, now: float) -> None:
+        crashes = {
+            incarnation: crash
+            for incarnation, crash in self._crashes.items()
+            if any(key in keys for keys in crash.requests)
+        }
+        reporters = {name for crash in crashes.values() for name in crash.reporters}
+        quarantine = Quarantine(
+            now,
+            now + QUARANTINE_FIRST_S,
+            QUARANTINE_FIRST_S,
+            len(crashes),
+            tuple(server_id for server_id, _ in crashes),
+            tuple(sorted(reporters)),
+        )
+        self._set_quarantine(key, quarantine)
+        self._urgent_quarantined[key] = None
+        self.on_news()
+        _LOGGER.warning(
+            "Segment is quarantined: %d servers crashed on it",
+            len(crashes),
+            extra={
+                "segment_key": key.hex(),
+                "servers": quarantine.servers,
+                "reporters": quarantine.reporters,
+                "quarantine_s": quarantine.duration_s,
+            },
+        )
+
+    def _set_quarantine(self, key: bytes, quarantine: Quarantine) -> None:
+        self._quarantined[key] = quarantine
+        while len(self._quarantined) > QUARANTINED_MAX:
+            self._quarantined.popitem(last=False)
+
+    def _apply_quarantine(
+        self, report: QuarantineReport, reporter: str, now: float
+    ) -> None:
+        if self._is_sound(report.key, now):
+            self._report_sound(report.key, now)
+            return
+        until = now + max(0.0, min(report.left_s, QUARANTINE_MAX_S))
+        known = self._quarantined.get(report.key)
+        if known is not None:
+            known.until = max(known.until, until)
+            known.duration_s = max(known.duration_s, report.duration_s)
+            return
+        since = now - max(0.0, report.age_s)
+        quarantine = Quarantine(since, until, report.duration_s, report.crashes)
+        quarantine.reporters = (reporter,)
+        self._set_quarantine(report.key, quarantine)
+        _LOGGER.warning(
+            "Segment is quarantined, as reported by node %s",
+            reporter,
+            extra={
+                "segment_key": report.key.hex(),
+                "crashes": report.crashes,
+                "age_s": round(report.age_s, 3),
+                "quarantine_s": report.duration_s,
+            },
+        )
+
+    def _crash_reports(
+        self, incarnations: Iterable[Incarnation], now: float
+    ) -> tuple[CrashReport, ...]:
+        reports = []
+        for incarnation in incarnations:
+            crash = self._crashes.get(incarnation)
+            if crash is not None and len(reports) < NEWS_CRASHES_MAX:
+                requests = tuple(
+                    CrashedRequest(keys, begun)
+                    for keys, begun in crash.requests.items()
+                )
+                reports.append(CrashReport(*incarnation, requests, now - crash.at))
+        return tuple(reports)
+
+    def _sound_reports(
+        self, keys: Iterable[bytes], now: float
+    ) -> tuple[SoundReport, ...]:
+        known = ((key, self._sound.get(key)) for key in list(keys)[:NEWS_SOUND_MAX])
+        return tuple(SoundReport(key, now - at) for key, at in known if at is not None)
+
+    def _quarantine_reports(
+        self, keys: Iterable[bytes], now: float
+    ) -> tuple[QuarantineReport, ...]:
+        known = ((key, self._quarantined.get(key)) for key in keys)
+        return tuple(
+            QuarantineReport(
+                key, item.crashes, now - item.since, item.until - now, item.duration_s
+            )
+            for key, item in known
+            if item is not None
+        )
+
+
+def _distinct_key(
+    crash: Crash, begun: dict[bytes, int], awaited: dict[bytes, int]
+) -> bytes | None:
+    """Return the segment that speaks for a crash more than all others, if any.
+
+    Among segments that occur in one request only together it is the last one, since
+    others may lead to segments that are sound.
+    """
+    keys = {key for item in crash.requests for key in item}
+    best = max((awaited[key], begun.get(key, 0)) for key in keys)
+    tied = {key for key in keys if (awaited[key], begun.get(key, 0)) == best}
+    for item in crash.requests:
+        if tied <= set(item):
+            return [key for key in item if key in tied][-1]
+    return None
+
+
+def _count_down(counts: dict) -> None:
+    """Count down the heartbeats that still repeat each item; drop it at 0."""
+    for item in list(counts):
+        counts[item] -= 1
+        if counts[item] <= 0:
+            del counts[item]
--- /dev/null
+++ b/arbutusyard/quarantine/models.py
@@ -0,0 +1,95 @@
+"""Define what nodes know and report about segments that may crash servers."""
+
+from msgspec import Struct, field
+
+# The server id and the start in ms that identify an incarnation of a server.
+Incarnation = tuple[str, int]
+
+
+class CrashedRequest(Struct, frozen=True, array_like=True):
+    """Hold the keys of a request that a server held when it crashed.
+
+    `begun` tells that the server had begun the answer and not yet sent an event.
+    """
+
+    keys: tuple[bytes, ...]
+    begun: bool
+
+
+class CrashReport(Struct, frozen=True, array_like=True):
+    """Report the requests of one node that may have crashed a server."""
+
+    server_id: str
+    started_at_ms: int
+    requests: tuple[CrashedRequest, ...]
+    age_s: float = 0.0
+
+
+class SoundReport(Struct, frozen=True, array_like=True):
+    """Report how many seconds ago the newest answer on a segment came."""
+
+    key: bytes
+    age_s: float
+
+
+class QuarantineReport(Struct, frozen=True, array_like=True):
+    """Report a quarantined segment; the times are counted back and on from now."""
+
+    key: bytes
+    crashes: int
+    age_s: float
+    left_s: float
+    duration_s: float
+
+
+class QuarantineNews(Struct, frozen=True, array_like=True):
+    """Hold what one node reports to the others."""
+
+    crashes: tuple[CrashReport, ...] = ()
+    sound: tuple[SoundReport, ...] = ()
+    quarantined: tuple[QuarantineReport, ...] = ()
+
+
+class Crash(Struct):
+    """Hold the requests that may have crashed an incarnation, and who reported them."""
+
+    at: float
+    requests: dict[tuple[bytes, ...], bool] = field(default_factory=dict)
+    reporters: set[str] = field(default_factory=set)
+
+
+class Quarantine(Struct):
+    """Hold why and for how long a segment is quarantined; times in seconds."""
+
+    since: float
+    until: float
+    duration_s: float
+    crashes: int
+    # Incarnations that crashed, as far as this node knows them.
+    servers: tuple[str, ...] = ()
+    reporters: tuple[str, ...] = ()
+
+
+class Sound(Struct, frozen=True):
+    """Nothing speaks against a prompt."""
+
+
+class Suspect(Struct, frozen=True):
+    """A segment of a prompt may have crashed a server.
+
+    After waiting, requests with it all go to the same server until one is answered.
+    """
+
+    key: bytes
+    wait_s: float = 0.0
+
+
+class Quarantined(Struct, frozen=True):
+    """A segment of a prompt is quarantined."""
+
+    index: int
+    left_s: float
+    quarantine: Quarantine
+
+
+Judgement = Sound | Suspect | Quarantined
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -22,6 +22,7 @@
     EngineUpdate,
     Heartbeat,
     LoadUpdate,
+    QuarantineUpdate,
     ReadConfirmation,
     ServerLimitReport,
     ServerLoad,
@@ -29,6 +30,8 @@
 )
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.peers import PeerCoordinator, pack_addresses, unpack_addresses
+from arbutusyard.quarantine.coordinator import SegmentQuarantine
+from arbutusyard.quarantine.models import Quarantined
 
 
 def heartbeat(seq, *loads, name="b", incarnation=1):
@@ -380,8 +383,36 @@
 def test_a_node_of_an_earlier_release_is_understood_without_limits():
     old = msgspec.msgpack.encode(["servers", "b", ["s"], []])
     assert msgspec.msgpack.decode(old, type=Datagram).limits == ()
-    fields = msgspec.to_builtins(heartbeat(1))[:-1]
+    fields = msgspec.to_builtins(heartbeat(1))[:-2]
     assert msgspec.convert(fields, Datagram).limits == ()
+    assert msgspec.convert(fields, Datagram).quarantine is None
+
+
+def test_evidence_of_a_crash_reaches_the_other_nodes_at_once_and_in_heartbeats(
+    monkeypatch,
+):
+    sent = []
+    monkeypatch.setattr(
+        PeerCoordinator, "_send_to", lambda self, address, data: sent.append(data)
+    )
+    sender, receiver = SegmentQuarantine("a"), SegmentQuarantine("b")
+    peers = PeerCoordinator("a", "a:0", (), None, 5, lambda seq: heartbeat(seq))
+    peers.table.apply_heartbeat(heartbeat(1), clock.now())
+    now = clock.now()
+    for number in range(2):
+        sender.record_crash((f"s{number}", 1), (b"c", b"deadly"), True, now)
+    beat = replace(heartbeat(2), quarantine=sender.heartbeat_news(now))
+    peers.broadcast_quarantine(sender.take_urgent(now))
+    for data in (sent[0], msgspec.msgpack.encode(beat)):
+        match msgspec.msgpack.decode(data, type=Datagram):
+            case QuarantineUpdate(name=name, news=news):
+                receiver.apply(news, name, now)
+            case Heartbeat(name=name, quarantine=news):
+                receiver.apply(news, name, now)
+    judgement = receiver.judge((b"c", b"deadly"), now + 1)
+    assert isinstance(judgement, Quarantined)
+    assert judgement.quarantine.servers == ("s0", "s1")
+    assert "a" in judgement.quarantine.reporters
 
 
 def test_late_engine_reports_do_not_replace_the_newest_one():
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -1,12 +1,16 @@
 """Test that requests whose prompts crash servers stop reaching them."""
 
 import contextlib
+import logging
 import socket
 
 import gevent
 import pytest
 
-from arbutusyard.gateway.models import RetryPolicy
+from arbutusyard import clock
+from arbutusyard.gateway.models import PromptSegment, RetryPolicy
+from arbutusyard.quarantine.coordinator import shared_keys
+from arbutusyard.quarantine.models import Sound
 from tests.gateway.support import (
     STAMP,
     Gateway,
@@ -15,6 +19,7 @@
     read_answer,
     request_bytes,
     stream_head,
+    wait_for,
 )
 
 SERVERS = 8
@@ -104,3 +109,58 @@
     # Sound requests share the caller and all other segments.
     for number in range(8, 12):
         assert ask(gateway, number, "5ea1:20").status == 200
+
+
+def test_a_refused_request_says_which_segment_and_on_whose_evidence(fleet, caplog):
+    caplog.set_level(logging.INFO)
+    gateway, _ = fleet
+    ask(gateway, 1, DEADLY)
+    assert ask(gateway, 2, DEADLY).status == 503
+    [record] = [r for r in caplog.records if "has a quarantined" in r.msg][-1:]
+    assert record.request_id == "r2"
+    assert record.segment == DEADLY.partition(":")[0]
+    assert (record.crashes, len(record.servers)) == (2, 2)
+    assert record.reporters == ("n1",)
+    assert 0 <= record.age_s < 5
+
+
+def test_connections_that_end_at_a_running_server_are_no_evidence(run):
+    def break_off(request):
+        request.last = True
+        yield stream_head(request, STAMP)
+
+    gateway, servers = run(*[break_off] * 3, streaming=True)
+    for number in range(6):
+        ask(gateway, number, DEADLY)
+    keys = shared_keys("m", (PromptSegment("dead01", 12), PromptSegment("x", 1)))
+    assert gateway.relay.quarantine.judge(keys, clock.now()) == Sound()
+    assert sum(len(server.requests) for server in servers) >= 6
+
+
+def test_a_client_that_disconnects_is_no_evidence(fleet):
+    gateway, _ = fleet
+    for number in range(4):
+        sock = gateway.connect()
+        prompt = f"{SHARED},5ea1:20,{number:04x}:40"
+        headers = {"Model": "m", "Token-Count": "100,8", "Prefix-Hash": prompt}
+        sock.sendall(request_bytes(Request_Id=f"r{number}", **headers))
+        gevent.sleep(0.005)
+        sock.close()
+    gevent.sleep(0.1)
+    assert ask(gateway, 9, "5ea1:20").status == 200
+    assert len(gateway.relay.quarantine) == 0
+
+
+def test_an_attempt_that_waits_is_given_up_once_its_segment_is_quarantined(run):
+    def silent(request):
+        yield None
+
+    gateway, (server,) = run(silent, streaming=True, retry_policy=RetryPolicy.ONCE)
+    task = gevent.spawn(ask, gateway, 1, DEADLY)
+    wait_for(lambda: server.requests)
+    keys = shared_keys("m", (PromptSegment("dead01", 12), PromptSegment("x", 1)))
+    for number in range(2):
+        gateway.relay.quarantine.record_crash((f"x{number}", 1), keys, True, 0.0)
+    # It reached a server, so it may have run.
+    assert task.get(timeout=1.0).status == 502
+    wait_for(lambda: server.closed)
--- /dev/null
+++ b/tests/quarantine/test_coordinator.py
@@ -0,0 +1,279 @@
+"""Test which segments are quarantined, by crashes and answers that nodes see."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from arbutusyard.gateway.models import PromptSegment
+from arbutusyard.quarantine.const import (
+    EVIDENCE_S,
+    NEWS_HEARTBEATS,
+    QUARANTINE_FIRST_S,
+    QUARANTINED_MAX,
+    SETTLE_S,
+    SOUND_MAX,
+    SOUND_S,
+)
+from arbutusyard.quarantine.coordinator import SegmentQuarantine, shared_keys
+from arbutusyard.quarantine.models import (
+    Quarantined,
+    QuarantineNews,
+    Sound,
+    SoundReport,
+    Suspect,
+)
+from arbutusyard.routing.chain import rank
+
+COMMON, SESSION, DEADLY = b"common", b"session", b"deadly"
+
+
+def crash(quarantine, number, *keys, begun=True, now=0.0):
+    quarantine.record_crash((f"s{number}", 1), keys, begun, now)
+
+
+@pytest.fixture
+def quarantine():
+    return SegmentQuarantine("n0")
+
+
+def test_only_segments_before_the_last_have_keys():
+    segments = (PromptSegment("a", 1), PromptSegment("b", 2), PromptSegment("c", 3))
+    assert len(shared_keys("m", segments)) == 2
+    assert shared_keys("m", segments[:1]) == ()
+    assert shared_keys("m", segments) != shared_keys("n", segments)
+
+
+def test_one_crash_makes_segments_suspect_and_two_quarantine_the_last(quarantine):
+    keys = (COMMON, SESSION, DEADLY)
+    quarantine.record_answer((COMMON,), 0.0)
+    assert quarantine.judge(keys, 1.0) == Sound()
+    crash(quarantine, 1, *keys)
+    assert quarantine.judge(keys, 1.0) == Suspect(DEADLY)
+    crash(quarantine, 2, *keys)
+    assert isinstance(quarantine.judge(keys, 1.0), Quarantined)
+    assert quarantine.judge((COMMON, SESSION), 1.0) == Suspect(SESSION)
+    assert quarantine.judge((COMMON,), 1.0) == Sound()
+
+
+def test_reports_of_one_crash_count_once(quarantine):
+    other = SegmentQuarantine("n1")
+    crash(other, 1, DEADLY)
+    crash(quarantine, 1, DEADLY)
+    quarantine.apply(other.take_urgent(0.0), "n1", 0.0)
+    crash(quarantine, 1, SESSION, DEADLY)
+    assert quarantine.judge((DEADLY,), 1.0) == Suspect(DEADLY)
+
+
+def test_awaited_answers_are_weaker_evidence(quarantine):
+    for number in range(2):
+        crash(quarantine, number, DEADLY, begun=False)
+    assert quarantine.judge((DEADLY,), 1.0) == Suspect(DEADLY)
+    crash(quarantine, 2, DEADLY, begun=False)
+    assert isinstance(quarantine.judge((DEADLY,), 1.0), Quarantined)
+
+
+def test_suspects_wait_until_all_nodes_have_reported_a_crash(quarantine):
+    for number in range(2):
+        crash(quarantine, number, DEADLY)
+    assert quarantine.judge((DEADLY,), 0.0) == Suspect(DEADLY, SETTLE_S)
+    quarantine.apply(
+        QuarantineNews(sound=(SoundReport(DEADLY, 0.0),)), "n1", SETTLE_S / 2
+    )
+    assert quarantine.judge((DEADLY,), SETTLE_S) == Sound()
+
+
+@pytest.mark.parametrize("order", [(DEADLY, SESSION), (SESSION, DEADLY)])
+def test_an_innocent_request_beside_the_deadly_one_is_not_quarantined(
+    quarantine, order
+):
+    for number in range(2):
+        for key in order:
+            crash(quarantine, number, key)
+    # Both requests were there each time, so the evidence does not tell them apart.
+    assert quarantine.judge((SESSION,), 1.0) == Suspect(SESSION)
+    assert quarantine.judge((DEADLY,), 1.0) == Suspect(DEADLY)
+    quarantine.record_answer((SESSION,), 1.0)
+    crash(quarantine, 2, DEADLY, now=1.0)
+    assert quarantine.judge((SESSION,), 2.0) == Sound()
+    assert isinstance(quarantine.judge((DEADLY,), 2.0), Quarantined)
+
+
+@pytest.mark.parametrize("followers", [1, 2, 5])
+def test_a_first_segment_is_not_quarantined_for_those_that_follow_it(
+    quarantine, followers
+):
+    for number in range(2 * followers):
+        crash(quarantine, number, COMMON, b"%d" % (number // 2), now=number)
+        assert quarantine.judge((COMMON,), number + 0.5) == Suspect(COMMON)
+    assert len(quarantine) == followers
+
+
+def test_an_answer_ends_all_evidence_on_every_node(quarantine):
+    other = SegmentQuarantine("n1")
+    for number in range(2):
+        crash(quarantine, number, DEADLY)
+    assert isinstance(quarantine.judge((DEADLY,), 0.5), Quarantined)
+    other.apply(quarantine.take_urgent(0.5), "n0", 0.5)
+    assert isinstance(other.judge((DEADLY,), 0.6), Quarantined)
+    other.record_answer((DEADLY,), 1.0)
+    quarantine.apply(other.take_urgent(1.0), "n1", 1.0)
+    assert quarantine.judge((DEADLY,), 1.0) == other.judge((DEADLY,), 1.0) == Sound()
+
+
+def test_a_node_that_knows_a_segment_to_be_sound_corrects_the_others(quarantine):
+    other = SegmentQuarantine("n1")
+    other.record_answer((SESSION,), 0.0)
+    crash(quarantine, 1, SESSION, now=5.0)
+    other.apply(quarantine.take_urgent(5.0), "n0", 5.0)
+    quarantine.apply(other.take_urgent(5.0), "n1", 5.0)
+    assert quarantine.judge((SESSION,), 5.0) == Sound()
+
+
+def test_a_segment_that_was_sound_long_ago_may_be_deadly_now(quarantine):
+    other = SegmentQuarantine("n1")
+    other.record_answer((DEADLY,), 0.0)
+    for number in range(2):
+        now = SOUND_S + 1 + number
+        crash(quarantine, number, DEADLY, now=now)
+        other.apply(quarantine.take_urgent(now), "n0", now)
+        assert other.take_urgent(now) is None
+    assert isinstance(quarantine.judge((DEADLY,), now + 1), Quarantined)
+
+
+def test_reports_of_old_answers_do_not_renew_each_other(quarantine):
+    other = SegmentQuarantine("n1")
+    other.record_answer((DEADLY,), 0.0)
+    crash(quarantine, 1, DEADLY, now=8.0)
+    other.apply(quarantine.take_urgent(8.0), "n0", 8.0)
+    quarantine.apply(other.take_urgent(8.0), "n1", 8.0)
+    assert not quarantine.may_be_deadly((DEADLY,), SOUND_S)
+    assert quarantine.may_be_deadly((DEADLY,), SOUND_S + 1)
+
+
+def test_a_trial_after_the_quarantine_ends_it_or_doubles_it(quarantine):
+    for number in range(2):
+        crash(quarantine, number, DEADLY)
+    now = 1.0
+    assert isinstance(quarantine.judge((DEADLY,), now), Quarantined)
+    now += QUARANTINE_FIRST_S
+    assert quarantine.judge((DEADLY,), now) == Suspect(DEADLY)
+    crash(quarantine, 3, DEADLY, now=now)
+    judgement = quarantine.judge((DEADLY,), now)
+    assert judgement.left_s == 2 * QUARANTINE_FIRST_S
+    assert judgement.quarantine.crashes == 3
+    now += judgement.left_s
+    quarantine.record_answer((DEADLY,), now)
+    assert quarantine.judge((DEADLY,), now) == Sound()
+
+
+def test_a_node_that_starts_learns_quarantined_segments_from_heartbeats(quarantine):
+    for number in range(2):
+        crash(quarantine, number, DEADLY)
+    quarantine.judge((DEADLY,), 1.0)
+    for _ in range(NEWS_HEARTBEATS + 1):
+        news = quarantine.heartbeat_news(3.0)
+    assert not news.crashes
+    started = SegmentQuarantine("n1")
+    started.apply(news, "n0", 100.0)
+    judgement = started.judge((DEADLY,), 100.0)
+    assert judgement.left_s == QUARANTINE_FIRST_S - 2.0
+    assert judgement.quarantine.reporters == ("n0",)
+
+
+def test_old_evidence_and_unused_quarantines_are_forgotten(quarantine):
+    crash(quarantine, 0, SESSION)
+    for number in (1, 2):
+        crash(quarantine, number, DEADLY)
+    assert len(quarantine.heartbeat_news(1.0).quarantined) == 1
+    end = 1.0 + QUARANTINE_FIRST_S + EVIDENCE_S + 1
+    assert quarantine.heartbeat_news(end) is None
+    assert quarantine.judge((SESSION, DEADLY), end) == Sound()
+
+
+def test_memory_and_news_are_bounded_for_segments_that_never_repeat(quarantine):
+    for number in range(2 * SOUND_MAX):
+        quarantine.record_answer((b"%d" % number,), 0.0)
+    assert len(quarantine._sound) == SOUND_MAX
+    for number in range(1200):
+        crash(quarantine, number, b"x%d" % (number // 2), now=number)
+        quarantine.judge((b"x",), number + 0.5)
+    assert len(quarantine) <= QUARANTINED_MAX
+    news = quarantine.heartbeat_news(1200.0)
+    assert len(news.quarantined) + len(news.crashes) <= 24
+
+
+def play(seed, nodes, loss, failures=0.0, rounds=150):
+    """Play requests of several nodes at servers that a deadly segment crashes.
+
+    Each server also crashes by itself with the probability `failures` in a round.
+
+    In a round each server begins its requests one after the other; those after the
+    deadly one are broken off. Sound requests share the segments of the deadly ones.
+    Return the number of crashes, the nodes and the sound segments.
+    """
+    rng = random.Random(seed)
+    fleet = [SegmentQuarantine(f"n{n}") for n in range(nodes)]
+    starts = dict.fromkeys(range(5), 1)
+    down_until = dict.fromkeys(starts, 0)
+    sound = [b"common", *(b"session%d" % n for n in range(12))]
+    waiting, crashes = [], 0
+    for now in range(rounds):
+        for _ in range(6):
+            keys = (b"common", rng.choice(sound[1:]))
+            if rng.random() < 0.1:
+                keys = (*keys, DEADLY)
+            waiting.append((rng.randrange(nodes), keys))
+        queues = {n: [] for n in starts if down_until[n] <= now}
+        for node, keys in waiting:
+            match fleet[node].judge(keys, now):
+                case Suspect(key) if queues:
+                    best = rank(key, [str(n) for n in queues])[0]
+                    queues[int(best)].append((node, keys))
+                case Sound() if queues:
+                    queues[rng.choice(list(queues))].append((node, keys))
+        waiting = []
+        for server, queue in queues.items():
+            rng.shuffle(queue)
+            deadly = [i for i, (_, keys) in enumerate(queue) if DEADLY in keys]
+            fails = not deadly and rng.random() < failures
+            end = rng.randint(0, len(queue)) if fails else len(queue)
+            if deadly:
+                end = deadly[0]
+            for node, keys in queue[:end]:
+                fleet[node].record_answer(keys, now)
+            if not deadly and not fails:
+                continue
+            crashes += bool(deadly)
+            for position, (node, keys) in enumerate(queue[end:]):
+                begun = (deadly and position == 0) or rng.random() < 0.2
+                fleet[node].record_crash(
+                    (str(server), starts[server]), keys, begun, now
+                )
+                if rng.random() < 0.5:
+                    waiting.append((node, keys))
+            starts[server] += 1
+            down_until[server] = now + 5
+        for sender in fleet:
+            for news in (sender.take_urgent(now), sender.heartbeat_news(now)):
+                for receiver in fleet:
+                    if news and receiver is not sender and rng.random() >= loss:
+                        receiver.apply(news, sender._me, now)
+    return crashes, fleet, sound
+
+
+@settings(max_examples=60)
+@given(
+    st.integers(0, 10**6),
+    st.integers(1, 12),
+    st.sampled_from([0.0, 0.3]),
+    st.sampled_from([0.0, 0.02]),
+)
+def test_few_crashes_and_sound_segments_stay_usable(seed, nodes, loss, failures):
+    # Trials after 30 and 60 rounds more each cost up to one crash.
+    crashes, fleet, sound = play(seed, nodes, loss, failures)
+    assert crashes <= 5 + 3
+    for quarantine in fleet:
+        for key in sound:
+            assert not isinstance(quarantine.judge((key,), 150), Quarantined), key
