Quarantine segments that occurred only together only together

Of segments that were in the same crashes, the last one was quarantined. The property of the tests only had the deadly segment last.

Now a set is quarantined, and a request is refused if it has all of it. An answer on one of them leaves the others, and a segment that is in more crashes than those beside it is quarantined alone; the first of several segments needs two crashes more.

--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -188,11 +188,15 @@
         quarantine = found.quarantine
         shared = exchange.req.segments[:-1][-len(exchange.segment_keys) :]
         _LOGGER.info(
-            "Request has a quarantined segment",
+            "Request has quarantined segments",
             extra={
                 "request_id": exchange.req.request_id,
-                "segment": shared[found.index].segment_id,
-                "segment_key": exchange.segment_keys[found.index].hex(),
+                "segments": [
+                    segment.segment_id
+                    for segment, key in zip(shared, exchange.segment_keys, strict=True)
+                    if key in found.keys
+                ],
+                "segment_keys": [key.hex() for key in found.keys],
                 "crashes": quarantine.crashes,
                 "servers": quarantine.servers,
                 "reporters": quarantine.reporters,
--- a/arbutusyard/quarantine/const.py
+++ b/arbutusyard/quarantine/const.py
@@ -12,7 +12,7 @@
 AWAITED_CRASHES: Final = 3
 # Additional crashes before the first of several segments is quarantined: many callers
 # share it.
-SHARED_CRASHES: Final = 1
+SHARED_CRASHES: Final = 2
 
 # Time after the first event of an answer from which the server counts as having begun
 # it unharmed, in seconds.
--- a/arbutusyard/quarantine/coordinator.py
+++ b/arbutusyard/quarantine/coordinator.py
@@ -1,7 +1,7 @@
 """Find the prompt segments that crash servers, from crashes and from answers."""
 
 import logging
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
 
@@ -34,6 +34,7 @@
     CrashReport,
     Incarnation,
     Judgement,
+    Keys,
     Quarantine,
     Quarantined,
     QuarantineNews,
@@ -45,8 +46,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-Keys = tuple[bytes, ...]
-
 
 def shared_keys(model: str, segments: tuple[PromptSegment, ...]) -> Keys:
     """Return a key for each segment but the last, which belongs to the request."""
@@ -63,7 +62,8 @@
 
     A crash ends all requests of its server, so it is evidence against each segment of
     those whose answers had not begun, and proof against none. An answer proves its
-    segments sound. What remains in several crashes is quarantined.
+    segments sound. What remains in several crashes is quarantined: segments that only
+    occurred together are refused only together, as one of them may be sound.
     """
 
     __slots__ = (
@@ -90,7 +90,7 @@
         self._crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
         # The segments that any of these crashes is evidence against.
         self._suspects: frozenset[bytes] = frozenset()
-        self._quarantined: OrderedDict[bytes, Quarantine] = OrderedDict()
+        self._quarantined: OrderedDict[Keys, Quarantine] = OrderedDict()
         # What the next heartbeats repeat, and how often.
         self._own_crashes: dict[Incarnation, int] = {}
         self._sound_news: dict[bytes, int] = {}
@@ -98,7 +98,7 @@
         self._report_offset = 0
         # What has not been reported yet, in order.
         self._urgent_crashes: dict[Incarnation, None] = {}
-        self._urgent_quarantined: dict[bytes, None] = {}
+        self._urgent_quarantined: dict[Keys, None] = {}
         self._urgent_sound: dict[bytes, None] = {}
         # When the evidence of the newest crash is complete.
         self._settles_at: float | None = None
@@ -106,7 +106,7 @@
         self.on_news: Callable[[], None] = lambda: None
 
     def __len__(self) -> int:
-        """Return the number of quarantined segments."""
+        """Return the number of segments, or sets of them, that are quarantined."""
         return len(self._quarantined)
 
     def judge(self, keys: Keys, now: float) -> Judgement:
@@ -114,15 +114,19 @@
         if not self._suspects and not self._quarantined:
             return Sound()
         self._settle(now)
-        for index, key in enumerate(keys):
-            quarantine = self._quarantined.get(key)
-            if quarantine is not None and now < quarantine.until:
-                return Quarantined(index, quarantine.until - now, quarantine)
-        for key in reversed(keys):
-            if key in self._quarantined or key in self._suspects:
-                wait_s = 0.0 if self._settles_at is None else self._settles_at - now
-                return Suspect(key, wait_s)
-        return Sound()
+        suspect = b""
+        for quarantined, quarantine in self._quarantined.items():
+            if _contains(keys, quarantined):
+                if now < quarantine.until:
+                    return Quarantined(quarantined, quarantine.until - now, quarantine)
+                suspect = quarantined[-1]
+        for key in keys:
+            if key in self._suspects:
+                suspect = key
+        if not suspect:
+            return Sound()
+        wait_s = 0.0 if self._settles_at is None else self._settles_at - now
+        return Suspect(suspect, wait_s)
 
     def record_answer(self, keys: Keys, now: float) -> None:
         """Record that a server answered a prompt, or began to, and did not crash."""
@@ -139,7 +143,8 @@
         self, incarnation: Incarnation, keys: Keys, begun: bool, now: float
     ) -> None:
         """Record that a server crashed before it sent an event on a prompt."""
-        report = CrashReport(*incarnation, (CrashedRequest(keys, begun),))
+        request = CrashedRequest(keys, begun, keys[0])
+        report = CrashReport(*incarnation, (request,))
         if self._add_crash(report, self._me, now):
             self._own_crashes[incarnation] = NEWS_HEARTBEATS
             self._urgent_crashes[incarnation] = None
@@ -178,15 +183,15 @@
         """Return what this node's next heartbeat repeats; None without news."""
         self._settle(now)
         self._forget(now)
-        keys = list(self._quarantined)
-        start = self._report_offset % max(1, len(keys))
-        if len(keys) > NEWS_QUARANTINED_MAX:
+        items = list(self._quarantined)
+        start = self._report_offset % max(1, len(items))
+        if len(items) > NEWS_QUARANTINED_MAX:
             self._report_offset = start + NEWS_QUARANTINED_MAX
-            keys = (keys + keys)[start : start + NEWS_QUARANTINED_MAX]
+            items = (items + items)[start : start + NEWS_QUARANTINED_MAX]
         news = QuarantineNews(
             self._crash_reports(self._own_crashes, now),
             self._sound_reports(self._sound_news, now),
-            self._quarantine_reports(keys, now),
+            self._quarantine_reports(items, now),
         )
         _count_down(self._own_crashes)
         _count_down(self._sound_news)
@@ -231,7 +236,9 @@
                 elif reporter != self._me:
                     self._report_sound(key, now)
             if keys:
-                suspects.append(CrashedRequest(tuple(keys), request.begun))
+                suspects.append(
+                    CrashedRequest(tuple(keys), request.begun, request.first)
+                )
         if not suspects:
             return False
         crash = self._crashes.get(incarnation)
@@ -246,6 +253,7 @@
             known = crash.requests.get(request.keys)
             if known is None and len(crash.requests) >= CRASH_REQUESTS_MAX:
                 continue
+            crash.first_keys.add(request.first)
             if known is None or (request.begun and not known):
                 crash.requests[request.keys] = request.begun
                 changed = True
@@ -253,20 +261,19 @@
 
     def _count_trials(self, requests: list[CrashedRequest], now: float) -> None:
         """Count another crash on quarantined segments; extend an ended quarantine."""
-        for key in {key for request in requests for key in request.keys}:
-            quarantine = self._quarantined.get(key)
-            if quarantine is None:
+        for keys, quarantine in self._quarantined.items():
+            if not any(_contains(request.keys, keys) for request in requests):
                 continue
             quarantine.crashes += 1
             if now >= quarantine.until:
                 quarantine.duration_s = min(QUARANTINE_MAX_S, 2 * quarantine.duration_s)
                 quarantine.until = now + quarantine.duration_s
-                self._urgent_quarantined[key] = None
+                self._urgent_quarantined[keys] = None
                 self.on_news()
                 _LOGGER.warning(
-                    "Segment stays quarantined: a trial of it crashed a server",
+                    "Segments stay quarantined: a trial of them crashed a server",
                     extra={
-                        "segment_key": key.hex(),
+                        "segment_keys": _hex(keys),
                         "crashes": quarantine.crashes,
                         "quarantine_s": quarantine.duration_s,
                     },
@@ -277,15 +284,13 @@
 
         An answer long before a crash does not refute it.
         """
-        quarantine = self._quarantined.get(key)
-        if quarantine is None and key not in self._suspects:
+        found = key in self._suspects
+        for keys, quarantine in list(self._quarantined.items()):
+            if key in keys and quarantine.since - answered_at <= SOUND_S:
+                found = True
+                self._release(keys, key)
+        if not found:
             return False
-        if quarantine is not None and quarantine.since - answered_at <= SOUND_S:
-            del self._quarantined[key]
-            _LOGGER.info(
-                "Segment is no longer quarantined: an answer on it came",
-                extra={"segment_key": key.hex()},
-            )
         for incarnation, crash in list(self._crashes.items()):
             if crash.at - answered_at > SOUND_S:
                 continue
@@ -299,6 +304,17 @@
         self._update_suspects()
         return True
 
+    def _release(self, keys: Keys, sound_key: bytes) -> None:
+        """Release a segment; the others that were quarantined with it stay so."""
+        quarantine = self._quarantined.pop(keys)
+        _LOGGER.info(
+            "Segment is no longer quarantined: an answer on it came",
+            extra={"segment_keys": _hex(keys), "sound": sound_key.hex()},
+        )
+        rest = tuple(key for key in keys if key != sound_key)
+        if rest and rest not in self._quarantined:
+            self._quarantined[rest] = quarantine
+
     def _update_suspects(self) -> None:
         self._suspects = frozenset(
             key
@@ -314,12 +330,12 @@
             del self._crashes[incarnation]
         if old:
             self._update_suspects()
-        for key, quarantine in list(self._quarantined.items()):
+        for keys, quarantine in list(self._quarantined.items()):
             if now - quarantine.until > EVIDENCE_S:
-                del self._quarantined[key]
+                del self._quarantined[keys]
                 _LOGGER.info(
-                    "Segment is no longer quarantined: no request with it came",
-                    extra={"segment_key": key.hex()},
+                    "Segments are no longer quarantined: no request with them came",
+                    extra={"segment_keys": _hex(keys)},
                 )
 
     def _await_evidence(self, now: float) -> None:
@@ -331,58 +347,66 @@
         if self._settles_at is None or now < self._settles_at:
             return
         self._settles_at = None
-        while (key := self._most_suspect()) is not None:
-            self._quarantine(key, now)
-
-    def _most_suspect(self) -> bytes | None:
-        """Return a segment to quarantine, None without one.
+        while keys := self._most_suspect():
+            self._quarantine(keys, now)
 
-        Crashes that a quarantined segment explains are no evidence against others.
-        """
-        unexplained = [
-            crash for crash in self._crashes.values() if not self._is_explained(crash)
+    def _most_suspect(self) -> Keys:
+        """Return segments to quarantine, empty without any."""
+        evidence = [
+            (crash, suspects)
+            for crash in self._crashes.values()
+            if (suspects := self._unexplained(crash))
         ]
-        begun: dict[bytes, int] = {}
-        awaited: dict[bytes, int] = {}
-        for crash in unexplained:
-            for key in {key for keys in crash.requests for key in keys}:
-                awaited[key] = awaited.get(key, 0) + 1
-            begun_keys = {
-                key
-                for keys, was_begun in crash.requests.items()
-                if was_begun
-                for key in keys
-            }
-            for key in begun_keys:
-                begun[key] = begun.get(key, 0) + 1
-        for crash in unexplained:
-            key = _distinct_key(crash, begun, awaited)
-            if key is None:
+        awaited: Counter[bytes] = Counter()
+        begun: Counter[bytes] = Counter()
+        for _, suspects in evidence:
+            awaited.update({key for keys in suspects for key in keys})
+            begun.update({key for keys in suspects if suspects[keys] for key in keys})
+        firsts = {key for crash in self._crashes.values() for key in crash.first_keys}
+        for _, suspects in evidence:
+            keys = _distinct_keys(suspects, begun, awaited)
+            if not keys or keys in self._quarantined:
                 continue
-            extra = SHARED_CRASHES if self._leads_others(key) else 0
+            extra = (
+                SHARED_CRASHES if len(keys) == 1 and self._leads(keys, firsts) else 0
+            )
             if (
-                begun.get(key, 0) >= BEGUN_CRASHES + extra
-                or awaited[key] >= AWAITED_CRASHES + extra
+                begun[keys[0]] >= BEGUN_CRASHES + extra
+                or awaited[keys[0]] >= AWAITED_CRASHES + extra
             ):
-                return key
-        return None
+                return keys
+        return ()
 
-    def _is_explained(self, crash: Crash) -> bool:
-        return any(key in self._quarantined for keys in crash.requests for key in keys)
+    def _unexplained(self, crash: Crash) -> dict[Keys, bool]:
+        """Return the segments that a crash is evidence against, by request.
 
-    def _leads_others(self, key: bytes) -> bool:
-        """Tell whether a segment was the first of several in a request."""
-        return any(
-            keys[0] == key and len(keys) > 1
+        One that quarantined segments explain is none against others.
+        """
+        for quarantined in self._quarantined:
+            if any(_contains(keys, quarantined) for keys in crash.requests):
+                if len(quarantined) == 1:
+                    return {}
+                begun = any(
+                    was_begun
+                    for keys, was_begun in crash.requests.items()
+                    if _contains(keys, quarantined)
+                )
+                return {quarantined: begun}
+        return crash.requests
+
+    def _leads(self, keys: Keys, firsts: set[bytes]) -> bool:
+        """Tell whether a segment was the first of several in a prompt."""
+        return keys[0] in firsts and any(
+            keys[0] in item and len(item) > 1
             for crash in self._crashes.values()
-            for keys in crash.requests
+            for item in crash.requests
         )
 
-    def _quarantine(self, key: bytes, now: float) -> None:
+    def _quarantine(self, keys: Keys, now: float) -> None:
         crashes = {
             incarnation: crash
             for incarnation, crash in self._crashes.items()
-            if any(key in keys for keys in crash.requests)
+            if any(_contains(item, keys) for item in crash.requests)
         }
         reporters = {name for crash in crashes.values() for name in crash.reporters}
         quarantine = Quarantine(
@@ -393,33 +417,42 @@
             tuple(server_id for server_id, _ in crashes),
             tuple(sorted(reporters)),
         )
-        self._set_quarantine(key, quarantine)
-        self._urgent_quarantined[key] = None
+        self._set_quarantine(keys, quarantine)
+        self._urgent_quarantined[keys] = None
         self.on_news()
         _LOGGER.warning(
-            "Segment is quarantined: %d servers crashed on it",
+            "Segments are quarantined: %d servers crashed on them",
             len(crashes),
             extra={
-                "segment_key": key.hex(),
+                "segment_keys": _hex(keys),
                 "servers": quarantine.servers,
                 "reporters": quarantine.reporters,
                 "quarantine_s": quarantine.duration_s,
             },
         )
 
-    def _set_quarantine(self, key: bytes, quarantine: Quarantine) -> None:
-        self._quarantined[key] = quarantine
+    def _set_quarantine(self, keys: Keys, quarantine: Quarantine) -> None:
+        """Quarantine segments; larger sets that contain them are not needed."""
+        for item in list(self._quarantined):
+            if item != keys and _contains(item, keys):
+                del self._quarantined[item]
+        self._quarantined[keys] = quarantine
         while len(self._quarantined) > QUARANTINED_MAX:
             self._quarantined.popitem(last=False)
 
     def _apply_quarantine(
         self, report: QuarantineReport, reporter: str, now: float
     ) -> None:
-        if self._is_sound(report.key, now):
-            self._report_sound(report.key, now)
+        keys = tuple(key for key in report.keys if not self._is_sound(key, now))
+        for key in report.keys:
+            if key not in keys:
+                self._report_sound(key, now)
+        if not keys or any(
+            item != keys and _contains(keys, item) for item in self._quarantined
+        ):
             return
         until = now + max(0.0, min(report.left_s, QUARANTINE_MAX_S))
-        known = self._quarantined.get(report.key)
+        known = self._quarantined.get(keys)
         if known is not None:
             known.until = max(known.until, until)
             known.duration_s = max(known.duration_s, report.duration_s)
@@ -427,12 +460,12 @@
         since = now - max(0.0, report.age_s)
         quarantine = Quarantine(since, until, report.duration_s, report.crashes)
         quarantine.reporters = (reporter,)
-        self._set_quarantine(report.key, quarantine)
+        self._set_quarantine(keys, quarantine)
         _LOGGER.warning(
-            "Segment is quarantined, as reported by node %s",
+            "Segments are quarantined, as reported by node %s",
             reporter,
             extra={
-                "segment_key": report.key.hex(),
+                "segment_keys": _hex(keys),
                 "crashes": report.crashes,
                 "age_s": round(report.age_s, 3),
                 "quarantine_s": report.duration_s,
@@ -447,7 +480,9 @@
             crash = self._crashes.get(incarnation)
             if crash is not None and len(reports) < NEWS_CRASHES_MAX:
                 requests = tuple(
-                    CrashedRequest(keys, begun)
+                    CrashedRequest(
+                        keys, begun, keys[0] if keys[0] in crash.first_keys else b""
+                    )
                     for keys, begun in crash.requests.items()
                 )
                 reports.append(CrashReport(*incarnation, requests, now - crash.at))
@@ -460,33 +495,40 @@
         return tuple(SoundReport(key, now - at) for key, at in known if at is not None)
 
     def _quarantine_reports(
-        self, keys: Iterable[bytes], now: float
+        self, items: Iterable[Keys], now: float
     ) -> tuple[QuarantineReport, ...]:
-        known = ((key, self._quarantined.get(key)) for key in keys)
+        known = ((keys, self._quarantined.get(keys)) for keys in items)
         return tuple(
             QuarantineReport(
-                key, item.crashes, now - item.since, item.until - now, item.duration_s
+                keys, item.crashes, now - item.since, item.until - now, item.duration_s
             )
-            for key, item in known
+            for keys, item in known
             if item is not None
         )
 
 
-def _distinct_key(
-    crash: Crash, begun: dict[bytes, int], awaited: dict[bytes, int]
-) -> bytes | None:
-    """Return the segment that speaks for a crash more than all others, if any.
+def _contains(keys: Keys, subset: Keys) -> bool:
+    return all(key in keys for key in subset)
+
+
+def _hex(keys: Keys) -> list[str]:
+    return [key.hex() for key in keys]
+
+
+def _distinct_keys(
+    suspects: dict[Keys, bool], begun: Counter[bytes], awaited: Counter[bytes]
+) -> Keys:
+    """Return the segments of one request that explain a crash better than all others.
 
-    Among segments that occur in one request only together it is the last one, since
-    others may lead to segments that are sound.
+    Empty if requests without them explain it as well.
     """
-    keys = {key for item in crash.requests for key in item}
-    best = max((awaited[key], begun.get(key, 0)) for key in keys)
-    tied = {key for key in keys if (awaited[key], begun.get(key, 0)) == best}
-    for item in crash.requests:
+    keys = {key for item in suspects for key in item}
+    best = max((awaited[key], begun[key]) for key in keys)
+    tied = {key for key in keys if (awaited[key], begun[key]) == best}
+    for item in suspects:
         if tied <= set(item):
-            return [key for key in item if key in tied][-1]
-    return None
+            return tuple(key for key in item if key in tied)
+    return ()
 
 
 def _count_down(counts: dict) -> None:
--- a/arbutusyard/quarantine/models.py
+++ b/arbutusyard/quarantine/models.py
@@ -2,18 +2,22 @@
 
 from msgspec import Struct, field
 
+# The keys of segments, in the order of their prompt.
+Keys = tuple[bytes, ...]
 # The server id and the start in ms that identify an incarnation of a server.
 Incarnation = tuple[str, int]
 
 
 class CrashedRequest(Struct, frozen=True, array_like=True):
-    """Hold the keys of a request that a server held when it crashed.
+    """Hold the segments of a request, as far as not sound, at a server's crash.
 
-    `begun` tells that the server had begun the answer and not yet sent an event.
+    `first` is the prompt's first segment. `begun` tells that the server had begun the
+    answer and not yet sent an event.
     """
 
-    keys: tuple[bytes, ...]
+    keys: Keys
     begun: bool
+    first: bytes
 
 
 class CrashReport(Struct, frozen=True, array_like=True):
@@ -33,9 +37,9 @@
 
 
 class QuarantineReport(Struct, frozen=True, array_like=True):
-    """Report a quarantined segment; the times are counted back and on from now."""
+    """Report quarantined segments; the times are counted back and on from now."""
 
-    key: bytes
+    keys: Keys
     crashes: int
     age_s: float
     left_s: float
@@ -54,12 +58,13 @@
     """Hold the requests that may have crashed an incarnation, and who reported them."""
 
     at: float
-    requests: dict[tuple[bytes, ...], bool] = field(default_factory=dict)
+    requests: dict[Keys, bool] = field(default_factory=dict)
+    first_keys: set[bytes] = field(default_factory=set)
     reporters: set[str] = field(default_factory=set)
 
 
 class Quarantine(Struct):
-    """Hold why and for how long a segment is quarantined; times in seconds."""
+    """Hold why and for how long segments are quarantined; times in seconds."""
 
     since: float
     until: float
@@ -85,9 +90,9 @@
 
 
 class Quarantined(Struct, frozen=True):
-    """A segment of a prompt is quarantined."""
+    """Segments of a prompt are quarantined."""
 
-    index: int
+    keys: Keys
     left_s: float
     quarantine: Quarantine
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -114,11 +114,12 @@
 def test_a_refused_request_says_which_segment_and_on_whose_evidence(fleet, caplog):
     caplog.set_level(logging.INFO)
     gateway, _ = fleet
+    ask(gateway, 0, "5ea1:20")
     ask(gateway, 1, DEADLY)
     assert ask(gateway, 2, DEADLY).status == 503
-    [record] = [r for r in caplog.records if "has a quarantined" in r.msg][-1:]
+    [record] = [r for r in caplog.records if "has quarantined" in r.msg][-1:]
     assert record.request_id == "r2"
-    assert record.segment == DEADLY.partition(":")[0]
+    assert record.segments == [DEADLY.partition(":")[0]]
     assert (record.crashes, len(record.servers)) == (2, 2)
     assert record.reporters == ("n1",)
     assert 0 <= record.age_s < 5
--- a/tests/quarantine/test_coordinator.py
+++ b/tests/quarantine/test_coordinator.py
@@ -45,16 +45,29 @@
     assert shared_keys("m", segments) != shared_keys("n", segments)
 
 
-def test_one_crash_makes_segments_suspect_and_two_quarantine_the_last(quarantine):
+def test_one_crash_makes_segments_suspect_and_two_quarantine_them(quarantine):
     keys = (COMMON, SESSION, DEADLY)
     quarantine.record_answer((COMMON,), 0.0)
     assert quarantine.judge(keys, 1.0) == Sound()
     crash(quarantine, 1, *keys)
     assert quarantine.judge(keys, 1.0) == Suspect(DEADLY)
     crash(quarantine, 2, *keys)
-    assert isinstance(quarantine.judge(keys, 1.0), Quarantined)
+    assert quarantine.judge(keys, 1.0).keys == (SESSION, DEADLY)
+    # Either of the two may be sound.
     assert quarantine.judge((COMMON, SESSION), 1.0) == Suspect(SESSION)
+    assert quarantine.judge((COMMON, DEADLY), 1.0) == Suspect(DEADLY)
     assert quarantine.judge((COMMON,), 1.0) == Sound()
+    quarantine.record_answer((COMMON, SESSION), 2.0)
+    assert quarantine.judge((COMMON, DEADLY), 2.0).keys == (DEADLY,)
+
+
+def test_the_segment_that_different_requests_share_is_quarantined_alone(quarantine):
+    quarantine.record_answer((COMMON,), 0.0)
+    for number, session in enumerate((b"a", b"a", b"b")):
+        crash(quarantine, number, COMMON, DEADLY, session, now=number)
+        judgement = quarantine.judge((COMMON, DEADLY, session), number + 0.5)
+    assert judgement.keys == (DEADLY,)
+    assert quarantine.judge((b"a",), 5.0) == Suspect(b"a")
 
 
 def test_reports_of_one_crash_count_once(quarantine):
@@ -104,12 +117,25 @@
 def test_a_first_segment_is_not_quarantined_for_those_that_follow_it(
     quarantine, followers
 ):
+    now = 0.0
     for number in range(2 * followers):
-        crash(quarantine, number, COMMON, b"%d" % (number // 2), now=number)
-        assert quarantine.judge((COMMON,), number + 0.5) == Suspect(COMMON)
+        crash(quarantine, number, COMMON, b"%d" % (number // 2), now=now)
+        assert quarantine.judge((COMMON,), now + 0.5) == Suspect(COMMON)
+        assert quarantine.judge((COMMON, b"next"), now + 0.5) == Suspect(COMMON)
+        if number % 2:
+            quarantine.record_answer((COMMON,), now + 1)
+            now += SOUND_S
+        now += 2
     assert len(quarantine) == followers
 
 
+def test_a_first_segment_with_new_followers_each_time_is_quarantined(quarantine):
+    for number in range(4):
+        crash(quarantine, number, DEADLY, b"%d" % (number // 2), now=number)
+        judgement = quarantine.judge((DEADLY, b"next"), number + 0.5)
+        assert isinstance(judgement, Suspect if number < 3 else Quarantined)
+
+
 def test_an_answer_ends_all_evidence_on_every_node(quarantine):
     other = SegmentQuarantine("n1")
     for number in range(2):
@@ -204,7 +230,18 @@
     assert len(news.quarantined) + len(news.crashes) <= 24
 
 
-def play(seed, nodes, loss, failures=0.0, rounds=150):
+# How a prompt with a deadly segment continues its first segment; 0 counts up.
+SHAPES = (
+    ("common", "session", "deadly"),
+    ("common", "deadly", "session"),
+    ("common", "deadly", 0),
+    ("deadly", "session"),
+    ("deadly", 0),
+    ("deadly", 0, 0),
+)
+
+
+def play(seed, nodes, loss, failures=0.0, shape=SHAPES[0], rounds=150):
     """Play requests of several nodes at servers that a deadly segment crashes.
 
     Each server also crashes by itself with the probability `failures` in a round.
@@ -218,12 +255,18 @@
     starts = dict.fromkeys(range(5), 1)
     down_until = dict.fromkeys(starts, 0)
     sound = [b"common", *(b"session%d" % n for n in range(12))]
-    waiting, crashes = [], 0
+    waiting, crashes, count = [], 0, 0
     for now in range(rounds):
         for _ in range(6):
-            keys = (b"common", rng.choice(sound[1:]))
+            session = rng.choice(sound[1:])
+            keys = (b"common", session)
             if rng.random() < 0.1:
-                keys = (*keys, DEADLY)
+                count += 1
+                names = {"common": b"common", "session": session, "deadly": DEADLY}
+                keys = tuple(
+                    names.get(part, b"%d-%d" % (count, index))
+                    for index, part in enumerate(shape)
+                )
             waiting.append((rng.randrange(nodes), keys))
         queues = {n: [] for n in starts if down_until[n] <= now}
         for node, keys in waiting:
@@ -269,10 +312,11 @@
     st.integers(1, 12),
     st.sampled_from([0.0, 0.3]),
     st.sampled_from([0.0, 0.02]),
+    st.sampled_from(SHAPES),
 )
-def test_few_crashes_and_sound_segments_stay_usable(seed, nodes, loss, failures):
+def test_few_crashes_and_sound_segments_stay_usable(seed, nodes, loss, failures, shape):
     # Trials after 30 and 60 rounds more each cost up to one crash.
-    crashes, fleet, sound = play(seed, nodes, loss, failures)
+    crashes, fleet, sound = play(seed, nodes, loss, failures, shape)
     assert crashes <= 5 + 3
     for quarantine in fleet:
         for key in sound:
