--- a/arbutusyard/gateway/events.py
+++ b/arbutusyard/gateway/events.py
@@ -10,8 +10,6 @@
 
 # Blank line at the end of an event, after each of the line ends that streams may use.
 EVENT_END: Final = re.compile(rb"\n\n|\r\n\r\n|\r\r")
-
-
 # Maximum number of digits of an event id that is compared as a number; 64-bit integers
 # have up to 20.
 EVENT_ID_DIGITS_MAX: Final = 20
