--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -219,7 +219,10 @@
             self._quarantine.record_answer(keys, now)
             return
         server = placement.server
-        if not self._quarantine.may_be_deadly(keys, now) or not server.is_staying:
+        if (
+            not self._quarantine.has_unproven_segment(keys, now)
+            or not server.is_staying
+        ):
             return
         if not self._pool.has_crashed(server):
             return
--- a/arbutusyard/quarantine/coordinator.py
+++ b/arbutusyard/quarantine/coordinator.py
@@ -135,7 +135,7 @@
                 self._report_sound(key, now)
                 self.on_news()
 
-    def may_be_deadly(self, keys: Keys, now: float) -> bool:
+    def has_unproven_segment(self, keys: Keys, now: float) -> bool:
         """Tell whether a prompt has a segment that is not known to be sound."""
         return any(not self._is_sound(key, now) for key in keys)
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -24,16 +24,16 @@
 
 SERVERS = 8
 SHARED = "aa00:30"
-DEADLY = "dead01:12"
+CRASHER = "dead01:12"
 
 
 class FragileServer(ScriptedServer):
-    """Server that crashes when it begins to answer a prompt with a deadly segment."""
+    """Server that crashes when it begins to answer a prompt with one segment."""
 
     def __init__(self):
         super().__init__(self._answer)
         self.crashed = False
-        self.deadly_runs = 0
+        self.crash_runs = 0
         self._socks = set()
 
     def _serve(self, sock, address):
@@ -46,8 +46,8 @@
     def _answer(self, request):
         head = stream_head(request, STAMP)
         yield head
-        if DEADLY in request.headers["prefix-hash"]:
-            self.deadly_runs += 1
+        if CRASHER in request.headers["prefix-hash"]:
+            self.crash_runs += 1
             gevent.spawn(self.crash)
             gevent.sleep(5.0)
         first = int(request.headers.get("last-event-id", 0)) + 1
@@ -70,7 +70,7 @@
 
 @pytest.fixture
 def fleet():
-    """Start a gateway with servers that a deadly segment crashes."""
+    """Start a gateway with servers that a segment that crashes servers crashes."""
     servers = [FragileServer() for _ in range(SERVERS)]
     gateway = Gateway(
         *servers, retry_policy=RetryPolicy.RESUME, streaming=True, max_attempts=2
@@ -99,9 +99,9 @@
     gateway, servers = fleet
     assert ask(gateway, 1, "5ea1:20").status == 200
     for number in range(2, 8):
-        got = ask(gateway, number, "5ea1:20", DEADLY)
+        got = ask(gateway, number, "5ea1:20", CRASHER)
         assert got is None or got.status in (502, 503)
-    assert sum(server.deadly_runs for server in servers) <= 2
+    assert sum(server.crash_runs for server in servers) <= 2
     assert sum(server.crashed for server in servers) <= 2
     # A request that ran nowhere is told so, and when to come back.
     assert got.status == 503
@@ -115,11 +115,11 @@
     caplog.set_level(logging.INFO)
     gateway, _ = fleet
     ask(gateway, 0, "5ea1:20")
-    ask(gateway, 1, DEADLY)
-    assert ask(gateway, 2, DEADLY).status == 503
+    ask(gateway, 1, CRASHER)
+    assert ask(gateway, 2, CRASHER).status == 503
     [record] = [r for r in caplog.records if "has quarantined" in r.msg][-1:]
     assert record.request_id == "r2"
-    assert record.segments == [DEADLY.partition(":")[0]]
+    assert record.segments == [CRASHER.partition(":")[0]]
     assert (record.crashes, len(record.servers)) == (2, 2)
     assert record.reporters == ("n1",)
     assert 0 <= record.age_s < 5
@@ -132,7 +132,7 @@
 
     gateway, servers = run(*[break_off] * 3, streaming=True)
     for number in range(6):
-        ask(gateway, number, DEADLY)
+        ask(gateway, number, CRASHER)
     keys = shared_keys("m", (PromptSegment("dead01", 12), PromptSegment("x", 1)))
     assert gateway.relay.quarantine.judge(keys, clock.now()) == Sound()
     assert sum(len(server.requests) for server in servers) >= 6
@@ -157,7 +157,7 @@
         yield None
 
     gateway, (server,) = run(silent, streaming=True, retry_policy=RetryPolicy.ONCE)
-    task = gevent.spawn(ask, gateway, 1, DEADLY)
+    task = gevent.spawn(ask, gateway, 1, CRASHER)
     wait_for(lambda: server.requests)
     keys = shared_keys("m", (PromptSegment("dead01", 12), PromptSegment("x", 1)))
     for number in range(2):
--- a/tests/quarantine/test_coordinator.py
+++ b/tests/quarantine/test_coordinator.py
@@ -26,7 +26,7 @@
 )
 from arbutusyard.routing.chain import rank
 
-COMMON, SESSION, DEADLY = b"common", b"session", b"deadly"
+COMMON, SESSION, CRASHER = b"common", b"session", b"crasher"
 
 
 def crash(quarantine, number, *keys, begun=True, now=0.0):
@@ -46,59 +46,59 @@
 
 
 def test_one_crash_makes_segments_suspect_and_two_quarantine_them(quarantine):
-    keys = (COMMON, SESSION, DEADLY)
+    keys = (COMMON, SESSION, CRASHER)
     quarantine.record_answer((COMMON,), 0.0)
     assert quarantine.judge(keys, 1.0) == Sound()
     crash(quarantine, 1, *keys)
-    assert quarantine.judge(keys, 1.0) == Suspect(DEADLY)
+    assert quarantine.judge(keys, 1.0) == Suspect(CRASHER)
     crash(quarantine, 2, *keys)
-    assert quarantine.judge(keys, 1.0).keys == (SESSION, DEADLY)
+    assert quarantine.judge(keys, 1.0).keys == (SESSION, CRASHER)
     # Either of the two may be sound.
     assert quarantine.judge((COMMON, SESSION), 1.0) == Suspect(SESSION)
-    assert quarantine.judge((COMMON, DEADLY), 1.0) == Suspect(DEADLY)
+    assert quarantine.judge((COMMON, CRASHER), 1.0) == Suspect(CRASHER)
     assert quarantine.judge((COMMON,), 1.0) == Sound()
     quarantine.record_answer((COMMON, SESSION), 2.0)
-    assert quarantine.judge((COMMON, DEADLY), 2.0).keys == (DEADLY,)
+    assert quarantine.judge((COMMON, CRASHER), 2.0).keys == (CRASHER,)
 
 
 def test_the_segment_that_different_requests_share_is_quarantined_alone(quarantine):
     quarantine.record_answer((COMMON,), 0.0)
     for number, session in enumerate((b"a", b"a", b"b")):
-        crash(quarantine, number, COMMON, DEADLY, session, now=number)
-        judgement = quarantine.judge((COMMON, DEADLY, session), number + 0.5)
-    assert judgement.keys == (DEADLY,)
+        crash(quarantine, number, COMMON, CRASHER, session, now=number)
+        judgement = quarantine.judge((COMMON, CRASHER, session), number + 0.5)
+    assert judgement.keys == (CRASHER,)
     assert quarantine.judge((b"a",), 5.0) == Suspect(b"a")
 
 
 def test_reports_of_one_crash_count_once(quarantine):
     other = SegmentQuarantine("n1")
-    crash(other, 1, DEADLY)
-    crash(quarantine, 1, DEADLY)
+    crash(other, 1, CRASHER)
+    crash(quarantine, 1, CRASHER)
     quarantine.apply(other.take_urgent(0.0), "n1", 0.0)
-    crash(quarantine, 1, SESSION, DEADLY)
-    assert quarantine.judge((DEADLY,), 1.0) == Suspect(DEADLY)
+    crash(quarantine, 1, SESSION, CRASHER)
+    assert quarantine.judge((CRASHER,), 1.0) == Suspect(CRASHER)
 
 
 def test_awaited_answers_are_weaker_evidence(quarantine):
     for number in range(2):
-        crash(quarantine, number, DEADLY, begun=False)
-    assert quarantine.judge((DEADLY,), 1.0) == Suspect(DEADLY)
-    crash(quarantine, 2, DEADLY, begun=False)
-    assert isinstance(quarantine.judge((DEADLY,), 1.0), Quarantined)
+        crash(quarantine, number, CRASHER, begun=False)
+    assert quarantine.judge((CRASHER,), 1.0) == Suspect(CRASHER)
+    crash(quarantine, 2, CRASHER, begun=False)
+    assert isinstance(quarantine.judge((CRASHER,), 1.0), Quarantined)
 
 
 def test_suspects_wait_until_all_nodes_have_reported_a_crash(quarantine):
     for number in range(2):
-        crash(quarantine, number, DEADLY)
-    assert quarantine.judge((DEADLY,), 0.0) == Suspect(DEADLY, SETTLE_S)
+        crash(quarantine, number, CRASHER)
+    assert quarantine.judge((CRASHER,), 0.0) == Suspect(CRASHER, SETTLE_S)
     quarantine.apply(
-        QuarantineNews(sound=(SoundReport(DEADLY, 0.0),)), "n1", SETTLE_S / 2
+        QuarantineNews(sound=(SoundReport(CRASHER, 0.0),)), "n1", SETTLE_S / 2
     )
-    assert quarantine.judge((DEADLY,), SETTLE_S) == Sound()
+    assert quarantine.judge((CRASHER,), SETTLE_S) == Sound()
 
 
-@pytest.mark.parametrize("order", [(DEADLY, SESSION), (SESSION, DEADLY)])
-def test_an_innocent_request_beside_the_deadly_one_is_not_quarantined(
+@pytest.mark.parametrize("order", [(CRASHER, SESSION), (SESSION, CRASHER)])
+def test_an_innocent_request_beside_the_crashing_one_is_not_quarantined(
     quarantine, order
 ):
     for number in range(2):
@@ -106,11 +106,11 @@
             crash(quarantine, number, key)
     # Both requests were there each time, so the evidence does not tell them apart.
     assert quarantine.judge((SESSION,), 1.0) == Suspect(SESSION)
-    assert quarantine.judge((DEADLY,), 1.0) == Suspect(DEADLY)
+    assert quarantine.judge((CRASHER,), 1.0) == Suspect(CRASHER)
     quarantine.record_answer((SESSION,), 1.0)
-    crash(quarantine, 2, DEADLY, now=1.0)
+    crash(quarantine, 2, CRASHER, now=1.0)
     assert quarantine.judge((SESSION,), 2.0) == Sound()
-    assert isinstance(quarantine.judge((DEADLY,), 2.0), Quarantined)
+    assert isinstance(quarantine.judge((CRASHER,), 2.0), Quarantined)
 
 
 @pytest.mark.parametrize("followers", [1, 2, 5])
@@ -131,21 +131,21 @@
 
 def test_a_first_segment_with_new_followers_each_time_is_quarantined(quarantine):
     for number in range(4):
-        crash(quarantine, number, DEADLY, b"%d" % (number // 2), now=number)
-        judgement = quarantine.judge((DEADLY, b"next"), number + 0.5)
+        crash(quarantine, number, CRASHER, b"%d" % (number // 2), now=number)
+        judgement = quarantine.judge((CRASHER, b"next"), number + 0.5)
         assert isinstance(judgement, Suspect if number < 3 else Quarantined)
 
 
 def test_an_answer_ends_all_evidence_on_every_node(quarantine):
     other = SegmentQuarantine("n1")
     for number in range(2):
-        crash(quarantine, number, DEADLY)
-    assert isinstance(quarantine.judge((DEADLY,), 0.5), Quarantined)
+        crash(quarantine, number, CRASHER)
+    assert isinstance(quarantine.judge((CRASHER,), 0.5), Quarantined)
     other.apply(quarantine.take_urgent(0.5), "n0", 0.5)
-    assert isinstance(other.judge((DEADLY,), 0.6), Quarantined)
-    other.record_answer((DEADLY,), 1.0)
+    assert isinstance(other.judge((CRASHER,), 0.6), Quarantined)
+    other.record_answer((CRASHER,), 1.0)
     quarantine.apply(other.take_urgent(1.0), "n1", 1.0)
-    assert quarantine.judge((DEADLY,), 1.0) == other.judge((DEADLY,), 1.0) == Sound()
+    assert quarantine.judge((CRASHER,), 1.0) == other.judge((CRASHER,), 1.0) == Sound()
 
 
 def test_a_node_that_knows_a_segment_to_be_sound_corrects_the_others(quarantine):
@@ -157,53 +157,53 @@
     assert quarantine.judge((SESSION,), 5.0) == Sound()
 
 
-def test_a_segment_that_was_sound_long_ago_may_be_deadly_now(quarantine):
+def test_a_segment_that_was_sound_long_ago_may_crash_servers_now(quarantine):
     other = SegmentQuarantine("n1")
-    other.record_answer((DEADLY,), 0.0)
+    other.record_answer((CRASHER,), 0.0)
     for number in range(2):
         now = SOUND_S + 1 + number
-        crash(quarantine, number, DEADLY, now=now)
+        crash(quarantine, number, CRASHER, now=now)
         other.apply(quarantine.take_urgent(now), "n0", now)
         assert other.take_urgent(now) is None
-    assert isinstance(quarantine.judge((DEADLY,), now + 1), Quarantined)
+    assert isinstance(quarantine.judge((CRASHER,), now + 1), Quarantined)
 
 
 def test_reports_of_old_answers_do_not_renew_each_other(quarantine):
     other = SegmentQuarantine("n1")
-    other.record_answer((DEADLY,), 0.0)
-    crash(quarantine, 1, DEADLY, now=8.0)
+    other.record_answer((CRASHER,), 0.0)
+    crash(quarantine, 1, CRASHER, now=8.0)
     other.apply(quarantine.take_urgent(8.0), "n0", 8.0)
     quarantine.apply(other.take_urgent(8.0), "n1", 8.0)
-    assert not quarantine.may_be_deadly((DEADLY,), SOUND_S)
-    assert quarantine.may_be_deadly((DEADLY,), SOUND_S + 1)
+    assert not quarantine.has_unproven_segment((CRASHER,), SOUND_S)
+    assert quarantine.has_unproven_segment((CRASHER,), SOUND_S + 1)
 
 
 def test_a_trial_after_the_quarantine_ends_it_or_doubles_it(quarantine):
     for number in range(2):
-        crash(quarantine, number, DEADLY)
+        crash(quarantine, number, CRASHER)
     now = 1.0
-    assert isinstance(quarantine.judge((DEADLY,), now), Quarantined)
+    assert isinstance(quarantine.judge((CRASHER,), now), Quarantined)
     now += QUARANTINE_FIRST_S
-    assert quarantine.judge((DEADLY,), now) == Suspect(DEADLY)
-    crash(quarantine, 3, DEADLY, now=now)
-    judgement = quarantine.judge((DEADLY,), now)
+    assert quarantine.judge((CRASHER,), now) == Suspect(CRASHER)
+    crash(quarantine, 3, CRASHER, now=now)
+    judgement = quarantine.judge((CRASHER,), now)
     assert judgement.left_s == 2 * QUARANTINE_FIRST_S
     assert judgement.quarantine.crashes == 3
     now += judgement.left_s
-    quarantine.record_answer((DEADLY,), now)
-    assert quarantine.judge((DEADLY,), now) == Sound()
+    quarantine.record_answer((CRASHER,), now)
+    assert quarantine.judge((CRASHER,), now) == Sound()
 
 
 def test_a_node_that_starts_learns_quarantined_segments_from_heartbeats(quarantine):
     for number in range(2):
-        crash(quarantine, number, DEADLY)
-    quarantine.judge((DEADLY,), 1.0)
+        crash(quarantine, number, CRASHER)
+    quarantine.judge((CRASHER,), 1.0)
     for _ in range(NEWS_HEARTBEATS + 1):
         news = quarantine.heartbeat_news(3.0)
     assert not news.crashes
     started = SegmentQuarantine("n1")
     started.apply(news, "n0", 100.0)
-    judgement = started.judge((DEADLY,), 100.0)
+    judgement = started.judge((CRASHER,), 100.0)
     assert judgement.left_s == QUARANTINE_FIRST_S - 2.0
     assert judgement.quarantine.reporters == ("n0",)
 
@@ -211,11 +211,11 @@
 def test_old_evidence_and_unused_quarantines_are_forgotten(quarantine):
     crash(quarantine, 0, SESSION)
     for number in (1, 2):
-        crash(quarantine, number, DEADLY)
+        crash(quarantine, number, CRASHER)
     assert len(quarantine.heartbeat_news(1.0).quarantined) == 1
     end = 1.0 + QUARANTINE_FIRST_S + EVIDENCE_S + 1
     assert quarantine.heartbeat_news(end) is None
-    assert quarantine.judge((SESSION, DEADLY), end) == Sound()
+    assert quarantine.judge((SESSION, CRASHER), end) == Sound()
 
 
 def test_memory_and_news_are_bounded_for_segments_that_never_repeat(quarantine):
@@ -230,24 +230,24 @@
     assert len(news.quarantined) + len(news.crashes) <= 24
 
 
-# How a prompt with a deadly segment continues its first segment; 0 counts up.
+# Positions of the segment that crashes servers; 0 stands for one that never repeats.
 SHAPES = (
-    ("common", "session", "deadly"),
-    ("common", "deadly", "session"),
-    ("common", "deadly", 0),
-    ("deadly", "session"),
-    ("deadly", 0),
-    ("deadly", 0, 0),
+    ("common", "session", "crasher"),
+    ("common", "crasher", "session"),
+    ("common", "crasher", 0),
+    ("crasher", "session"),
+    ("crasher", 0),
+    ("crasher", 0, 0),
 )
 
 
 def play(seed, nodes, loss, failures=0.0, shape=SHAPES[0], rounds=150):
-    """Play requests of several nodes at servers that a deadly segment crashes.
+    """Play requests of several nodes, some of them with a segment that crashes servers.
 
     Each server also crashes by itself with the probability `failures` in a round.
 
     In a round each server begins its requests one after the other; those after the
-    deadly one are broken off. Sound requests share the segments of the deadly ones.
+    crashing one are broken off. Sound requests share the segments of the crashing ones.
     Return the number of crashes, the nodes and the sound segments.
     """
     rng = random.Random(seed)
@@ -262,7 +262,7 @@
             keys = (b"common", session)
             if rng.random() < 0.1:
                 count += 1
-                names = {"common": b"common", "session": session, "deadly": DEADLY}
+                names = {"common": b"common", "session": session, "crasher": CRASHER}
                 keys = tuple(
                     names.get(part, b"%d-%d" % (count, index))
                     for index, part in enumerate(shape)
@@ -279,18 +279,18 @@
         waiting = []
         for server, queue in queues.items():
             rng.shuffle(queue)
-            deadly = [i for i, (_, keys) in enumerate(queue) if DEADLY in keys]
-            fails = not deadly and rng.random() < failures
+            crashing = [i for i, (_, keys) in enumerate(queue) if CRASHER in keys]
+            fails = not crashing and rng.random() < failures
             end = rng.randint(0, len(queue)) if fails else len(queue)
-            if deadly:
-                end = deadly[0]
+            if crashing:
+                end = crashing[0]
             for node, keys in queue[:end]:
                 fleet[node].record_answer(keys, now)
-            if not deadly and not fails:
+            if not crashing and not fails:
                 continue
-            crashes += bool(deadly)
+            crashes += bool(crashing)
             for position, (node, keys) in enumerate(queue[end:]):
-                begun = (deadly and position == 0) or rng.random() < 0.2
+                begun = (crashing and position == 0) or rng.random() < 0.2
                 fleet[node].record_crash(
                     (str(server), starts[server]), keys, begun, now
                 )
