--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -528,6 +528,8 @@
                 "address": server.entry.address,
                 "weights": placement.weights_version,
                 "in_flight": server.in_flight,
+                "staying": server.is_staying,
+                "since_sent_s": round(now - placement.sent_at, 3),
                 "servers_age_s": round(self._fleet_state.servers_age_s(now), 3),
                 "left_s": round(exchange.deadline - now, 3),
             },
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -150,9 +150,7 @@
                     exchange.excluded.clear()
                     continue
                 return self._answer_failure(exchange, "no_server")
-            if exchange.attempts and not self._retry_budget.spend(
-                exchange.service, self._peers.active_count(now), now
-            ):
+            if exchange.attempts and not self._may_spend_retry(exchange, now):
                 return self._answer_failure(exchange, "retry_budget")
             exchange.placement = placement
             result = self._dispatcher.dispatch(exchange, placement)
@@ -161,6 +159,22 @@
             if not self._may_retry(exchange, result):
                 return self._answer_failure(exchange, result.value)
 
+    def _may_spend_retry(self, exchange: Exchange, now: float) -> bool:
+        """Take a retry from the joint budget; return False if it is used up."""
+        nodes = self._peers.active_count(now)
+        if self._retry_budget.spend(exchange.service, nodes, now):
+            return True
+        _LOGGER.info(
+            "Retry refused: this node's share of the budget is used up",
+            extra={
+                "request_id": exchange.req.request_id,
+                "service": exchange.service,
+                "sharing_nodes": nodes,
+                **self._retry_budget.usage(exchange.service, now),
+            },
+        )
+        return False
+
     def _may_retry(self, exchange: Exchange, result: AttemptResult) -> bool:
         match result:
             case AttemptResult.NOT_SENT:
--- a/arbutusyard/limits/retry_budget.py
+++ b/arbutusyard/limits/retry_budget.py
@@ -39,6 +39,13 @@
         retries.append(now)
         return True
 
+    def usage(self, service: str, now: float) -> dict[str, float]:
+        """Return the requests and retries that count now, for the log."""
+        return {
+            "budget_requests": len(self._recent(self._requests, service, now)),
+            "budget_retries": len(self._recent(self._retries, service, now)),
+        }
+
     def _recent(
         self, counts: dict[str, deque[float]], service: str, now: float
     ) -> deque[float]:
