--- /dev/null
+++ b/tests/gateway/test_pool.py
@@ -0,0 +1,83 @@
+"""Test connections to servers whose link is cut while a request is under way."""
+
+import socket
+
+import gevent
+import pytest
+
+from arbutusyard import clock
+from arbutusyard.fleet.servers import Server
+from arbutusyard.gateway.const import TCP_USER_TIMEOUT_MS
+from arbutusyard.gateway.models import ServerEntry, ServerState
+from arbutusyard.gateway.pool import ServerPool
+from tests.gateway.support import answer
+
+
+@pytest.fixture
+def silent_server():
+    """Listen without ever accepting, as a server behind a cut link."""
+    sock = socket.create_server(("127.0.0.1", 0))
+    host, port = sock.getsockname()
+    entry = ServerEntry("s0", 1, "svc", f"{host}:{port}", "z", ServerState.READY, 8, {})
+    yield Server(entry)
+    sock.close()
+
+
+def probes_idle_link(conn):
+    return bool(conn._sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+
+
+# Guards against DRAIN: a connection that ends by its keep-alive probes during a cut may
+# still deliver the request that waits in it once the link is back.
+def test_a_request_under_way_is_only_ended_by_the_timeout_that_discards_it(
+    silent_server,
+):
+    pool = ServerPool()
+    conn = pool.acquire(silent_server, 8, clock.now())
+    assert probes_idle_link(conn)
+    conn.send(b"POST", b"/", [(b"host", b"h")], b"body")
+    assert not probes_idle_link(conn)
+    deadline = clock.now() + 5.0
+    reader = gevent.spawn(conn.read_head, "r1", deadline)
+    try:
+        # What was sent is either acknowledged or discarded by then.
+        gevent.sleep(TCP_USER_TIMEOUT_MS / 1000 + 0.5)
+        assert probes_idle_link(conn)
+    finally:
+        reader.kill()
+        pool.abort(conn)
+
+
+def test_an_idle_connection_is_probed_again(run):
+    def good(request):
+        yield answer(request)
+
+    gateway, _ = run(good)
+    assert gateway.call().status == 200
+    ((conn,),) = gateway.pool._idle.values()
+    assert probes_idle_link(conn)
+
+
+# Guards against DRAIN: a server says that it leaves while a connection to it opens.
+def test_a_server_that_leaves_while_its_connection_opens_gets_no_request(
+    run, monkeypatch
+):
+    def good(request):
+        yield answer(request)
+
+    gateway, servers = run(good, good)
+    connect = ServerPool._connect
+    chosen = []
+
+    def connect_slowly(pool, server):
+        conn = connect(pool, server)
+        if not chosen:
+            chosen.append(server)
+            gateway.fleet_state.servers.mark_leaving(*server.incarnation)
+        return conn
+
+    monkeypatch.setattr(ServerPool, "_connect", connect_slowly)
+    assert gateway.call().status == 200
+    sent = {f"s{n}": len(server.requests) for n, server in enumerate(servers)}
+    assert sent[chosen[0].entry.server_id] == 0
+    assert sum(sent.values()) == 1
