Divide the retry budget by all nodes that may spend it

What callers saw: nothing; servers got more retries than their service's budget (BUDGET). Cause: the constant part was divided by the nodes that one node saw, and what was spent was forgotten at a start. Class: a joint limit that is divided by what one node believes of the others. limits/server_limits.py tracked the sharing nodes for one limit; that now is limits/sharing.py, for the limits of servers, retries and connections alike. A node that fell silent keeps its part for 600 s, a registered node that was never heard too; nodes read the rows once more 8 s after their start, so nodes that start together know of each other. A node that has just started leaves the constant part alone for a window and uses a quarter of the ratio, or more the fewer nodes started with it. Retries count 2 s longer than requests, as long as they may be under way; one of which nothing was sent counts no more.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -114,6 +114,9 @@
 PEER_FORGET_S: Final = 60.0
 # Delay before a failed registration of this node in the store is retried, in seconds.
 PEER_REGISTER_RETRY_S: Final = 1.0
+# Time after a start until a node reads the other nodes' rows once more, in seconds.
+# Nodes that start at the same time have registered by then.
+PEER_REREAD_S: Final = 8.0
 MAX_DATAGRAM_BYTES: Final = 60_000
 
 # Time for which a peer report of a draining server is valid, in seconds. The peer
--- a/arbutusyard/fleet/peer_table.py
+++ b/arbutusyard/fleet/peer_table.py
@@ -207,11 +207,6 @@
         self.ranked(now)
         return name in self._serving
 
-    def active_count(self, now: float) -> int:
-        """Return the number of nodes that send requests to servers, with this one."""
-        self.ranked(now)
-        return len(self._serving | {self.me})
-
     def own_rank(self, now: float) -> int:
         """Return this node's rank among the ready nodes; their number if unranked."""
         names = [node.name for node in self.ranked(now) if node.ready]
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -20,6 +20,7 @@
     LARGE_FLEET_NODES,
     MAX_DATAGRAM_BYTES,
     PEER_REGISTER_RETRY_S,
+    PEER_REREAD_S,
     READER_RETENTION_S,
     SENT_TIMES_MAX,
     SERVER_UPDATE_DELAY_MAX_S,
@@ -43,6 +44,8 @@
     ServerUpdate,
 )
 from arbutusyard.fleet.peer_table import PeerTable
+from arbutusyard.limits.const import BUDGET_RETENTION_S
+from arbutusyard.limits.sharing import FleetShare, SharingNodes
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.exceptions import PlatformError
 from arbutusyard.quarantine.models import QuarantineNews
@@ -73,11 +76,13 @@
         "_wake",
         "_readers_seen_at",
         "_registered",
+        "_registered_addresses",
         "_pending_replaced",
         "_rng",
         "_sent_at",
         "_seq",
         "_served_at",
+        "_sharing",
         "_pending_unreachable",
         "_socket",
         "_supervisor",
@@ -114,6 +119,9 @@
         self._wake = Event()
         self._readers_seen_at: dict[str, float] = {}
         self._registered = False
+        # Addresses of the nodes with rows; None before the rows were read once more.
+        self._registered_addresses: set[str] | None = None
+        self._sharing: SharingNodes | None = None
         self._pending_leaving: set[tuple[str, int]] = set()
         self._pending_limits: dict[tuple[str, int], ServerLimitReport] = {}
         self._pending_replaced: set[str] = set()
@@ -481,6 +489,18 @@
     def _register(self) -> None:
         """Write this node's row and read the other nodes' addresses."""
         self._write_row()
+        self._read_rows()
+        self._registered = True
+        _LOGGER.info(
+            "Registered this node; %d other nodes are known", len(self._addresses)
+        )
+        self._introduce_to_all(clock.now())
+        gevent.sleep(PEER_REREAD_S)
+        self._registered_addresses = self._read_rows()
+
+    def _read_rows(self) -> set[str]:
+        """Read the other nodes' rows; return their addresses."""
+        addresses = set()
         for item in self._retry_until_success(lambda: self._client.scan(TABLE_NODES)):
             try:
                 node = msgspec.msgpack.decode(item.value, type=NodeRow)
@@ -488,12 +508,36 @@
                 _LOGGER.warning("Ignored malformed row of node %s: %s", item.key, exc)
                 continue
             if node.peer_address != self._address:
-                self._addresses.add(node.peer_address)
-        self._registered = True
-        _LOGGER.info(
-            "Registered this node; %d other nodes are known", len(self._addresses)
+                addresses.add(node.peer_address)
+        self._addresses |= addresses
+        return addresses
+
+    def fleet_share(self, window_s: float, now: float) -> FleetShare:
+        """Return what this node knows of the nodes that share its budgets.
+
+        `window_s` tells how far the budgets look back, in seconds.
+        """
+        if self._sharing is None:
+            self._sharing = SharingNodes(BUDGET_RETENTION_S, window_s)
+        table = self.table
+        heartbeats = table.live_heartbeats(now)
+        active, idle, settled = set(), set(), set()
+        for heartbeat in heartbeats:
+            sends = not table.large() or table.serves(heartbeat.name, now)
+            (active if sends else idle).add(heartbeat.peer_address)
+            if heartbeat.up_s >= window_s:
+                settled.add(heartbeat.peer_address)
+        rows = self._registered_addresses
+        expected = self._addresses if rows is None else rows
+        self._sharing.update(active, now, idle, expected)
+        nodes = set(self._sharing.names)
+        is_settled = rows is not None and self._sharing.observed_s >= window_s
+        return FleetShare(
+            nodes=len(nodes) + 1,
+            heard=len(nodes & self._sharing.heard) + 1,
+            recent=len(nodes - settled) + (not is_settled),
+            settled=is_settled,
         )
-        self._introduce_to_all(clock.now())
 
     def _introduce_to_all(self, now: float) -> None:
         """Send one heartbeat to all nodes, also to those reached in rotation later."""
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -6,7 +6,6 @@
 from msgspec import Struct, field
 
 from arbutusyard import clock
-from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.admission import Admission
@@ -41,6 +40,7 @@
 )
 from arbutusyard.gateway.pool import ServerConnection, ServerPool, connection_cap
 from arbutusyard.gateway.router import Placement, PlacementRouter
+from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.platform.headers import dispatch_headers, event_weights_version
 from arbutusyard.quarantine.const import BEGIN_S
 from arbutusyard.quarantine.coordinator import SegmentQuarantine
@@ -111,27 +111,26 @@
         "_fleet_state",
         "_malformed_limit_ids",
         "_malformed_pause_ids",
-        "_peers",
         "_pool",
         "_quarantine",
         "_router",
+        "share",
     )
 
     def __init__(
         self,
         admission: Admission,
         fleet_state: FleetState,
-        peers: PeerTable,
         router: PlacementRouter,
         pool: ServerPool,
         quarantine: SegmentQuarantine,
     ) -> None:
         self._admission = admission
         self._fleet_state = fleet_state
-        self._peers = peers
         self._router = router
         self._pool = pool
         self._quarantine = quarantine
+        self.share = FleetShare()
         self._malformed_limit_ids: set[str] = set()
         self._malformed_pause_ids: set[str] = set()
 
@@ -141,7 +140,7 @@
         """Send a request to one server; return None once its client has an answer."""
         server = placement.server
         now = clock.now()
-        cap = self._connection_cap(exchange.service, now)
+        cap = self._connection_cap(exchange.service)
         self._router.begin_attempt(placement, now)
         conn: ServerConnection | None = None
         complete_head: AnswerHead | None = None
@@ -284,11 +283,10 @@
         others = self._fleet_state.servers.of_service(exchange.service)
         return any(self._router.accepts(other, now) for other in others)
 
-    def _connection_cap(self, service: str, now: float) -> int:
+    def _connection_cap(self, service: str) -> int:
         catalog = self._fleet_state.catalog
         known = catalog.cfg.services.get(service) if catalog else None
-        nodes = self._peers.active_count(now)
-        return connection_cap(known.max_connections if known else 0, nodes)
+        return connection_cap(known.max_connections if known else 0, self.share.heard)
 
     def _process_answer(
         self,
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -24,6 +24,7 @@
 from arbutusyard.gateway.router import Placement, PlacementRouter
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.limits.retry_budget import RetryBudget
+from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.metrics.deferred import DeferredMetrics
 from arbutusyard.platform.headers import refusal_headers
 from arbutusyard.quarantine.const import RETRY_AFTER_MAX_S
@@ -42,7 +43,6 @@
         "_dispatcher",
         "_fleet_state",
         "_metrics",
-        "_peers",
         "_router",
         "quarantine",
         "rate",
@@ -60,10 +60,9 @@
         self._admission = Admission(fleet_state, cfg.revoke_s)
         self.quarantine = SegmentQuarantine(peers.me)
         self._dispatcher = Dispatcher(
-            self._admission, fleet_state, peers, router, pool, self.quarantine
+            self._admission, fleet_state, router, pool, self.quarantine
         )
         self._fleet_state = fleet_state
-        self._peers = peers
         self._router = router
         self._metrics = metrics
         self.rate = RateMeter()
@@ -87,6 +86,11 @@
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
 
+    def update_share(self, share: FleetShare) -> None:
+        """Set what this node knows of the nodes that share the joint limits."""
+        self._retry_budget.share = share
+        self._dispatcher.share = share
+
     def serve(self, req: CallerRequest, conn: CallerConnection) -> None:
         """Answer a request; raise CallerGone when its client disconnected."""
         now = clock.now()
@@ -150,26 +154,27 @@
                     exchange.excluded.clear()
                     continue
                 return self._answer_failure(exchange, "no_server")
-            if exchange.attempts and not self._may_spend_retry(exchange, now):
+            is_retry = bool(exchange.attempts)
+            if is_retry and not self._may_spend_retry(exchange, now):
                 return self._answer_failure(exchange, "retry_budget")
             exchange.placement = placement
             result = self._dispatcher.dispatch(exchange, placement)
             if result is None:
                 return "answered"
+            if is_retry and result is AttemptResult.NOT_SENT:
+                self._retry_budget.give_back(exchange.service)
             if not self._may_retry(exchange, result):
                 return self._answer_failure(exchange, result.value)
 
     def _may_spend_retry(self, exchange: Exchange, now: float) -> bool:
         """Take a retry from the joint budget; return False if it is used up."""
-        nodes = self._peers.active_count(now)
-        if self._retry_budget.spend(exchange.service, nodes, now):
+        if self._retry_budget.spend(exchange.service, now):
             return True
         _LOGGER.info(
             "Retry refused: this node's share of the budget is used up",
             extra={
                 "request_id": exchange.req.request_id,
                 "service": exchange.service,
-                "sharing_nodes": nodes,
                 **self._retry_budget.usage(exchange.service, now),
             },
         )
--- a/arbutusyard/limits/const.py
+++ b/arbutusyard/limits/const.py
@@ -55,6 +55,9 @@
 # Maximum time between two updates of the nodes that counts as observed, in seconds; a
 # process that was suspended for longer has observed nothing.
 OBSERVED_STEP_MAX_S: Final = 1.0
+# Time for which a node that fell silent keeps its part of the budgets of retries and of
+# connections, in seconds; longer than a network partition is expected to last.
+BUDGET_RETENTION_S: Final = 600.0
 # Number of nodes that repeat a server's limit in their heartbeats.
 LIMIT_REPORTERS: Final = 3
 # Maximum number of limits in one heartbeat; further ones follow in the next.
--- a/arbutusyard/limits/server_limits.py
+++ b/arbutusyard/limits/server_limits.py
@@ -27,12 +27,12 @@
     LIMIT_TOLERANCE,
     LIMIT_TOLERANCE_REQUESTS,
     LIMIT_WINDOW_S,
-    OBSERVED_STEP_MAX_S,
     RETRY_SPREAD_MAX_S,
     SHARE_RETENTION_S,
     SHARE_START_DELAY_S,
     SHARING_NODES_MIN,
 )
+from arbutusyard.limits.sharing import SharingNodes
 from arbutusyard.routing.chain import rank
 
 _LOGGER = logging.getLogger(__name__)
@@ -67,14 +67,10 @@
         "_grace_s",
         "_limits",
         "_me",
-        "_names",
-        "_observed_s",
         "_report_offset",
         "_retry_at",
-        "_seen_at_s",
         "_sent_at",
-        "_updated_at",
-        "_version",
+        "_sharing",
     )
 
     def __init__(self, me: str, grace_s: float = LIMIT_GRACE_S) -> None:
@@ -84,31 +80,12 @@
         # When the next refused request to a service should return.
         self._retry_at: dict[str, float] = {}
         self._sent_at: dict[Incarnation, deque[float]] = {}
-        self._names: frozenset[str] = frozenset()
-        # Time for which this process has observed the other nodes, in seconds, and at
-        # which point of it each node was last seen.
-        self._observed_s = 0.0
-        self._seen_at_s: dict[str, float] = {}
-        self._updated_at: float | None = None
-        self._version = 0
+        self._sharing = SharingNodes(SHARE_RETENTION_S)
         self._report_offset = 0
 
     def update_nodes(self, names: Iterable[str], now: float) -> None:
         """Set the nodes that send requests to servers, as this node sees them."""
-        if self._updated_at is not None:
-            step_s = max(0.0, now - self._updated_at)
-            self._observed_s += min(step_s, OBSERVED_STEP_MAX_S)
-        self._updated_at = now
-        known = set(self._seen_at_s)
-        names = frozenset(names)
-        for name in names:
-            self._seen_at_s[name] = self._observed_s
-        for name, seen_at_s in list(self._seen_at_s.items()):
-            if self._observed_s - seen_at_s > SHARE_RETENTION_S:
-                del self._seen_at_s[name]
-        if names != self._names or known != set(self._seen_at_s):
-            self._names = names
-            self._version += 1
+        self._sharing.update(names, now)
 
     def observe(
         self, incarnation: Incarnation, limit_s: float | None, now: float
@@ -130,7 +107,10 @@
         own = []
         for incarnation, limit in self._limits.items():
             self._rank(incarnation, limit)
-            if self._me in self._names and self._me in limit.ranked[:LIMIT_REPORTERS]:
+            if (
+                self._me in self._sharing.active
+                and self._me in limit.ranked[:LIMIT_REPORTERS]
+            ):
                 age_s = now - limit.stated_at
                 own.append(ServerLimitReport(*incarnation, limit.limit_s, age_s))
         if len(own) <= LIMIT_REPORTS_MAX:
@@ -152,7 +132,7 @@
         rate_s = self._share_s(incarnation, limit, now)
         if not rate_s:
             return math.inf
-        start_s = SHARE_START_DELAY_S - self._observed_s
+        start_s = SHARE_START_DELAY_S - self._sharing.observed_s
         return max(0.0, start_s, limit.bucket.wait_s(rate_s, now))
 
     def retry_in_s(self, incarnation: Incarnation, now: float) -> float:
@@ -178,7 +158,7 @@
         if not limits or None in limits:
             return wait_s
         total_s = sum(max(limit_s, LIMIT_MIN_S) for limit_s in limits)
-        rate_s = total_s / max(1, len(self._seen_at_s))
+        rate_s = total_s / max(1, len(self._sharing))
         latest_at = now + wait_s + RETRY_SPREAD_MAX_S
         retry_at = max(now + wait_s, self._retry_at.get(service, 0.0))
         retry_at = min(retry_at, latest_at)
@@ -284,7 +264,7 @@
         recent = sum(
             at >= now - LIMIT_WINDOW_S for at in self._sent_at.get(incarnation, ())
         )
-        earlier_s = (recent + 1) * max(1, len(self._seen_at_s)) / LIMIT_WINDOW_S
+        earlier_s = (recent + 1) * max(1, len(self._sharing)) / LIMIT_WINDOW_S
         grace_s = min(grace_s, LIMIT_WINDOW_S)
         counted = earlier_s * (LIMIT_WINDOW_S - grace_s + LIMIT_REACTION_S)
         tolerated = (
@@ -302,7 +282,9 @@
         self._rank(incarnation, limit)
         total_s = max(limit.limit_s, LIMIT_MIN_S)
         count = min(len(limit.ranked), SHARING_NODES_MIN + int(total_s))
-        has_share = self._me in self._names and self._me in limit.ranked[:count]
+        has_share = (
+            self._me in self._sharing.active and self._me in limit.ranked[:count]
+        )
         if has_share and not limit.has_share:
             # The level is from before this node had a share, or from an earlier one.
             limit.bucket = _empty_bucket(now)
@@ -310,9 +292,9 @@
         return total_s / count if has_share else 0.0
 
     def _rank(self, incarnation: Incarnation, limit: ServerLimit) -> None:
-        if limit.ranked_version != self._version:
-            limit.ranked = rank(incarnation[0].encode(), self._seen_at_s)
-            limit.ranked_version = self._version
+        if limit.ranked_version != self._sharing.version:
+            limit.ranked = rank(incarnation[0].encode(), self._sharing.names)
+            limit.ranked_version = self._sharing.version
 
 
 def _empty_bucket(now: float) -> TokenBucket:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -29,6 +29,7 @@
 from arbutusyard.gateway.relay import Relay
 from arbutusyard.gateway.router import PlacementRouter
 from arbutusyard.gateway.settings import NodeSettings
+from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.metrics.deferred import DeferredMetrics
 
 STAMP = "Response-Stamp: s\r\n"
@@ -183,6 +184,7 @@
         self.relay = Relay(
             SETTINGS, self.fleet_state, peers, self.router, self.pool, METRICS
         )
+        self.relay.update_share(FleetShare(recent=0, settled=True))
         self.ingress = Ingress("127.0.0.1:0", self.fleet_state, self.relay, 1024)
         self.ingress.setup(Application("test"))
 
--- a/tests/limits/test_retry_budget_fleet.py
+++ b/tests/limits/test_retry_budget_fleet.py
@@ -1,14 +1,16 @@
 """Retries of all nodes together stay within a budget, whatever nodes know of others."""
 
 import math
-from collections import deque
+from collections import Counter, deque
 from itertools import product
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from arbutusyard.limits.retry_budget import RetryBudget
+from arbutusyard.limits.const import BUDGET_RETENTION_S
+from arbutusyard.limits.retry_budget import DELIVERY_MAX_S, RetryBudget
+from arbutusyard.limits.sharing import FleetShare, SharingNodes
 
 # The platform's rule: in each window a service gets at most RATIO times the requests of
 # that window, of the one before it or of the one half a window before it, plus SLACK
@@ -26,16 +28,27 @@
 class SimulatedNode:
     """One node that retries each request as often as its budget allows."""
 
-    def __init__(self, name):
+    def __init__(self, name, now, registered=()):
         self.name = name
+        self.started_at = now
+        self.registered = set(registered)
         self.budget = RetryBudget(RATIO, SLACK, WINDOW_S)
+        self.sharing = SharingNodes(BUDGET_RETENTION_S, WINDOW_S)
         self.heard_at = {}
 
     def update(self, alive, now):
-        self.alive = alive
+        """Update the share by the nodes that are alive, and when these started."""
+        self.sharing.update(alive, now, (), self.registered - {self.name})
+        settled = {n for n, at in alive.items() if now - at >= WINDOW_S}
+        is_settled = self.sharing.observed_s >= WINDOW_S
+        self.budget.share = FleetShare(
+            nodes=len(self.sharing) + 1,
+            recent=len(set(self.sharing.names) - settled) + (not is_settled),
+            settled=is_settled,
+        )
 
     def may_retry(self, now):
-        return self.budget.spend("svc", len(self.alive) + 1, now)
+        return self.budget.spend("svc", now)
 
 
 class SimulatedFleet:
@@ -44,8 +57,13 @@
     def __init__(self, count, requests_per_step):
         self.step = 0
         self.requests_per_step = requests_per_step
-        self.nodes = [SimulatedNode(f"n{n}") for n in range(count)]
+        names = [f"n{n}" for n in range(count)]
+        self.nodes = [SimulatedNode(name, 0.0, names) for name in names]
         self.same_view = count > SAME_VIEW_NODES
+        self.same_view_of = None
+        # Number of steps by which arrivals are late, and those under way by step.
+        self.late_steps = 0
+        self.under_way = Counter()
         # The part of a divided fleet to which each node belongs, until a step.
         self.part = {}
         self.divided_until = -1
@@ -63,7 +81,9 @@
 
     def restart(self, *nodes):
         for node in nodes:
-            self.nodes[self.nodes.index(node)] = SimulatedNode(node.name)
+            self.nodes[self.nodes.index(node)] = SimulatedNode(
+                node.name, self.now, node.registered
+            )
 
     def divide(self, steps, part_of):
         self.divided_until = self.step + steps
@@ -79,7 +99,7 @@
             node for node in self.nodes if self.paused.get(node.name, 0) < self.step
         ]
         divided = self.step <= self.divided_until
-        requests = retries = 0
+        requests = 0
         for node in running:
             for other in running if divided or not self.same_view else ():
                 if not divided or self.part[node.name] == self.part[other.name]:
@@ -89,19 +109,27 @@
                 node.budget.count_request("svc", self.now)
                 requests += 1
                 while node.may_retry(self.now):
-                    retries += 1
+                    self.under_way[self.step + self.late_steps] += 1
+        arrived = [step for step in self.under_way if step <= self.step]
+        retries = sum(self.under_way.pop(step) for step in arrived)
         self.requests.append(requests)
         self.retries.append(retries)
         self._check()
 
     def _alive(self, node, running, divided):
         if self.same_view and not divided:
-            return [other.name for other in running if other is not node]
-        return [
-            name
+            if not self.same_view_of or self.same_view_of[0] != self.step:
+                starts = {other.name: other.started_at for other in running}
+                self.same_view_of = (self.step, starts)
+            starts = dict(self.same_view_of[1])
+            starts.pop(node.name)
+            return starts
+        started_at = {other.name: other.started_at for other in self.nodes}
+        return {
+            name: started_at[name]
             for name, step in node.heard_at.items()
             if name != node.name and self.step - step <= TIMEOUT_STEPS
-        ]
+        }
 
     def _check(self):
         counts = list(self.requests)
@@ -156,7 +184,9 @@
 
 FAULTS = st.lists(
     st.tuples(
-        st.sampled_from(["restart", "all_restart", "some_restart", "divide", "pause"]),
+        st.sampled_from(
+            ["restart", "all_restart", "some_restart", "divide", "pause", "late"]
+        ),
         st.integers(0, 100),
         st.floats(0.25, 30.0),
         st.floats(0.25, 12.0),
@@ -183,6 +213,9 @@
                 fleet.divide(steps, lambda n, index=index: n % (2 + index % 4))
             case "pause":
                 fleet.paused[fleet.nodes[index % count].name] = fleet.step + steps
+            case "late":
+                late_s = DELIVERY_MAX_S * (index % 3) / 2
+                fleet.late_steps = round(late_s / STEP_S)
         fleet.run(pause_s)
     fleet.run(WINDOW_S)
     assert fleet.worst <= 0, fleet.worst
