Keep what servers said of themselves beyond their entries

What callers saw: nothing; a request reached a server 2.8 s after the server had said that it leaves (DRAIN). Keep-alive probes, which counted from the last byte before the cut, ended the connection before the timeout that discards unacknowledged bytes, so the request was delivered when the link came back, after the node had answered and the server had left. Probes now run only while an answer is awaited and what was sent must have been acknowledged. Class: a fact that never becomes false is kept in an object that is replaced.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -125,6 +125,9 @@
 # Time for which removed incarnations are remembered, in seconds; longer than the
 # maximum age of a copy from which the store is restored.
 REMOVED_INCARNATION_RETENTION_S: Final = 60.0
+# Maximum number of incarnations without an entry of which a node remembers what stays
+# true; those that it learned first are forgotten.
+FACTS_MAX: Final = 4096
 # Time for which a server whose entry was removed is reported to the peers, in seconds.
 REMOVED_REPORT_S: Final = 4.0
 # Maximum number of a model's newest target versions that are reported with their ages.
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -1,6 +1,7 @@
 """Track the backend servers by incarnation, and which of them may take requests."""
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 from hashlib import blake2b
 
@@ -8,6 +9,7 @@
 from msgspec.structs import replace
 
 from arbutusyard.fleet.const import (
+    FACTS_MAX,
     FAILURE_HALF_LIFE_S,
     FAILURE_WEIGHT,
     LEAVING_REPORT_S,
@@ -24,6 +26,16 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class ServerFacts(Struct):
+    """Hold what stays true of an incarnation while its entry vanishes and returns."""
+
+    # It announced that it drains, or its entry said so.
+    leaving: bool = False
+    # A later incarnation has its id, or another server has its address.
+    superseded: bool = False
+    paused_until: float = 0.0
+
+
 class Server(Struct):
     """Hold what a node knows about one incarnation of a backend server."""
 
@@ -43,8 +55,7 @@
     loading_until: float = 0.0
     mismatch_until: float = 0.0
     reported_leaving_until: float = 0.0
-    paused_until: float = 0.0
-    leaving: bool = False
+    facts: ServerFacts = field(default_factory=ServerFacts)
     removed_at: float | None = None
     dead: bool = False
     speed: PrefillSpeed = field(default_factory=PrefillSpeed)
@@ -62,14 +73,17 @@
             and now >= self.loading_until
             and now >= self.mismatch_until
             and now >= self.reported_leaving_until
-            and now >= self.paused_until
+            and now >= self.facts.paused_until
         )
 
     @property
     def is_staying(self) -> bool:
         """Return whether the server is neither removed, superseded nor draining."""
-        return (
-            not self.dead and not self.leaving and self.entry.state is ServerState.READY
+        return not (
+            self.dead
+            or self.facts.leaving
+            or self.facts.superseded
+            or self.entry.state is not ServerState.READY
         )
 
     def usable_in_s(self, now: float) -> float:
@@ -80,14 +94,14 @@
             self.loading_until,
             self.mismatch_until,
             self.reported_leaving_until,
-            self.paused_until,
+            self.facts.paused_until,
         )
         return max(0.0, until - now)
 
     def pause(self, pause_s: float, now: float) -> None:
         """Send a saturated server nothing for as long as it asks, up to a maximum."""
         pause_s = min(pause_s, SATURATED_PAUSE_MAX_S)
-        self.paused_until = max(self.paused_until, now + pause_s)
+        self.facts.paused_until = max(self.facts.paused_until, now + pause_s)
 
     def failures(self, now: float) -> float:
         """Return the fraction of recent requests that the server failed (0 to 1)."""
@@ -136,6 +150,7 @@
 
     __slots__ = (
         "_by_service",
+        "_facts",
         "_removed_incarnations",
         "_removed_at",
         "_rolled_back",
@@ -147,6 +162,8 @@
     def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
         self.known = False
+        # What is known of incarnations without an entry, in the order of learning.
+        self._facts: OrderedDict[tuple[str, int], ServerFacts] = OrderedDict()
         self._removed_incarnations: dict[tuple[str, int], float] = {}
         self._removed_at: dict[str, float] = {}
         self._rolled_back = False
@@ -216,15 +233,13 @@
         """Apply a new or changed entry."""
         known = self.servers.get(entry.server_id)
         if known is None or known.entry.started_at_ms != entry.started_at_ms:
-            if known is not None:
-                known.dead = True
-            self.servers[entry.server_id] = Server(entry, dict(entry.weights))
-            self._by_service = None
-            _log_entry("Server %s of %s is known: %s, %s", entry)
+            self._add(entry, known)
             return
         if known.entry.state is ServerState.DRAINING:
             # An incarnation never stops draining, so this entry is an older one.
             entry = replace(entry, state=ServerState.DRAINING)
+        elif entry.state is ServerState.DRAINING:
+            known.facts.leaving = True
         if known.entry.state is not entry.state:
             _log_entry("Server %s of %s changed: %s, %s", entry)
         if known.entry.service != entry.service:
@@ -236,6 +251,39 @@
             if version > known.weights.get(model, 0):
                 known.weights[model] = version
 
+    def _add(self, entry: ServerEntry, previous: Server | None) -> None:
+        """Add an incarnation that was not in the table."""
+        incarnation = (entry.server_id, entry.started_at_ms)
+        facts = self._facts.get(incarnation) or ServerFacts()
+        if facts.superseded:
+            _LOGGER.info(
+                "Ignored a late entry of server %s: a later incarnation is known",
+                entry.server_id,
+                extra={"server": entry.server_id, "born_ms": entry.started_at_ms},
+            )
+            return
+        if previous is not None:
+            previous.dead = True
+            if previous.entry.started_at_ms < entry.started_at_ms:
+                previous.facts.superseded = True
+            self._keep_facts(previous.incarnation, previous.facts)
+        self._facts.pop(incarnation, None)
+        if entry.state is ServerState.DRAINING:
+            facts.leaving = True
+        server = Server(entry, dict(entry.weights), facts=facts)
+        self.servers[entry.server_id] = server
+        self._by_service = None
+        _log_entry("Server %s of %s is known: %s, %s", entry)
+
+    def _keep_facts(self, incarnation: tuple[str, int], facts: ServerFacts) -> None:
+        """Remember what is known of an incarnation without an entry."""
+        if facts == ServerFacts():
+            return
+        self._facts[incarnation] = facts
+        self._facts.move_to_end(incarnation)
+        while len(self._facts) > FACTS_MAX:
+            self._facts.popitem(last=False)
+
     def remove(self, server_id: str, now: float) -> None:
         """Remove the server of a removed entry, but retain it just after an outage."""
         server = self.servers.get(server_id)
@@ -299,13 +347,16 @@
     def mark_leaving(self, server_id: str, started_at_ms: int) -> bool:
         """Record an incarnation's announcement to drain; return whether it is new."""
         server = self.servers.get(server_id)
-        if (
-            server is None
-            or server.entry.started_at_ms != started_at_ms
-            or server.leaving
-        ):
+        incarnation = (server_id, started_at_ms)
+        if server is None or server.incarnation != incarnation:
+            # Its entry may come later than the report, or once more.
+            facts = self._facts.get(incarnation) or ServerFacts()
+            facts.leaving = True
+            self._keep_facts(incarnation, facts)
+            return False
+        if server.facts.leaving:
             return False
-        server.leaving = True
+        server.facts.leaving = True
         _LOGGER.info(
             "Server %s announced that it is draining",
             server_id,
@@ -314,8 +365,8 @@
         return True
 
     def announced_leaving(self) -> tuple[tuple[str, int], ...]:
-        """Return the known incarnations that announced that they are draining."""
-        return tuple(s.incarnation for s in self.servers.values() if s.leaving)
+        """Return the known incarnations that said that they are draining."""
+        return tuple(s.incarnation for s in self.servers.values() if s.facts.leaving)
 
     def digest(self) -> bytes:
         """Return a digest of all that decides whether servers may be used."""
@@ -331,9 +382,11 @@
     def mark_dead(self, server: Server) -> None:
         """Stop using an incarnation because another one has its address."""
         server.dead = True
+        server.facts.superseded = True
 
     def _delete(self, server: Server, now: float) -> None:
         server.dead = True
+        self._keep_facts(server.incarnation, server.facts)
         del self.servers[server.entry.server_id]
         self._removed_at[server.entry.server_id] = now
         self._removed_incarnations[server.incarnation] = now
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -25,6 +25,11 @@
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_COUNT: Final = 2
 
+# Time after the last byte of a request until its connection is probed, in seconds.
+# Before, only the kernel's timeout for unacknowledged bytes may end it, which discards
+# them: a connection that ends by probes may still deliver them later.
+PROBES_OFF_S: Final = TCP_USER_TIMEOUT_MS / 1000 + 0.25
+
 # Assumed limit on the idle time of a connection whose server sends no Keep-Alive
 # timeout, in seconds. Such servers close idle connections after some seconds.
 IDLE_KEEP_S: Final = 3.0
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -147,6 +147,8 @@
         exchange.head = None
         try:
             conn = self._pool.acquire(server, cap, now)
+            if not server.is_staying:
+                raise NotSent(f"{conn.address} left while its connection opened")
             conn.should_abandon = lambda: self._should_abandon(exchange, placement)
             if exchange.conn.has_disconnected():
                 # On a busy node a client's request is read together with the end of
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 import socket
 from collections.abc import Callable
 
@@ -24,6 +25,7 @@
     PRE_ANSWER_BYTES_MAX,
     PRE_ANSWER_MESSAGES_MAX,
     PROBE_PAUSE_S,
+    PROBES_OFF_S,
     READ_BYTES,
     TCP_USER_TIMEOUT_MS,
     UNRESPONSIVE_CHECK_INTERVAL_S,
@@ -50,8 +52,10 @@
         "_h11",
         "_head_bytes",
         "_head_started_at",
+        "_probed",
         "_reading_head",
         "_request",
+        "_sent_at",
         "_server",
         "_sock",
         "address",
@@ -69,6 +73,9 @@
         self._reading_head = False
         self._head_bytes = 0
         self._head_started_at: float | None = None
+        # Whether the kernel probes the link, and when the last byte was sent.
+        self._probed = False
+        self._sent_at = math.inf
         self.address = server.entry.address
         # The server ended or reset the connection.
         self.ended = False
@@ -91,6 +98,7 @@
         except h11.LocalProtocolError as exc:
             raise NotSent(f"request cannot be forwarded: {exc}") from exc
         self._sock.settimeout(CONNECT_TIMEOUT_S)
+        self._sent_at = math.inf
         try:
             sent = self._sock.send(data)
         except OSError as exc:
@@ -100,6 +108,8 @@
         if sent < len(data):
             # The server may answer before it has read the whole request.
             gevent.spawn(self._send_remaining, data[sent:])
+        else:
+            self._sent_at = clock.now()
 
     def _encode(self) -> bytes:
         data = self._h11.send(self._request)
@@ -111,6 +121,7 @@
         try:
             self._sock.settimeout(None)
             self._sock.sendall(data)
+            self._sent_at = clock.now()
         except OSError as exc:
             _LOGGER.debug(
                 "Failed to send the rest of a request to %s: %s", self.address, exc
@@ -177,6 +188,7 @@
         if self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
+        self._set_probed(False)
         keep_s = IDLE_KEEP_S if head.keep_s is None else head.keep_s
         self.idle_until = now + keep_s - IDLE_MARGIN_S
         return self.idle_until > now
@@ -221,6 +233,17 @@
                 f"{self.address} sent an unexpected answer: {exc}"
             ) from exc
 
+    def _set_probed(self, probed: bool) -> None:
+        """Set whether the kernel probes the link while no bytes come."""
+        if probed is self._probed:
+            return
+        self._probed = probed
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, probed)
+        except OSError as exc:
+            # The next read or write reports the broken connection.
+            _LOGGER.debug("Could not change probes of %s: %s", self.address, exc)
+
     def _next_event(self, deadline: float) -> object:
         while True:
             try:
@@ -275,6 +298,8 @@
                     raise AnswerBroken(
                         f"{self.address}: connection failed: {exc}"
                     ) from exc
+                if now - self._sent_at > PROBES_OFF_S:
+                    self._set_probed(True)
                 if self.should_abandon():
                     raise AnswerBroken(
                         f"{self.address} is unresponsive or must not answer"
@@ -393,7 +418,7 @@
             sock.settimeout(CONNECT_TIMEOUT_S)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.connect((host, int(port)))
-            enable_keepalive(sock)
+            set_timeouts(sock)
         except OSError as exc:
             self.discard(conn)
             raise Unreachable(f"{address} is unreachable: {exc}") from exc
@@ -404,10 +429,13 @@
         return conn
 
 
-def enable_keepalive(sock: socket.socket) -> None:
-    """Make the kernel close a connection whose peer is unresponsive."""
+def set_timeouts(sock: socket.socket) -> None:
+    """Make the kernel close a connection whose peer is unresponsive.
+
+    Keep-alive probes run only while an answer is awaited and all bytes of the request
+    were acknowledged.
+    """
     tcp = socket.IPPROTO_TCP
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
