Keep a server's draining that an older copy of the store shows

Cause: an incarnation whose entry vanished once and came back was still taken for removed, so after a store rollback its entry was ignored, also one that said that it drains, and the server stayed usable (DRAIN). Now an incarnation that comes back is no longer taken for removed, and an ignored entry that drains is remembered.

--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -222,6 +222,8 @@
                     entry.server_id,
                     extra={"server": entry.server_id, "born_ms": entry.started_at_ms},
                 )
+                if entry.state is ServerState.DRAINING:
+                    self._remember_leaving(incarnation)
                 continue
             self.update(entry)
         self._rolled_back = False
@@ -268,6 +270,8 @@
                 previous.facts.superseded = True
             self._keep_facts(previous.incarnation, previous.facts)
         self._facts.pop(incarnation, None)
+        # It is running, so an older copy of the store may show it too.
+        self._removed_incarnations.pop(incarnation, None)
         if entry.state is ServerState.DRAINING:
             facts.leaving = True
         server = Server(entry, dict(entry.weights), facts=facts)
@@ -284,6 +288,12 @@
         while len(self._facts) > FACTS_MAX:
             self._facts.popitem(last=False)
 
+    def _remember_leaving(self, incarnation: tuple[str, int]) -> None:
+        """Remember that an incarnation without an entry said that it drains."""
+        facts = self._facts.get(incarnation) or ServerFacts()
+        facts.leaving = True
+        self._keep_facts(incarnation, facts)
+
     def remove(self, server_id: str, now: float) -> None:
         """Remove the server of a removed entry, but retain it just after an outage."""
         server = self.servers.get(server_id)
@@ -350,9 +360,7 @@
         incarnation = (server_id, started_at_ms)
         if server is None or server.incarnation != incarnation:
             # Its entry may come later than the report, or once more.
-            facts = self._facts.get(incarnation) or ServerFacts()
-            facts.leaving = True
-            self._keep_facts(incarnation, facts)
+            self._remember_leaving(incarnation)
             return False
         if server.facts.leaving:
             return False
--- a/tests/fleet/test_servers_machine.py
+++ b/tests/fleet/test_servers_machine.py
@@ -134,3 +134,25 @@
     servers.update(entry("a", 1))
     assert not servers.get("a").usable(129.0)
     assert servers.get("a").usable(130.0)
+
+
+# Guards against DRAIN: a server whose entry vanished once and came back was ignored in
+# an older copy of the store, also where that showed it as draining.
+def test_a_server_that_came_back_drains_also_by_an_older_copy_of_the_store():
+    servers = ServerTable()
+    servers.replace({"a": entry("a", 1)}, 100.0)
+    servers.remove("a", 101.0)
+    servers.replace({"a": entry("a", 1)}, 102.0)
+    servers.handle_store_rollback()
+    servers.replace({"a": entry("a", 1, ServerState.DRAINING)}, 103.0)
+    assert not servers.get("a").usable(1e6)
+
+
+def test_a_removed_server_that_an_older_copy_shows_as_draining_does_not_come_back():
+    servers = ServerTable()
+    servers.replace({"a": entry("a", 1)}, 100.0)
+    servers.replace({}, 101.0)
+    servers.handle_store_rollback()
+    servers.replace({"a": entry("a", 1, ServerState.DRAINING)}, 103.0)
+    servers.update(entry("a", 1))
+    assert not servers.get("a").usable(1e6)
