Judge whole requests by the crashes of servers, too

Cause: the quarantine had keys for shared prompt segments only, so it was blind to requests without a prompt, to prompts of one segment and to prompts whose segments were known to be sound. Class: work that kills what handles it. A whole request is one more key, of its path, caller and body, keyed by what the caller authenticates with. It is computed only once somebody suspects a request; the answered requests of the last moment are remembered without it, and judged sound when a crash is reported, so hot requests are not suspect. A request without a prompt counts as begun, as its server sends no head before it has run. Only what was begun at a crash goes to one server; prompts that merely waited there are placed freely. Renamed: SegmentQuarantine is RequestQuarantine; arbutusyard_quarantined_segments is arbutusyard_quarantined by kind.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -42,8 +42,8 @@
 from arbutusyard.gateway.router import Placement, PlacementRouter
 from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.platform.headers import dispatch_headers, event_weights_version
-from arbutusyard.quarantine.const import BEGIN_S
-from arbutusyard.quarantine.coordinator import SegmentQuarantine
+from arbutusyard.quarantine.const import BEGIN_S, CRASH_CHECK_INTERVAL_S
+from arbutusyard.quarantine.coordinator import RequestQuarantine, request_key
 from arbutusyard.quarantine.models import Quarantined
 
 _LOGGER = logging.getLogger(__name__)
@@ -73,8 +73,10 @@
     account: Account | None
     service: str
     deadline: float
-    # Keys of the segments that the prompt may share with others.
+    # Keys of the segments that the prompt may share with others, and of the whole
+    # request; that one is computed when it is first needed.
     segment_keys: tuple[bytes, ...] = ()
+    request_key: bytes = b""
     # Failed attempts whose request was sent; one past its deadline is not counted.
     attempts: int = 0
     # Failed attempts that a server may have executed.
@@ -94,6 +96,14 @@
     # A server's error answer, relayed if no other server answers.
     fallback_answer: tuple[AnswerHead, bytes] | None = None
 
+    def keys(self, with_request: bool) -> tuple[bytes, ...]:
+        """Return the keys by which the quarantine judges this request."""
+        if not with_request:
+            return self.segment_keys
+        if not self.request_key:
+            self.request_key = request_key(self.req)
+        return (*self.segment_keys, self.request_key)
+
     def can_continue(self) -> bool:
         """Tell whether another server's answer can follow what the client has got."""
         if not self.conn.sent_head:
@@ -123,7 +133,7 @@
         fleet_state: FleetState,
         router: PlacementRouter,
         pool: ServerPool,
-        quarantine: SegmentQuarantine,
+        quarantine: RequestQuarantine,
     ) -> None:
         self._admission = admission
         self._fleet_state = fleet_state
@@ -212,17 +222,20 @@
         self, exchange: Exchange, placement: Placement, now: float
     ) -> None:
         """Record whether an attempt that broke off may have crashed its server."""
-        keys = exchange.segment_keys
-        if not keys:
-            return
         first_event_at = placement.first_event_at
         if first_event_at is not None and now - first_event_at >= BEGIN_S:
-            self._quarantine.record_answer(keys, now)
+            self._record_answer(exchange, now)
             return
+        # A server sends no head before it has run a request without a prompt.
+        begun = first_event_at is None and (
+            exchange.head is not None or not exchange.req.model
+        )
+        keys = exchange.keys(with_request=begun)
         server = placement.server
         if (
-            not self._quarantine.has_unproven_segment(keys, now)
+            not self._quarantine.has_unproven_key(keys, now)
             or not server.is_staying
+            or now - server.reached_at < CRASH_CHECK_INTERVAL_S
         ):
             return
         if not self._pool.has_crashed(server):
@@ -231,10 +244,9 @@
         if not server.suspected:
             server.suspect(now)
             self._router.on_unreachable(server.entry.server_id)
-        begun = exchange.head is not None and first_event_at is None
         self._quarantine.record_crash(server.incarnation, keys, begun, now)
         _LOGGER.info(
-            "Server %s crashed before it sent an event",
+            "Server %s crashed before it answered",
             server.entry.server_id,
             extra={
                 "request_id": exchange.req.request_id,
@@ -244,6 +256,13 @@
             },
         )
 
+    def _record_answer(self, exchange: Exchange, now: float) -> None:
+        """Record that a server answered a request, or began to, and did not crash."""
+        if self._quarantine.judges_requests:
+            self._quarantine.record_answer(exchange.keys(with_request=True), now)
+        else:
+            self._quarantine.record_answer(exchange.segment_keys, now, exchange.req)
+
     def _should_abandon(self, exchange: Exchange, placement: Placement) -> bool:
         """Tell whether to retry an unresponsive server's request on another one.
 
@@ -255,7 +274,10 @@
         now = clock.now()
         server = placement.server
         if placement.first_event_at is None and isinstance(
-            self._quarantine.judge(exchange.segment_keys, now), Quarantined
+            self._quarantine.judge(
+                exchange.keys(with_request=self._quarantine.judges_requests), now
+            ),
+            Quarantined,
         ):
             return True
         if not self._router.is_unresponsive(server, now):
@@ -316,10 +338,12 @@
         if exchange.route.streaming and head.status < 300:
             self._relay_stream(exchange, placement, conn, head)
             server.count_outcome(False, clock.now())
-            self._quarantine.record_answer(exchange.segment_keys, clock.now())
+            self._record_answer(exchange, clock.now())
             return None
         body = self._read_or_relay_body(exchange, conn, head)
         server.count_outcome(head.status >= 500, clock.now())
+        if head.stamped:
+            self._record_answer(exchange, clock.now())
         if body is None:
             return None
         if head.status >= 500:
@@ -327,8 +351,6 @@
             return self._record_failure(
                 exchange, placement, AttemptResult.FAILED, f"status {head.status}"
             )
-        if head.status < 300:
-            self._quarantine.record_answer(exchange.segment_keys, clock.now())
         self.answer(exchange, head, body)
         return None
 
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -83,8 +83,8 @@
         self._servers: list[WSGIServer] = []
         self._started_at = clock.now()
         self._was_ready = False
-        # Number of quarantined segments that the metrics show.
-        self._quarantined = 0
+        # Numbers of quarantined segments and requests that the metrics show.
+        self._quarantined = (0, 0)
 
     def register_callbacks(
         self,
@@ -253,10 +253,10 @@
             self._relay.quarantine.apply(heartbeat.quarantine, heartbeat.name, now)
 
     def _count_quarantined(self) -> None:
-        quarantined = len(self._relay.quarantine)
+        quarantined = self._relay.quarantine.counts()
         if quarantined != self._quarantined:
             self._quarantined = quarantined
-            self._metrics.set_quarantined(quarantined)
+            self._metrics.set_quarantined(*quarantined)
 
     def _broadcast_quarantine(self) -> None:
         news = self._relay.quarantine.take_urgent(clock.now())
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -27,8 +27,12 @@
 from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.metrics.deferred import DeferredMetrics
 from arbutusyard.platform.headers import refusal_headers
-from arbutusyard.quarantine.const import RETRY_AFTER_MAX_S
-from arbutusyard.quarantine.coordinator import SegmentQuarantine, shared_keys
+from arbutusyard.quarantine.const import RETRY_AFTER_MAX_S, SEGMENTS_MAX
+from arbutusyard.quarantine.coordinator import (
+    RequestQuarantine,
+    is_request_key,
+    shared_keys,
+)
 from arbutusyard.quarantine.models import Quarantined, Suspect
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,7 +62,7 @@
         metrics: DeferredMetrics,
     ) -> None:
         self._admission = Admission(fleet_state, cfg.revoke_s)
-        self.quarantine = SegmentQuarantine(peers.me)
+        self.quarantine = RequestQuarantine(peers.me)
         self._dispatcher = Dispatcher(
             self._admission, fleet_state, router, pool, self.quarantine
         )
@@ -130,13 +134,14 @@
             if now >= exchange.deadline:
                 return self._answer_failure(exchange, "late")
             suspect_key = b""
-            match self.quarantine.judge(exchange.segment_keys, now):
+            keys = exchange.keys(with_request=self.quarantine.judges_requests)
+            match self.quarantine.judge(keys, now):
                 case Quarantined() as found:
                     return self._answer_quarantined(exchange, found, now)
                 case Suspect(wait_s=wait_s) if wait_s > 0:
                     gevent.sleep(wait_s)
                     continue
-                case Suspect(key=key):
+                case Suspect(key=key, begun=True):
                     suspect_key = key
             placement = self._router.place(
                 exchange.req,
@@ -203,13 +208,18 @@
     def _answer_quarantined(
         self, exchange: Exchange, found: Quarantined, now: float
     ) -> str:
-        """Answer a request with a quarantined segment; return the outcome's name."""
+        """Answer a quarantined request; return the name of the outcome."""
         quarantine = found.quarantine
-        shared = exchange.req.segments[:-1][-len(exchange.segment_keys) :]
+        shared = exchange.req.segments[:-1][-SEGMENTS_MAX:]
         _LOGGER.info(
-            "Request has quarantined segments",
+            "Request is quarantined"
+            if is_request_key(found.keys[0])
+            else "Request has quarantined segments",
             extra={
                 "request_id": exchange.req.request_id,
+                "subject": (
+                    "request" if is_request_key(found.keys[-1]) else "segments"
+                ),
                 "segments": [
                     segment.segment_id
                     for segment, key in zip(shared, exchange.segment_keys, strict=True)
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -168,7 +168,7 @@
     ) -> Placement | None:
         """Choose the best usable server; return None when there is none.
 
-        The key of a suspect segment selects one server, the same on all nodes.
+        The key of a suspect selects one server, the same on all nodes.
         """
         servers = [
             server
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -58,9 +58,9 @@
             "record_answer", account, work_class, first_token_s, whole_s, tokens
         )
 
-    def set_quarantined(self, segments: int) -> None:
-        """Set the number of quarantined segments."""
-        self._record("set_quarantined", segments)
+    def set_quarantined(self, segments: int, requests: int) -> None:
+        """Set how many sets of segments, and whole requests, are quarantined."""
+        self._record("set_quarantined", segments, requests)
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -83,7 +83,7 @@
         self._refusals = meter.create_counter("arbutusyard_refusals")
         self._retries = meter.create_counter("arbutusyard_retries")
         self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
-        self._quarantined = meter.create_gauge("arbutusyard_quarantined_segments")
+        self._quarantined = meter.create_gauge("arbutusyard_quarantined")
         self._recomputed_tokens = meter.create_counter("arbutusyard_recomputed_tokens")
 
     def count_request(self, account: str, work_class: str, outcome: str) -> None:
@@ -125,9 +125,10 @@
         """Count retries of a request."""
         self._retries.add(retries)
 
-    def set_quarantined(self, segments: int) -> None:
-        """Set the number of quarantined segments."""
-        self._quarantined.set(segments)
+    def set_quarantined(self, segments: int, requests: int) -> None:
+        """Set how many sets of segments, and whole requests, are quarantined."""
+        self._quarantined.set(segments, {"kind": "segments"})
+        self._quarantined.set(requests, {"kind": "request"})
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/arbutusyard/quarantine/coordinator.py
+++ b/arbutusyard/quarantine/coordinator.py
@@ -1,11 +1,11 @@
-"""Find the prompt segments that crash servers, from crashes and from answers."""
+"""Find the segments and requests that crash servers, from crashes and from answers."""
 
 import logging
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Iterable
 from hashlib import blake2b
 
-from arbutusyard.gateway.models import PromptSegment
+from arbutusyard.gateway.models import CallerRequest, PromptSegment
 from arbutusyard.quarantine.const import (
     AWAITED_CRASHES,
     BEGUN_CRASHES,
@@ -20,6 +20,9 @@
     QUARANTINE_FIRST_S,
     QUARANTINE_MAX_S,
     QUARANTINED_MAX,
+    RECENT_BYTES_MAX,
+    RECENT_MAX,
+    REQUEST_KEY_BYTES,
     SEGMENTS_MAX,
     SETTLE_S,
     SHARED_CRASHES,
@@ -27,6 +30,7 @@
     SOUND_NEWS_INTERVAL_S,
     SOUND_NEWS_MAX,
     SOUND_S,
+    TOGETHER_S,
 )
 from arbutusyard.quarantine.models import (
     Crash,
@@ -57,26 +61,75 @@
     )
 
 
-class SegmentQuarantine:
-    """Judge prompts by the crashes and the answers that all nodes have reported.
+def request_key(req: CallerRequest) -> bytes:
+    """Return a key of a request's path, caller and body.
+
+    It is keyed by what the caller authenticates with, so that no other caller can
+    produce it.
+    """
+    digest = blake2b(
+        digest_size=REQUEST_KEY_BYTES, key=blake2b(req.key.encode()).digest()
+    )
+    for part in (req.host.encode(), req.method, req.target, req.body):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.digest()
+
+
+def is_request_key(key: bytes) -> bool:
+    """Tell whether a key is one of a whole request."""
+    return len(key) == REQUEST_KEY_BYTES
+
+
+class RecentAnswers:
+    """Hold the requests that were answered last, without computing their keys."""
+
+    __slots__ = ("_bytes", "_requests")
+
+    def __init__(self) -> None:
+        self._requests: deque[tuple[float, CallerRequest]] = deque()
+        self._bytes = 0
+
+    def add(self, req: CallerRequest, now: float) -> None:
+        """Remember a request that was just answered."""
+        self._requests.append((now, req))
+        self._bytes += len(req.body)
+        while len(self._requests) > RECENT_MAX or self._bytes > RECENT_BYTES_MAX:
+            _, oldest = self._requests.popleft()
+            self._bytes -= len(oldest.body)
+
+    def take(self) -> list[tuple[float, bytes]]:
+        """Return when which request was answered, by its key, and forget them."""
+        taken = [(at, request_key(req)) for at, req in self._requests]
+        self._requests.clear()
+        self._bytes = 0
+        return taken
+
+
+class RequestQuarantine:
+    """Judge requests by the crashes and the answers that all nodes have reported.
 
     A crash ends all requests of its server, so it is evidence against each segment of
-    those whose answers had not begun, and proof against none. An answer proves its
-    segments sound. What remains in several crashes is quarantined: segments that only
-    occurred together are refused only together, as one of them may be sound.
+    those whose answers had not begun, and against these requests as a whole, and proof
+    against none. An answer proves its segments sound. What remains in several crashes
+    is quarantined: keys that only occurred together are refused only together, as one
+    of them may be sound.
     """
 
     __slots__ = (
+        "_begun_suspects",
         "_crashes",
         "_me",
         "_own_crashes",
         "_quarantined",
+        "_recent",
         "_report_offset",
         "_settles_at",
         "_sound",
         "_sound_news",
         "_sound_reported_at",
         "_suspects",
+        "_suspects_requests",
         "_urgent_crashes",
         "_urgent_quarantined",
         "_urgent_sound",
@@ -90,7 +143,11 @@
         self._crashes: OrderedDict[Incarnation, Crash] = OrderedDict()
         # The segments that any of these crashes is evidence against.
         self._suspects: frozenset[bytes] = frozenset()
+        # Those that were begun when a server crashed.
+        self._begun_suspects: frozenset[bytes] = frozenset()
+        self._suspects_requests = False
         self._quarantined: OrderedDict[Keys, Quarantine] = OrderedDict()
+        self._recent = RecentAnswers()
         # What the next heartbeats repeat, and how often.
         self._own_crashes: dict[Incarnation, int] = {}
         self._sound_news: dict[bytes, int] = {}
@@ -109,40 +166,64 @@
         """Return the number of segments, or sets of them, that are quarantined."""
         return len(self._quarantined)
 
+    def counts(self) -> tuple[int, int]:
+        """Return how many sets of segments, and whole requests, are quarantined."""
+        requests = sum(is_request_key(keys[-1]) for keys in self._quarantined)
+        return len(self._quarantined) - requests, requests
+
+    @property
+    def judges_requests(self) -> bool:
+        """Return whether any whole request is suspect or quarantined."""
+        return self._suspects_requests or any(
+            is_request_key(keys[-1]) for keys in self._quarantined
+        )
+
     def judge(self, keys: Keys, now: float) -> Judgement:
-        """Judge a prompt by the keys of its shared segments."""
+        """Judge a request by the keys of its shared segments and its own.
+
+        The request's own key matters only if `judges_requests`.
+        """
         if not self._suspects and not self._quarantined:
             return Sound()
         self._settle(now)
-        suspect = b""
+        tried = suspect = begun = b""
         for quarantined, quarantine in self._quarantined.items():
             if _contains(keys, quarantined):
                 if now < quarantine.until:
                     return Quarantined(quarantined, quarantine.until - now, quarantine)
-                suspect = quarantined[-1]
+                tried = quarantined[-1]
         for key in keys:
-            if key in self._suspects:
+            if key in self._begun_suspects:
+                begun = key
+            elif key in self._suspects:
                 suspect = key
-        if not suspect:
+        if not (tried or begun or suspect):
             return Sound()
         wait_s = 0.0 if self._settles_at is None else self._settles_at - now
-        return Suspect(suspect, wait_s)
+        return Suspect(begun or tried or suspect, wait_s, bool(begun or tried))
+
+    def record_answer(
+        self, keys: Keys, now: float, req: CallerRequest | None = None
+    ) -> None:
+        """Record that a server answered a request, or began to, and did not crash.
 
-    def record_answer(self, keys: Keys, now: float) -> None:
-        """Record that a server answered a prompt, or began to, and did not crash."""
+        `req` is the request if its own key is not among the keys.
+        """
+        if req is not None:
+            self._recent.add(req, now)
         for key in keys:
             if self._record_sound(key, now):
                 self._report_sound(key, now)
                 self.on_news()
 
-    def has_unproven_segment(self, keys: Keys, now: float) -> bool:
-        """Tell whether a prompt has a segment that is not known to be sound."""
+    def has_unproven_key(self, keys: Keys, now: float) -> bool:
+        """Tell whether a request has a key that is not known to be sound."""
         return any(not self._is_sound(key, now) for key in keys)
 
     def record_crash(
         self, incarnation: Incarnation, keys: Keys, begun: bool, now: float
     ) -> None:
-        """Record that a server crashed before it sent an event on a prompt."""
+        """Record that a server crashed before it answered a request, or began to."""
         request = CrashedRequest(keys, begun, keys[0])
         report = CrashReport(*incarnation, (request,))
         if self._add_crash(report, self._me, now):
@@ -227,10 +308,12 @@
     def _add_crash(self, report: CrashReport, reporter: str, now: float) -> bool:
         """Add a node's evidence of a crash; return whether it is new."""
         incarnation = (report.server_id, report.started_at_ms)
+        for answered_at, key in self._recent.take():
+            self._record_sound(key, answered_at)
         suspects: list[CrashedRequest] = []
         for request in report.requests[:CRASH_REQUESTS_MAX]:
             keys = []
-            for key in request.keys[-SEGMENTS_MAX:]:
+            for key in request.keys[-SEGMENTS_MAX - 1 :]:
                 if not self._is_sound(key, now):
                     keys.append(key)
                 elif reporter != self._me:
@@ -271,7 +354,8 @@
                 self._urgent_quarantined[keys] = None
                 self.on_news()
                 _LOGGER.warning(
-                    "Segments stay quarantined: a trial of them crashed a server",
+                    "Quarantine of %s goes on: a trial crashed a server",
+                    _subject(keys),
                     extra={
                         "segment_keys": _hex(keys),
                         "crashes": quarantine.crashes,
@@ -308,7 +392,8 @@
         """Release a segment; the others that were quarantined with it stay so."""
         quarantine = self._quarantined.pop(keys)
         _LOGGER.info(
-            "Segment is no longer quarantined: an answer on it came",
+            "Quarantine of %s ended: an answer came",
+            _subject((sound_key,)),
             extra={"segment_keys": _hex(keys), "sound": sound_key.hex()},
         )
         rest = tuple(key for key in keys if key != sound_key)
@@ -322,6 +407,14 @@
             for keys in crash.requests
             for key in keys
         )
+        self._begun_suspects = frozenset(
+            key
+            for crash in self._crashes.values()
+            for keys, begun in crash.requests.items()
+            if begun
+            for key in keys
+        )
+        self._suspects_requests = any(is_request_key(key) for key in self._suspects)
 
     def _forget(self, now: float) -> None:
         """Forget evidence that is too old, and segments that nobody tries again."""
@@ -334,7 +427,8 @@
             if now - quarantine.until > EVIDENCE_S:
                 del self._quarantined[keys]
                 _LOGGER.info(
-                    "Segments are no longer quarantined: no request with them came",
+                    "Quarantine of %s ended: nobody tried again",
+                    _subject(keys),
                     extra={"segment_keys": _hex(keys)},
                 )
 
@@ -357,11 +451,7 @@
             for crash in self._crashes.values()
             if (suspects := self._unexplained(crash))
         ]
-        awaited: Counter[bytes] = Counter()
-        begun: Counter[bytes] = Counter()
-        for _, suspects in evidence:
-            awaited.update({key for keys in suspects for key in keys})
-            begun.update({key for keys in suspects if suspects[keys] for key in keys})
+        awaited, begun = _count_crashes(evidence)
         firsts = {key for crash in self._crashes.values() for key in crash.first_keys}
         for _, suspects in evidence:
             keys = _distinct_keys(suspects, begun, awaited)
@@ -382,7 +472,10 @@
 
         One that quarantined segments explain is none against others.
         """
+        present = {key for keys in crash.requests for key in keys}
         for quarantined in self._quarantined:
+            if quarantined[0] not in present:
+                continue
             if any(_contains(keys, quarantined) for keys in crash.requests):
                 if len(quarantined) == 1:
                     return {}
@@ -421,7 +514,8 @@
         self._urgent_quarantined[keys] = None
         self.on_news()
         _LOGGER.warning(
-            "Segments are quarantined: %d servers crashed on them",
+            "Quarantined %s: %d servers crashed",
+            _subject(keys),
             len(crashes),
             extra={
                 "segment_keys": _hex(keys),
@@ -462,7 +556,8 @@
         quarantine.reporters = (reporter,)
         self._set_quarantine(keys, quarantine)
         _LOGGER.warning(
-            "Segments are quarantined, as reported by node %s",
+            "Quarantined %s, as reported by node %s",
+            _subject(keys),
             reporter,
             extra={
                 "segment_keys": _hex(keys),
@@ -511,10 +606,38 @@
     return all(key in keys for key in subset)
 
 
+def _subject(keys: Keys) -> str:
+    return "a whole request" if is_request_key(keys[-1]) else "segments"
+
+
 def _hex(keys: Keys) -> list[str]:
     return [key.hex() for key in keys]
 
 
+def _count_crashes(
+    evidence: list[tuple[Crash, dict[Keys, bool]]],
+) -> tuple[Counter[bytes], Counter[bytes]]:
+    """Count the crashes that are evidence against each key, and those just as begun.
+
+    Of several crashes together only the first counts against a whole request.
+    """
+    awaited: Counter[bytes] = Counter()
+    begun: Counter[bytes] = Counter()
+    counted_at: dict[bytes, float] = {}
+    for crash, suspects in sorted(evidence, key=lambda item: item[0].at):
+        keys = {key for item in suspects for key in item}
+        for key in [key for key in keys if is_request_key(key)]:
+            if crash.at - counted_at.get(key, float("-inf")) < TOGETHER_S:
+                keys.discard(key)
+            else:
+                counted_at[key] = crash.at
+        awaited.update(keys)
+        begun.update(
+            keys & {key for item in suspects if suspects[item] for key in item}
+        )
+    return awaited, begun
+
+
 def _distinct_keys(
     suspects: dict[Keys, bool], begun: Counter[bytes], awaited: Counter[bytes]
 ) -> Keys:
--- a/arbutusyard/quarantine/models.py
+++ b/arbutusyard/quarantine/models.py
@@ -1,8 +1,8 @@
-"""Define what nodes know and report about segments that may crash servers."""
+"""Define what nodes know and report about segments and requests that crash servers."""
 
 from msgspec import Struct, field
 
-# The keys of segments, in the order of their prompt.
+# The keys of segments, in the order of their prompt, and of the whole request.
 Keys = tuple[bytes, ...]
 # The server id and the start in ms that identify an incarnation of a server.
 Incarnation = tuple[str, int]
@@ -12,7 +12,7 @@
     """Hold the segments of a request, as far as not sound, at a server's crash.
 
     `first` is the prompt's first segment. `begun` tells that the server had begun the
-    answer and not yet sent an event.
+    answer and not yet sent an event, or may have begun one that has none.
     """
 
     keys: Keys
@@ -80,13 +80,15 @@
 
 
 class Suspect(Struct, frozen=True):
-    """A segment of a prompt may have crashed a server.
+    """A segment of a prompt, or the whole request, may have crashed a server.
 
-    After waiting, requests with it all go to the same server until one is answered.
+    After waiting, requests with it all go to the same server until one is answered, if
+    it was begun when a server crashed. Else there are many like it.
     """
 
     key: bytes
     wait_s: float = 0.0
+    begun: bool = True
 
 
 class Quarantined(Struct, frozen=True):
