Reject datagrams with numbers or addresses that end their handlers

A property over all kinds of datagrams failed on three: a limit of NaN or infinity ended the receiver at the next tick, an address without a port the sending of heartbeats, for good, as it stayed among the addresses. No node sends such; another version might. Numbers must be finite and addresses well-formed now, else the datagram is rejected as a whole, and the first rejection is logged. The same property over stored rows, cut, of other types and deeply nested, found nothing.

--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -1,8 +1,13 @@
 """Define the datagrams that nodes send each other, and a node's row in the store."""
 
-from msgspec import Struct
+from typing import Annotated
 
-from arbutusyard.quarantine.models import QuarantineNews
+from msgspec import Meta, Struct
+
+from arbutusyard.quarantine.models import Finite, QuarantineNews
+
+# An IP address or host name and a port, separated by a colon.
+Address = Annotated[str, Meta(pattern=r"^[^:]+:[0-9]{1,5}$")]
 
 
 class ServerLoad(Struct, frozen=True, array_like=True):
@@ -23,7 +28,7 @@
     server_id: str
     model: str
     version: int
-    loading_s: float | None
+    loading_s: Finite | None
 
 
 class CacheEvent(Struct, frozen=True, array_like=True):
@@ -70,7 +75,7 @@
 
     model: str
     version: int
-    age_s: float
+    age_s: Finite
 
 
 class ServerLimitReport(Struct, frozen=True, array_like=True):
@@ -82,8 +87,8 @@
 
     server_id: str
     started_at_ms: int
-    limit_s: float | None
-    age_s: float
+    limit_s: Finite | None
+    age_s: Finite
 
 
 class ReadConfirmation(Struct, frozen=True, array_like=True, tag="confirm"):
@@ -155,8 +160,8 @@
     name: str
     incarnation: int
     seq: int
-    peer_address: str
-    callers_address: str
+    peer_address: Address
+    callers_address: Address
     failure_domain: str
     region: str
     ready: bool
@@ -170,16 +175,16 @@
     segment_updates: tuple[SegmentUpdate, ...] = ()
     cache_store_updates: tuple[CacheStoreUpdate, ...] = ()
     reads_store: bool = True
-    up_s: float = 0.0
+    up_s: Finite = 0.0
     leaving_servers: tuple[str, ...] = ()
     target_ages: tuple[TargetWeightsAge, ...] = ()
     leaving_incarnations: tuple[tuple[str, int], ...] = ()
     # Capacity in processor cores; lower where the network link is narrow.
-    capacity: float = 1.0
+    capacity: Finite = 1.0
     # Clients' requests per second.
-    rate_s: float = 0.0
+    rate_s: Finite = 0.0
     # Time within which the receiver gets the next heartbeat, in seconds.
-    next_in_s: float = 0.25
+    next_in_s: Finite = 0.25
     # Packed addresses of the serving nodes for clients, by region.
     entries: tuple[tuple[str, bytes], ...] = ()
     limits: tuple[ServerLimitReport, ...] = ()
@@ -189,7 +194,7 @@
 class NodeRow(Struct, frozen=True):
     """Hold a node's row in the store: its address and incarnation."""
 
-    peer_address: str
+    peer_address: Address
     incarnation: int
 
 
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -385,10 +385,12 @@
 
     def _receive_forever(self) -> None:
         while True:
-            data, _ = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             try:
                 datagram = msgspec.msgpack.decode(data, type=Datagram)
-            except msgspec.DecodeError:
+            except msgspec.DecodeError as exc:
+                level = logging.DEBUG if self.rejected else logging.WARNING
+                _LOGGER.log(level, "Rejected a datagram from %s: %s", sender, exc)
                 self.rejected += 1
                 continue
             now = clock.now()
--- a/arbutusyard/quarantine/models.py
+++ b/arbutusyard/quarantine/models.py
@@ -1,6 +1,12 @@
 """Define what nodes know and report about segments and requests that crash servers."""
 
-from msgspec import Struct, field
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
+
+# A number that arithmetic and comparisons can handle; a received NaN or infinity is
+# rejected.
+Finite = Annotated[float, Meta(ge=-1e18, le=1e18)]
 
 # The keys of segments, in the order of their prompt, and of the whole request.
 Keys = tuple[bytes, ...]
@@ -26,14 +32,14 @@
     server_id: str
     started_at_ms: int
     requests: tuple[CrashedRequest, ...]
-    age_s: float = 0.0
+    age_s: Finite = 0.0
 
 
 class SoundReport(Struct, frozen=True, array_like=True):
     """Report how many seconds ago the newest answer on a segment came."""
 
     key: bytes
-    age_s: float
+    age_s: Finite
 
 
 class QuarantineReport(Struct, frozen=True, array_like=True):
@@ -41,9 +47,9 @@
 
     keys: Keys
     crashes: int
-    age_s: float
-    left_s: float
-    duration_s: float
+    age_s: Finite
+    left_s: Finite
+    duration_s: Finite
 
 
 class QuarantineNews(Struct, frozen=True, array_like=True):
