Count no attempt for good that fails unexpectedly, and cap segment sizes

A test with a failing broadcast left its request counted at the server for good, as the attempt was counted before the block that ends it; a segment size of thousands of digits ended in 502. The count is now inside that block and ends before the broadcast, and sizes of more than twelve digits are ignored, as other malformed ones.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -151,11 +151,11 @@
         server = placement.server
         now = clock.now()
         cap = self._connection_cap(exchange.service)
-        self._router.begin_attempt(placement, now)
         conn: ServerConnection | None = None
         complete_head: AnswerHead | None = None
         exchange.head = None
         try:
+            self._router.begin_attempt(placement, now)
             conn = self._pool.acquire(server, cap, now)
             if not server.is_staying:
                 raise NotSent(f"{conn.address} left while its connection opened")
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -549,8 +549,8 @@
 
     def end_attempt(self, placement: Placement) -> None:
         """Stop counting an attempt as in flight."""
-        self.finish_prefill(placement)
         placement.server.in_flight -= 1
+        self.finish_prefill(placement)
 
     def forget_segments(self, placement: Placement) -> None:
         """Forget the segments of an attempt that its server did not execute."""
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -25,6 +25,8 @@
 # The name of the client account.
 ACCOUNT: Final = b"tenant"
 MODEL: Final = b"model"
+# Maximum number of digits of a segment's size in tokens; larger than any prompt.
+TOKEN_DIGITS_MAX: Final = 12
 # Two numbers: the prompt tokens and the maximum number of output tokens.
 TOKEN_COUNT: Final = b"token-count"
 # A prompt's segments as ID:TOKENS, not a hash of its whole prefix.
@@ -130,7 +132,7 @@
     segments = []
     for item in _decode_text(value).split(","):
         segment_id, _, tokens = item.strip().partition(":")
-        if segment_id and tokens.isdigit():
+        if segment_id and tokens.isdecimal() and len(tokens) <= TOKEN_DIGITS_MAX:
             segments.append(PromptSegment(segment_id, int(tokens)))
     return tuple(segments)
 
