--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -28,6 +28,7 @@
 
     def __init__(self, version=1):
         self.version = version
+        self.born = 5
         self.orders = 0
         self.fencing_token = 0
         self.log = []
@@ -45,7 +46,7 @@
                 "busy": self.busy,
                 "sequence": self.orders,
                 "models": [{"name": "m", "version": self.version}],
-                "born": 5,
+                "born": self.born,
             }
             yield self._reply(200, json.dumps(report))
             return
@@ -359,3 +360,40 @@
     wait_for(lambda: node.versions() == {2}, 12)
     assert len(engine.server.requests) >= 3
     assert counted == [("e0", 5)] * len(engine.server.requests)
+
+
+class FragileEngine(Engine):
+    """Engine that an order crashes; it is back at once under the next start."""
+
+    def __init__(self, crashes):
+        super().__init__()
+        self.crashes = crashes
+        self.on_restart = lambda: None
+
+    def _script(self, request):
+        if request.first.startswith("POST"):
+            self.crashes.append(self)
+            request.last = True
+            self.born += 1
+            gevent.spawn(self.on_restart)
+            return
+        yield from super()._script(request)
+
+
+# Guards against weights that crash each engine which loads them, one after the other.
+def test_an_order_that_crashes_engines_is_given_to_few_of_them(make_nodes):
+    crashes = []
+    engines = [FragileEngine(crashes) for _ in range(4)]
+    (node,) = make_nodes(engines, "n1")
+    servers = node.fleet_state.servers
+
+    def restart(name):
+        known = servers.get(name).entry
+        servers.update(replace(known, started_at_ms=known.started_at_ms + 1))
+
+    for n, engine in enumerate(engines):
+        engine.on_restart = lambda name=f"e{n}": restart(name)
+    node.set_target(2)
+    wait_for(lambda: crashes, 8)
+    gevent.sleep(4.0)
+    assert len(crashes) <= 3
