Judge whole prompts by crashes before their answers' heads, too; add both to the soak

What callers saw: engines that end again and again (BUDGET). Cause: of a prompt the whole request counted only if its answer had begun, so one that crashes its engine before the head was never suspect beside sound ones with the same segments. Now every request without an answer is evidence; those that had not begun are weak, as before, and only these fall under the maximum of requests in one crash.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -226,11 +226,7 @@
         if first_event_at is not None and now - first_event_at >= BEGIN_S:
             self._record_answer(exchange, now)
             return
-        # A server sends no head before it has run a request without a prompt.
-        begun = first_event_at is None and (
-            exchange.head is not None or not exchange.req.model
-        )
-        keys = exchange.keys(with_request=begun)
+        keys = exchange.keys(with_request=True)
         server = placement.server
         if (
             not self._quarantine.has_unproven_key(keys, now)
@@ -244,6 +240,10 @@
         if not server.suspected:
             server.suspect(now)
             self._router.on_unreachable(server.entry.server_id)
+        # A server sends no head before it has run a request without a prompt.
+        begun = first_event_at is None and (
+            exchange.head is not None or not exchange.req.model
+        )
         self._quarantine.record_crash(server.incarnation, keys, begun, now)
         _LOGGER.info(
             "Server %s crashed before it answered",
--- a/arbutusyard/quarantine/coordinator.py
+++ b/arbutusyard/quarantine/coordinator.py
@@ -311,7 +311,7 @@
         for answered_at, key in self._recent.take():
             self._record_sound(key, answered_at)
         suspects: list[CrashedRequest] = []
-        for request in report.requests[:CRASH_REQUESTS_MAX]:
+        for request in report.requests[: 2 * CRASH_REQUESTS_MAX]:
             keys = []
             for key in request.keys[-SEGMENTS_MAX - 1 :]:
                 if not self._is_sound(key, now):
@@ -334,7 +334,8 @@
         changed = False
         for request in suspects:
             known = crash.requests.get(request.keys)
-            if known is None and len(crash.requests) >= CRASH_REQUESTS_MAX:
+            is_full = len(crash.requests) >= CRASH_REQUESTS_MAX
+            if known is None and is_full and not request.begun:
                 continue
             crash.first_keys.add(request.first)
             if known is None or (request.begun and not known):
--- a/tests/gateway/test_quarantine_requests.py
+++ b/tests/gateway/test_quarantine_requests.py
@@ -34,6 +34,8 @@
     def __init__(self):
         super().__init__(self._answer)
         self.crashed = False
+        # Whether the head of a stream is sent before the request runs.
+        self.sends_head = True
         self._socks = set()
 
     def _serve(self, sock, address):
@@ -45,7 +47,7 @@
 
     def _answer(self, request):
         is_prompt = "prefix-hash" in request.headers
-        if is_prompt:
+        if is_prompt and self.sends_head:
             yield stream_head(request, STAMP)
         gevent.sleep(RUN_S)
         if request.body == DEADLY:
@@ -54,6 +56,8 @@
         if not is_prompt:
             yield answer(request)
             return
+        if not self.sends_head:
+            yield stream_head(request, STAMP)
         for number in range(int(request.headers.get("last-event-id", 0)) + 1, 4):
             data = event(number)
             yield b"%x\r\n%s\r\n" % (len(data), data)
@@ -144,6 +148,18 @@
     assert crashed(servers) <= CRASHES_MAX
 
 
+# Guards against BUDGET: a server that crashes before it sends a head shows no prompt as
+# begun. The soak found it.
+def test_a_prompt_that_crashes_servers_before_their_heads_crashes_few(start):
+    gateway, servers = start(streaming=True, retry_policy=RetryPolicy.RESUME)
+    for server in servers:
+        server.sends_head = False
+    for n in range(6):
+        assert ask(gateway, b"s%d" % n, **prompt("aa:40", "bb:40")).status == 200
+        ask(gateway, DEADLY, f"r{n}", **prompt("aa:40", "bb:40"))
+    assert crashed(servers) <= CRASHES_MAX
+
+
 # Guards against the refusal of sound requests that are all alike.
 def test_alike_requests_beside_the_crashing_one_stay_served(start):
     gateway, servers = start()
--- a/tests/quarantine/test_coordinator.py
+++ b/tests/quarantine/test_coordinator.py
@@ -400,9 +400,8 @@
             for position, (node, segments, req, keys) in enumerate(queue[end:]):
                 begun = (crashing and position == 0) or rng.random() < 0.2
                 begun = begun or shape == ("deadly",)
-                known = keys if begun else segments
                 incarnation = (str(server), starts[server])
-                fleet[node].record_crash(incarnation, known, begun, now)
+                fleet[node].record_crash(incarnation, keys, begun, now)
                 if rng.random() < 0.5:
                     waiting.append((node, segments, req))
             starts[server] += 1
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -11,6 +11,9 @@
 from tests.framing import FRAMINGS, frame
 from tests.gateway.support import answer, not_run, read_message
 from tests.soak.const import (
+    DEADLY_BODY,
+    DEADLY_RESTART_S,
+    DEADLY_RUN_S,
     DRAIN_S,
     ENTRY_EXPIRY_S,
     HEARTBEAT_S,
@@ -93,6 +96,17 @@
             ENTRY_EXPIRY_S, self._store.remove, "servers", self.server_id
         )
 
+    def _crash_and_restart(self):
+        self.state = "crashed"
+        self.crash()
+        gevent.sleep(DEADLY_RESTART_S)
+        self.start()
+
+    def forget_entry(self):
+        """Remove this server's entry, which it writes again soon."""
+        if self.state != "crashed":
+            self._store.remove("servers", self.server_id)
+
     def drain(self):
         """Report that it drains, serve on for the drain time, then stop and restart."""
         self.state = "draining"
@@ -218,6 +232,13 @@
             sock.sendall(not_run(request, headers=headers))
             return
         run = self._ledger.record_run(self.server_id, request)
+        if request.body == DEADLY_BODY:
+            gevent.sleep(DEADLY_RUN_S)
+            if self.state == "ready":
+                self._ledger.record_deadly_crash(self.server_id)
+                gevent.spawn(self._crash_and_restart)
+            request.last = True
+            return
         gevent.sleep(self._rng.uniform(0, 2 * MEAN_WORK_S))
         if fault == "mute":
             gevent.sleep(MAX_EVENTS)
--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -46,6 +46,16 @@
 # Time that an engine takes to load weights, in seconds.
 WEIGHTS_LOAD_S: Final = 0.3
 
+# Body of a request that crashes each server that runs it, the time that it runs and the
+# time until the server is back, in seconds.
+DEADLY_BODY: Final = b"deadly"
+DEADLY_RUN_S: Final = 0.03
+DEADLY_RESTART_S: Final = 1.0
+# Number of servers after which such a request counts as known, and of retries that are
+# tolerated from then on.
+DEADLY_CRASHES: Final = 3
+DEADLY_RETRIES: Final = 3
+
 NODES: Final = 4
 CLIENTS: Final = 12
 # Maximum pause of a client between two requests, in seconds.
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,7 +4,14 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from tests.soak.const import CONTACT_S, DRAIN_S, REVOKE_S
+from tests.soak.const import (
+    CONTACT_S,
+    DEADLY_BODY,
+    DEADLY_CRASHES,
+    DEADLY_RETRIES,
+    DRAIN_S,
+    REVOKE_S,
+)
 from tests.soak.limits import LimitCheck
 
 # Statuses that guarantee that a request has not run and never will.
@@ -59,6 +66,9 @@
     salt_scopes: dict[str, tuple] = field(default_factory=dict)
     token_holders: dict[int, str] = field(default_factory=dict)
     disturbed_at: dict[str, float] = field(default_factory=dict)
+    # When each server crashed that ran a deadly request, and later runs of it.
+    deadly_crashes: list[float] = field(default_factory=list)
+    deadly_retries: int = 0
     limits: LimitCheck = field(default_factory=LimitCheck)
     started_at: float = field(default_factory=time.monotonic)
 
@@ -124,10 +134,29 @@
             self.add_violation("UNASKED", f"{request_id} runs for another account")
         if request.body != attempt.body:
             self.add_violation("UNASKED", f"{request_id} has another body")
+        if request.body == DEADLY_BODY:
+            self._check_deadly(attempt)
         self._check_times(attempt, run)
         self._check_salt(request, attempt)
         return run
 
+    def record_deadly_crash(self, server_id):
+        """Record that a deadly request crashed a server."""
+        self.deadly_crashes.append(self.now())
+        self.log(f"{server_id} crashed by a request")
+
+    def _check_deadly(self, attempt):
+        """Check that a deadly request hardly comes again once it is known."""
+        if len(self.deadly_crashes) < DEADLY_CRASHES:
+            return
+        known_at = self.deadly_crashes[DEADLY_CRASHES - 1] + CONTACT_S
+        if self.now() <= known_at or not self.is_undisturbed(attempt.node):
+            return
+        self.deadly_retries += 1
+        if self.deadly_retries > DEADLY_RETRIES:
+            crashes = len(self.deadly_crashes)
+            self.add_violation("BUDGET", f"{attempt.request_id} after {crashes}")
+
     def _check_times(self, attempt, run):
         """Check the bounds on removed keys and on draining servers."""
         revoked_at = self.revoked_at.get(attempt.key)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,9 +13,10 @@
 }
 
 
-# Only seeds from 1000 on roll the store back to an older copy, and only in those from
-# 2000 on do servers name limits on their requests.
-@pytest.mark.parametrize("seed", [1, 1000, 2000, *REGRESSIONS])
+# Only seeds from 1000 on roll the store back to an older copy, in those from 2000 on
+# servers name limits on their requests, and in those from 3000 on a request crashes
+# servers and entries of servers vanish and return.
+@pytest.mark.parametrize("seed", [1, 1000, 2000, 3000, 3001, *REGRESSIONS])
 def test_faults_violate_no_guarantee(seed, tmp_path):
     duration_s = 20.0 if seed in REGRESSIONS else 8.0
     # The recovery bound is checked only in manual runs. The bounds on draining, removed
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,6 +17,7 @@
     CLIENT_TIMEOUT_S,
     CLIENTS,
     CONFIG_APPLY_S,
+    DEADLY_BODY,
     ENTRY_EXPIRY_S,
     HOST,
     MAX_THINK_TIME_S,
@@ -44,6 +45,12 @@
 FIRST_ROLLBACK_SEED = 1000
 # First seed in whose runs servers name limits on their requests.
 FIRST_LIMIT_SEED = 2000
+# First seed in whose runs a request crashes servers, and entries of servers vanish and
+# return.
+FIRST_DEADLY_SEED = 3000
+# Pauses between two such requests and between two such entries, in seconds.
+DEADLY_INTERVAL_S = 0.4
+FORGET_INTERVAL_S = 1.5
 # Number of complete answers after the last fault that count as recovered.
 RECOVERED_ANSWERS = 30
 
@@ -60,6 +67,8 @@
         self._limit_rng = (
             random.Random(f"limit {seed}") if seed >= FIRST_LIMIT_SEED else None
         )
+        self._has_deadly = seed >= FIRST_DEADLY_SEED
+        self._deadly_kind = "stream" if seed % 2 else "once"
         self.ledger = Ledger()
         self.store = Store()
         self.platform = self.store.platform
@@ -192,6 +201,9 @@
             for number in range(CLIENTS):
                 self._tasks.append(gevent.spawn(self._run_client, number))
             self._tasks.append(gevent.spawn(self._probe_configuration))
+            if self._has_deadly:
+                self._tasks.append(gevent.spawn(self._run_deadly_client))
+                self._tasks.append(gevent.spawn(self._forget_entries))
             if faults is not None:
                 faults()
             else:
@@ -259,6 +271,29 @@
             if reusable is None:
                 sock.close()
 
+    def _run_deadly_client(self):
+        """Send one request again and again that crashes each server that runs it."""
+        rng = random.Random("deadly")
+        count = 0
+        while True:
+            gevent.sleep(DEADLY_INTERVAL_S)
+            node, sock = self._connect(rng)
+            if sock is None:
+                continue
+            count += 1
+            key = self._keys["open"][-1]
+            # Each kind has a path, and so a request, of its own.
+            kind = self._deadly_kind
+            self._send_request(node, sock, kind, f"d-{count}", None, key, DEADLY_BODY)
+            sock.close()
+
+    def _forget_entries(self):
+        """Remove entries of servers that are running."""
+        rng = random.Random("entries")
+        while True:
+            gevent.sleep(FORGET_INTERVAL_S)
+            rng.choice(self.backends).forget_entry()
+
     def _connect(self, rng):
         """Connect to a node that the directory of a random node lists."""
         directory_node = rng.choice(self.nodes)
@@ -272,11 +307,16 @@
         except (urllib3.exceptions.HTTPError, OSError, LookupError, ValueError):
             return None, None
 
-    def _send_request(self, node, sock, kind, request_id, path=None):
+    def _send_request(
+        self, node, sock, kind, request_id, path=None, key=None, body=None
+    ):
         """Send one request; return whether its connection can be reused."""
-        account = self.rng.choice(sorted(self._keys))
-        key = self.rng.choice(self._keys[account])
-        body = b"" if kind == "any" else request_id.encode() * self.rng.randint(1, 40)
+        account = "open"
+        if key is None:
+            account = self.rng.choice(sorted(self._keys))
+            key = self.rng.choice(self._keys[account])
+            body = request_id.encode() * self.rng.randint(1, 40)
+            body = b"" if kind == "any" else body
         attempt = Attempt(
             request_id, kind, kind == "once", key, account, node.name, 0.0, body
         )
