Check a server that only breaks off for a crash once in a while

Found by reading the diff: the time after which a server is checked again counted from the last probe only, so each broken attempt opened a connection to ask for a crash, which delays its retry by a round trip; and requests that were begun at a crash had no maximum. The check now counts as contact, and a crash remembers 256 requests at most.

--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -403,7 +403,8 @@
             conn = self._connect(server)
         except Unreachable as exc:
             return isinstance(exc.__cause__, ConnectionRefusedError)
-        conn.idle_until = clock.now() + IDLE_KEEP_S - IDLE_MARGIN_S
+        server.reached_at = clock.now()
+        conn.idle_until = server.reached_at + IDLE_KEEP_S - IDLE_MARGIN_S
         self._idle.setdefault(conn.incarnation, []).append(conn)
         return False
 
--- a/arbutusyard/quarantine/const.py
+++ b/arbutusyard/quarantine/const.py
@@ -43,11 +43,12 @@
 RECENT_MAX: Final = 256
 RECENT_BYTES_MAX: Final = 1_048_576
 # Maximum numbers of sound segments, of crashes, of requests in one crash and of
-# quarantined segments that a node remembers; the oldest are forgotten. Requests that
-# were begun at a crash, which are few, are remembered beyond that.
+# quarantined segments that a node remembers; the oldest are forgotten.
 SOUND_MAX: Final = 4096
 CRASHES_MAX: Final = 64
 CRASH_REQUESTS_MAX: Final = 64
+# Maximum number of requests in one crash with those that were begun, mostly few.
+CRASH_BEGUN_MAX: Final = 256
 QUARANTINED_MAX: Final = 256
 # Maximum number of segments of one request that are considered, the last ones.
 SEGMENTS_MAX: Final = 8
--- a/arbutusyard/quarantine/coordinator.py
+++ b/arbutusyard/quarantine/coordinator.py
@@ -9,6 +9,7 @@
 from arbutusyard.quarantine.const import (
     AWAITED_CRASHES,
     BEGUN_CRASHES,
+    CRASH_BEGUN_MAX,
     CRASH_REQUESTS_MAX,
     CRASHES_MAX,
     EVIDENCE_S,
@@ -163,7 +164,7 @@
         self.on_news: Callable[[], None] = lambda: None
 
     def __len__(self) -> int:
-        """Return the number of segments, or sets of them, that are quarantined."""
+        """Return the number of sets of segments and of requests in quarantine."""
         return len(self._quarantined)
 
     def counts(self) -> tuple[int, int]:
@@ -311,7 +312,7 @@
         for answered_at, key in self._recent.take():
             self._record_sound(key, answered_at)
         suspects: list[CrashedRequest] = []
-        for request in report.requests[: 2 * CRASH_REQUESTS_MAX]:
+        for request in report.requests[:CRASH_BEGUN_MAX]:
             keys = []
             for key in request.keys[-SEGMENTS_MAX - 1 :]:
                 if not self._is_sound(key, now):
@@ -334,8 +335,8 @@
         changed = False
         for request in suspects:
             known = crash.requests.get(request.keys)
-            is_full = len(crash.requests) >= CRASH_REQUESTS_MAX
-            if known is None and is_full and not request.begun:
+            most = CRASH_BEGUN_MAX if request.begun else CRASH_REQUESTS_MAX
+            if known is None and len(crash.requests) >= most:
                 continue
             crash.first_keys.add(request.first)
             if known is None or (request.begun and not known):
--- a/tests/gateway/test_quarantine_requests.py
+++ b/tests/gateway/test_quarantine_requests.py
@@ -8,6 +8,7 @@
 import pytest
 
 from arbutusyard.gateway.models import RetryPolicy
+from arbutusyard.gateway.pool import ServerPool
 from tests.gateway.support import (
     STAMP,
     Gateway,
@@ -201,3 +202,22 @@
     assert records[0].subject == "request"
     assert records[0].reporters == ("n1",)
     assert len(records[0].servers) == records[0].crashes == 2
+
+
+def test_a_server_that_only_breaks_off_is_checked_for_a_crash_once_in_a_while(
+    run, monkeypatch
+):
+    def break_off(request):
+        request.last = True
+        yield from ()
+
+    gateway, _ = run(break_off, retry_policy=RetryPolicy.ONCE)
+    check, checked = ServerPool.has_crashed, []
+    monkeypatch.setattr(
+        ServerPool,
+        "has_crashed",
+        lambda pool, server: checked.append(server) or check(pool, server),
+    )
+    for n in range(10):
+        assert ask(gateway, b"sound", f"r{n}").status == 502
+    assert len(checked) == 1
--- a/tests/quarantine/test_coordinator.py
+++ b/tests/quarantine/test_coordinator.py
@@ -8,6 +8,8 @@
 
 from arbutusyard.gateway.models import CallerRequest, PromptSegment
 from arbutusyard.quarantine.const import (
+    CRASH_BEGUN_MAX,
+    CRASH_REQUESTS_MAX,
     EVIDENCE_S,
     NEWS_HEARTBEATS,
     QUARANTINE_FIRST_S,
@@ -306,6 +308,16 @@
     assert quarantine.judge((DEADLY,), 1.0) == Suspect(DEADLY)
 
 
+def test_a_crash_with_many_requests_remembers_those_that_were_begun(quarantine):
+    for number in range(2 * CRASH_REQUESTS_MAX):
+        crash(quarantine, 1, b"waiting-%04d" % number, begun=False)
+    for number in range(2 * CRASH_BEGUN_MAX):
+        crash(quarantine, 1, b"begun-%06d" % number)
+    assert quarantine.judge((b"begun-%06d" % 9,), 1.0).begun
+    [known] = quarantine._crashes.values()
+    assert len(known.requests) == CRASH_BEGUN_MAX
+
+
 def test_the_memory_of_answered_requests_is_bounded(quarantine):
     for number in range(2 * RECENT_MAX):
         quarantine.record_answer((), 0.0, request(b"%d" % number))
