Share the crashing server of the quarantine's tests

Two test files had the same server that ends as a process does; it is in the support module now. Two tests of the retry budget at a start are one with parameters. No check changes.

--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -96,6 +96,32 @@
         self._server.stop(timeout=0)
 
 
+class CrashingServer(ScriptedServer):
+    """Server that can end as a process does."""
+
+    def __init__(self, script):
+        super().__init__(script)
+        self.crashed = False
+        self._socks = set()
+
+    def _serve(self, sock, address):
+        self._socks.add(sock)
+        try:
+            super()._serve(sock, address)
+        finally:
+            self._socks.discard(sock)
+
+    def crash(self):
+        """Close the port and all connections, as the end of a process does."""
+        self.crashed = True
+        socks = list(self._socks)
+        self.stop()
+        for sock in socks:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
 def read_message(reader):
     request_line = reader.readline()
     if not request_line:
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -1,8 +1,6 @@
 """Test that requests whose prompts crash servers stop reaching them."""
 
-import contextlib
 import logging
-import socket
 
 import gevent
 import pytest
@@ -13,8 +11,8 @@
 from arbutusyard.quarantine.models import Sound
 from tests.gateway.support import (
     STAMP,
+    CrashingServer,
     Gateway,
-    ScriptedServer,
     event,
     read_answer,
     request_bytes,
@@ -27,21 +25,12 @@
 CRASHER = "dead01:12"
 
 
-class FragileServer(ScriptedServer):
+class FragileServer(CrashingServer):
     """Server that crashes when it begins to answer a prompt with one segment."""
 
     def __init__(self):
         super().__init__(self._answer)
-        self.crashed = False
         self.crash_runs = 0
-        self._socks = set()
-
-    def _serve(self, sock, address):
-        self._socks.add(sock)
-        try:
-            super()._serve(sock, address)
-        finally:
-            self._socks.discard(sock)
 
     def _answer(self, request):
         head = stream_head(request, STAMP)
@@ -57,16 +46,6 @@
             gevent.sleep(0.01)
         yield b"0\r\n\r\n"
 
-    def crash(self):
-        """Close the port and all connections, as the end of a process does."""
-        self.crashed = True
-        socks = list(self._socks)
-        self.stop()
-        for sock in socks:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            sock.close()
-
 
 @pytest.fixture
 def fleet():
--- a/tests/gateway/test_quarantine_requests.py
+++ b/tests/gateway/test_quarantine_requests.py
@@ -1,8 +1,6 @@
 """Test that whole requests which crash servers stop reaching them."""
 
-import contextlib
 import logging
-import socket
 
 import gevent
 import pytest
@@ -11,8 +9,8 @@
 from arbutusyard.gateway.pool import ServerPool
 from tests.gateway.support import (
     STAMP,
+    CrashingServer,
     Gateway,
-    ScriptedServer,
     answer,
     event,
     read_answer,
@@ -29,22 +27,13 @@
 CRASHES_MAX = 3
 
 
-class FragileServer(ScriptedServer):
+class FragileServer(CrashingServer):
     """Server that crashes a moment after it has begun a request with a certain body."""
 
     def __init__(self):
         super().__init__(self._answer)
-        self.crashed = False
         # Whether the head of a stream is sent before the request runs.
         self.sends_head = True
-        self._socks = set()
-
-    def _serve(self, sock, address):
-        self._socks.add(sock)
-        try:
-            super()._serve(sock, address)
-        finally:
-            self._socks.discard(sock)
 
     def _answer(self, request):
         is_prompt = "prefix-hash" in request.headers
@@ -65,16 +54,6 @@
             gevent.sleep(0.05)
         yield b"0\r\n\r\n"
 
-    def crash(self):
-        """Close the port and all connections, as the end of a process does."""
-        self.crashed = True
-        socks = list(self._socks)
-        self.stop()
-        for sock in socks:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            sock.close()
-
 
 @pytest.fixture
 def start():
--- a/tests/limits/test_retry_budget.py
+++ b/tests/limits/test_retry_budget.py
@@ -1,5 +1,7 @@
 """Retries of all nodes together stay within each service's budget."""
 
+import pytest
+
 from arbutusyard.limits.retry_budget import DELIVERY_MAX_S, RetryBudget
 from arbutusyard.limits.sharing import FleetShare
 
@@ -44,23 +46,15 @@
         budget.give_back("svc")
 
 
-def test_a_node_that_starts_leaves_the_constant_part_alone():
-    budget = RetryBudget(0.2, 1000, 10.0)
-    budget.share = FleetShare(nodes=1, recent=1)
-    for _ in range(100):
-        budget.count_request("svc", 0.0)
-    spent = 0
-    while budget.spend("svc", 0.0):
-        spent += 1
-    assert spent == 5
-
-
-def test_a_node_that_starts_alone_uses_the_ratio_as_the_others_do():
+@pytest.mark.parametrize(("nodes", "recent", "retries"), [(1, 1, 5), (6, 1, 15)])
+def test_a_node_that_starts_uses_no_constant_part_and_less_the_more_start(
+    nodes, recent, retries
+):
     budget = RetryBudget(0.2, 1000, 10.0)
-    budget.share = FleetShare(nodes=6, recent=1)
+    budget.share = FleetShare(nodes=nodes, recent=recent)
     for _ in range(100):
         budget.count_request("svc", 0.0)
     spent = 0
     while budget.spend("svc", 0.0):
         spent += 1
-    assert spent == 15
+    assert spent == retries
