Log retained servers and how long a table was not read

The logs showed when a node removed a server, not whether it had kept using it since its entry was removed, nor for how long it had not read the table. A retained server is logged with the time left, and the end of an absence with its length, also when no read failed (a pause).

A single read and the handling of a single datagram are functions of their own, so that tests can drive several nodes in simulated time.

--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -386,37 +386,38 @@
     def _receive_forever(self) -> None:
         while True:
             data, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-            try:
-                datagram = msgspec.msgpack.decode(data, type=Datagram)
-            except msgspec.DecodeError as exc:
-                level = logging.DEBUG if self.rejected else logging.WARNING
-                _LOGGER.log(level, "Rejected a datagram from %s: %s", sender, exc)
-                self.rejected += 1
-                continue
-            now = clock.now()
-            match datagram:
-                case Heartbeat():
-                    if self.table.apply_heartbeat(datagram, now):
-                        self._introduce(datagram, now)
-                        self.on_heartbeat(datagram, now)
-                        self.on_engines(
-                            self.table.newest_engine_statuses(datagram), now
-                        )
-                case ReadConfirmation():
-                    self._apply_confirmation(datagram, now)
-                case LoadUpdate():
-                    if (
-                        self.table.apply_load_update(datagram)
-                        and datagram.segments is not None
-                    ):
-                        self.on_segment_update(datagram.segments, now)
-                case ServerUpdate():
-                    self._apply_server_update(datagram, now)
-                case QuarantineUpdate():
-                    self.on_quarantine(datagram, now)
-                case EngineUpdate():
-                    if self.table.apply_engine_update(datagram):
-                        self.on_engines((datagram.status,), now)
+            self.apply_datagram(data, sender, clock.now())
+
+    def apply_datagram(self, data: bytes, sender: object, now: float) -> None:
+        """Apply a datagram that was received from an address."""
+        try:
+            datagram = msgspec.msgpack.decode(data, type=Datagram)
+        except msgspec.DecodeError as exc:
+            level = logging.DEBUG if self.rejected else logging.WARNING
+            _LOGGER.log(level, "Rejected a datagram from %s: %s", sender, exc)
+            self.rejected += 1
+            return
+        match datagram:
+            case Heartbeat():
+                if self.table.apply_heartbeat(datagram, now):
+                    self._introduce(datagram, now)
+                    self.on_heartbeat(datagram, now)
+                    self.on_engines(self.table.newest_engine_statuses(datagram), now)
+            case ReadConfirmation():
+                self._apply_confirmation(datagram, now)
+            case LoadUpdate():
+                if (
+                    self.table.apply_load_update(datagram)
+                    and datagram.segments is not None
+                ):
+                    self.on_segment_update(datagram.segments, now)
+            case ServerUpdate():
+                self._apply_server_update(datagram, now)
+            case QuarantineUpdate():
+                self.on_quarantine(datagram, now)
+            case EngineUpdate():
+                if self.table.apply_engine_update(datagram):
+                    self.on_engines((datagram.status,), now)
 
     def _apply_confirmation(self, confirmation: ReadConfirmation, now: float) -> None:
         sent_at = self._sent_at.get(confirmation.echo)
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -300,7 +300,20 @@
         if server is None:
             return
         if now - self._outage_ended_at < OUTAGE_GRACE_S:
-            server.removed_at = server.removed_at or now
+            if server.removed_at is None:
+                server.removed_at = now
+                _LOGGER.info(
+                    "Retained server %s: its entry was removed while this node did "
+                    "not read the store",
+                    server_id,
+                    extra={
+                        "server": server_id,
+                        "born_ms": server.entry.started_at_ms,
+                        "left_s": round(
+                            self._outage_ended_at + OUTAGE_GRACE_S - now, 3
+                        ),
+                    },
+                )
             return
         self._delete(server, now)
 
--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -134,40 +134,56 @@
 
     def _wait_while_confirmed(self) -> None:
         """Wait while peers read the store and their confirmations are fresh."""
-        while not self.is_reader and self.started and not self.unreachable:
-            confirmation_age_s = clock.now() - self._confirmation_at
-            if confirmation_age_s > self.confirmation_fresh_s or self._wake.is_set():
-                break
+        while not self.needs_read(clock.now()):
             self._wake.wait(CONFIRMATION_POLL_S)
-        self._wake.clear()
+
+    def needs_read(self, now: float) -> bool:
+        """Return whether no fresh confirmation of a peer replaces an own read."""
+        if self.is_reader or not self.started or self.unreachable:
+            return True
+        confirmation_age_s = now - self._confirmation_at
+        return confirmation_age_s > self.confirmation_fresh_s or self._wake.is_set()
 
     def run(self) -> None:
         """Keep reading the table until stopped."""
         retry_s = READ_RETRY_S
         while True:
             self._wait_while_confirmed()
-            heartbeats = self.before_read()
-            sent_at = clock.now()
             try:
-                self._read(sent_at)
-                # This node's own read confirms as much as a peer's confirmation.
-                self._confirmation_at = self.read_at = clock.now()
-                self.after_read(heartbeats)
+                self.read_once()
             except HistoryUnavailable:
-                _LOGGER.info(
-                    "Reading table %s whole: change history is incomplete", self.table
-                )
-                self._version = None
                 gevent.sleep(SNAPSHOT_DELAY_S)
                 continue
-            except PlatformError as exc:
-                self._record_failure(exc)
+            except PlatformError:
                 gevent.sleep(retry_s)
                 retry_s = min(READ_RETRY_MAX_S, retry_s * 2)
                 continue
             retry_s = READ_RETRY_S
             gevent.sleep(self.interval_s)
 
+    def read_once(self) -> None:
+        """Read the table or its changes once.
+
+        Raise HistoryUnavailable if the table has to be read whole next, PlatformError
+        if it cannot be read.
+        """
+        self._wake.clear()
+        heartbeats = self.before_read()
+        try:
+            self._read(clock.now())
+        except HistoryUnavailable:
+            _LOGGER.info(
+                "Reading table %s whole: change history is incomplete", self.table
+            )
+            self._version = None
+            raise
+        except PlatformError as exc:
+            self._record_failure(exc)
+            raise
+        # This node's own read confirms as much as a peer's confirmation.
+        self._confirmation_at = self.read_at = clock.now()
+        self.after_read(heartbeats)
+
     @property
     def started(self) -> bool:
         """Return whether the whole table was read and changes are read since."""
@@ -212,8 +228,13 @@
         gap_s = sent_at - self.confirmed_at
         if self.unreachable or OUTAGE_GAP_S < gap_s < float("inf"):
             self.on_outage_end(clock.now())
-        if self.unreachable:
-            _LOGGER.info("Table %s is readable again", self.table)
+            _LOGGER.info(
+                "Table %s is readable again"
+                if self.unreachable
+                else "Table %s is read again after a pause",
+                self.table,
+                extra={"away_s": round(gap_s, 3)},
+            )
         self.unreachable = False
         self.confirmed_at = sent_at
 
