Keep no removed server for an absence of the node's own

What callers saw: a second attempt at a server 12 s after it left, from a node that had just come back. Cause: a node took its own absence for the store's, and retained each entry that was removed meanwhile for 2.5 s; before its own first read, the peers' reports of removals had expired after 4 s. Class: own absence taken for the store's; a lasting fact in reports that expire.

Now a removal is a fact of an incarnation with the version of the store by which its entry was gone: peers report it, a node that missed the reports is sent all that are remembered (60 s, 8,192 incarnations), and only an entry written later makes the server usable. A heartbeat states for how long its node has read the store without a gap; the grace time counts from the earliest of these, so it is left to outages of the store itself. If no node is left that read the store, an entry that outlasted the absence shows that the store was there, and servers without one are not chosen.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -29,6 +29,10 @@
 SNAPSHOT_DELAY_S: Final = 0.05
 READ_RETRY_MAX_S: Final = 1.0
 
+# Gap between two reads up to which a node has read the store without interruption, in
+# seconds. An entry expires after three heartbeats of 1.2 s that the store did not get,
+# the first of them up to one interval after the store went away.
+STORE_GAP_MAX_S: Final = 2.4
 # Time after a store outage during which missing servers are retained, in seconds.
 # Entries that expired during the outage are written again within about 2 s of the
 # store's return, according to the platform's specification.
@@ -128,8 +132,18 @@
 # Maximum number of incarnations without an entry of which a node remembers what stays
 # true; those that it learned first are forgotten.
 FACTS_MAX: Final = 4096
-# Time for which a server whose entry was removed is reported to the peers, in seconds.
+# Maximum number of removed incarnations that a node remembers; the two-year target has
+# 5,800 servers, all of which a release may replace.
+REMOVED_INCARNATIONS_MAX: Final = 8192
+# Time for which a server whose entry was removed is reported to all peers, in seconds.
+# A peer that did not read the store for longer is sent all remembered removals.
 REMOVED_REPORT_S: Final = 4.0
+# Maximum number of removed servers in one heartbeat; the newest are reported.
+REMOVED_REPORTS_MAX: Final = 512
+# Maximum number of removed servers in one datagram, whose ids have up to 200 bytes.
+REMOVED_PER_DATAGRAM_MAX: Final = 200
+# Minimum interval at which a peer is sent all remembered removals, in seconds.
+REMOVED_RESEND_S: Final = 1.0
 # Maximum number of a model's newest target versions that are reported with their ages.
 TARGET_AGES_MAX: Final = 4
 # Maximum pause granted to a saturated server, in seconds; the platform's specification
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -91,6 +91,18 @@
     age_s: Finite
 
 
+class RemovedServer(Struct, frozen=True, array_like=True):
+    """Report that an incarnation's entry was gone by a version of the store.
+
+    Only an entry that was written after that version shows that the server runs.
+    """
+
+    server_id: str
+    started_at_ms: int
+    era: int
+    version: int
+
+
 class ReadConfirmation(Struct, frozen=True, array_like=True, tag="confirm"):
     """Report the result of a read of the store to one other node.
 
@@ -147,6 +159,13 @@
     limits: tuple[ServerLimitReport, ...] = ()
 
 
+class RemovalUpdate(Struct, frozen=True, array_like=True, tag="removed"):
+    """Report removed servers to a node that has missed the reports of them."""
+
+    name: str
+    removed: tuple[RemovedServer, ...]
+
+
 class QuarantineUpdate(Struct, frozen=True, array_like=True, tag="quarantine"):
     """Report at once what a node found out about segments that may crash servers."""
 
@@ -189,6 +208,12 @@
     entries: tuple[tuple[str, bytes], ...] = ()
     limits: tuple[ServerLimitReport, ...] = ()
     quarantine: QuarantineNews | None = None
+    # Servers whose entries were recently removed.
+    removed_servers: tuple[RemovedServer, ...] = ()
+    # Time for which the node itself has read the servers' entries without
+    # interruption, and age of its newest confirmed read, in seconds.
+    store_read_s: Finite = 0.0
+    servers_age_s: Finite = 0.0
 
 
 class NodeRow(Struct, frozen=True):
@@ -205,4 +230,5 @@
     | EngineUpdate
     | ServerUpdate
     | QuarantineUpdate
+    | RemovalUpdate
 )
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -22,6 +22,8 @@
     PEER_REGISTER_RETRY_S,
     PEER_REREAD_S,
     READER_RETENTION_S,
+    REMOVED_PER_DATAGRAM_MAX,
+    REMOVED_RESEND_S,
     SENT_TIMES_MAX,
     SERVER_UPDATE_DELAY_MAX_S,
     SERVING_RETENTION_S,
@@ -38,6 +40,8 @@
     NodeRow,
     QuarantineUpdate,
     ReadConfirmation,
+    RemovalUpdate,
+    RemovedServer,
     SegmentUpdate,
     ServerLimitReport,
     ServerLoad,
@@ -73,6 +77,7 @@
         "_incarnation",
         "_pending_leaving",
         "_pending_limits",
+        "_removed_sent_at",
         "_wake",
         "_readers_seen_at",
         "_registered",
@@ -92,6 +97,7 @@
         "on_confirmation",
         "on_engines",
         "on_quarantine",
+        "on_removed",
         "on_segment_update",
         "on_servers",
         "on_tick",
@@ -118,6 +124,8 @@
         self._incarnation = incarnation
         self._wake = Event()
         self._readers_seen_at: dict[str, float] = {}
+        # When each peer was last sent the remembered removals of servers, by name.
+        self._removed_sent_at: dict[str, float] = {}
         self._registered = False
         # Addresses of the nodes with rows; None before the rows were read once more.
         self._registered_addresses: set[str] | None = None
@@ -149,6 +157,9 @@
         self.on_servers: Callable[[ServerUpdate, float], None] = lambda update, now: (
             None
         )
+        self.on_removed: Callable[[tuple[RemovedServer, ...], str, float], None] = (
+            lambda removed, reporter, now: None
+        )
         self.on_quarantine: Callable[[QuarantineUpdate, float], None] = (
             lambda update, now: None
         )
@@ -313,6 +324,19 @@
                 "servers", self._broadcast_servers, delay_s, restart=Restart.NEVER
             )
 
+    def send_removed(
+        self, peer: Heartbeat, removed: list[RemovedServer], now: float
+    ) -> None:
+        """Send removals of servers to a peer that has missed the reports of them."""
+        sent_at = self._removed_sent_at.get(peer.name, float("-inf"))
+        if not self.reads_for_others(now) or now - sent_at < REMOVED_RESEND_S:
+            return
+        self._removed_sent_at[peer.name] = now
+        for start in range(0, len(removed), REMOVED_PER_DATAGRAM_MAX):
+            reports = tuple(removed[start : start + REMOVED_PER_DATAGRAM_MAX])
+            update = RemovalUpdate(self.table.me, reports)
+            self._send_to(peer.peer_address, msgspec.msgpack.encode(update))
+
     def _broadcast_servers(self, delay_s: float) -> None:
         gevent.sleep(delay_s)
         unreachable, replaced = (
@@ -413,6 +437,8 @@
                     self.on_segment_update(datagram.segments, now)
             case ServerUpdate():
                 self._apply_server_update(datagram, now)
+            case RemovalUpdate():
+                self.on_removed(datagram.removed, datagram.name, now)
             case QuarantineUpdate():
                 self.on_quarantine(datagram, now)
             case EngineUpdate():
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -15,11 +15,14 @@
     LEAVING_REPORT_S,
     OUTAGE_GRACE_S,
     REMOVED_INCARNATION_RETENTION_S,
+    REMOVED_INCARNATIONS_MAX,
     REMOVED_REPORT_S,
+    REMOVED_REPORTS_MAX,
     SATURATED_PAUSE_MAX_S,
     SUSPECT_BACKOFF_FIRST_S,
     SUSPECT_BACKOFF_MAX_S,
 )
+from arbutusyard.fleet.messages import RemovedServer
 from arbutusyard.gateway.models import ServerEntry, ServerState
 from arbutusyard.routing.speed import PrefillSpeed
 
@@ -36,6 +39,15 @@
     paused_until: float = 0.0
 
 
+class Removal(Struct, frozen=True):
+    """Hold by which version of the store an incarnation's entry was gone."""
+
+    version: tuple[int, int]
+    at: float
+    # This node itself has read it.
+    first_hand: bool
+
+
 class Server(Struct):
     """Hold what a node knows about one incarnation of a backend server."""
 
@@ -56,7 +68,10 @@
     mismatch_until: float = 0.0
     reported_leaving_until: float = 0.0
     facts: ServerFacts = field(default_factory=ServerFacts)
-    removed_at: float | None = None
+    # The entry is missing, but perhaps only since the store was away.
+    removal: Removal | None = None
+    # The entry was there before and after this node last lost the store.
+    kept_entry: bool = False
     dead: bool = False
     speed: PrefillSpeed = field(default_factory=PrefillSpeed)
 
@@ -151,8 +166,7 @@
     __slots__ = (
         "_by_service",
         "_facts",
-        "_removed_incarnations",
-        "_removed_at",
+        "_removed",
         "_rolled_back",
         "_outage_ended_at",
         "known",
@@ -164,8 +178,7 @@
         self.known = False
         # What is known of incarnations without an entry, in the order of learning.
         self._facts: OrderedDict[tuple[str, int], ServerFacts] = OrderedDict()
-        self._removed_incarnations: dict[tuple[str, int], float] = {}
-        self._removed_at: dict[str, float] = {}
+        self._removed: OrderedDict[tuple[str, int], Removal] = OrderedDict()
         self._rolled_back = False
         self._outage_ended_at = -OUTAGE_GRACE_S
         self._by_service: dict[str, list[Server]] | None = None
@@ -202,19 +215,54 @@
         return min(waits, default=0.0)
 
     def outage_ended(self, now: float) -> None:
-        """Record that the store answers again after an outage."""
+        """Record that the store answers this node again after an outage."""
         self._outage_ended_at = now
+        for server in self.servers.values():
+            server.kept_entry = server.removal is None
+
+    def apply_store_read(self, read_s: float, reporter: str, now: float) -> None:
+        """Apply that a peer has read the store without interruption for a time.
+
+        The store was not away then, so entries did not expire for that reason.
+        """
+        if read_s <= 0 or now - read_s >= self._outage_ended_at:
+            return
+        self._outage_ended_at = now - read_s
+        if any(server.removal is not None for server in self.servers.values()):
+            _LOGGER.info(
+                "Node %s has read the store for %.1f s without interruption; entries "
+                "removed since then are not expected back",
+                reporter,
+                read_s,
+                extra={"peer": reporter},
+            )
+        self.sweep(now)
+
+    def without_retained(self, service: str, servers: list[Server]) -> list[Server]:
+        """Leave out servers without an entry if another one's entry has stayed.
+
+        An outage of the store lets all entries expire, so those that are missing beside
+        one that stayed were removed by their servers.
+        """
+        if not any(s.kept_entry for s in self.of_service(service)):
+            return servers
+        return [server for server in servers if server.removal is None]
 
     def handle_store_rollback(self) -> None:
         """Record that the next whole table is from an older copy of the store."""
         self._rolled_back = True
 
-    def replace(self, entries: dict[str, ServerEntry], now: float) -> None:
-        """Apply a whole table; servers that it lacks are removed."""
+    def replace(
+        self,
+        entries: dict[str, ServerEntry],
+        now: float,
+        version: tuple[int, int] = (0, 0),
+    ) -> None:
+        """Apply a whole table of a version; servers that it lacks are removed."""
         self.known = True
         for entry in entries.values():
             incarnation = (entry.server_id, entry.started_at_ms)
-            if self._rolled_back and incarnation in self._removed_incarnations:
+            if self._rolled_back and incarnation in self._removed:
                 # A server that is still running writes its entry again.
                 _LOGGER.info(
                     "Ignored server %s in an older copy of the store: it was already "
@@ -229,7 +277,7 @@
         self._rolled_back = False
         for server_id in list(self.servers):
             if server_id not in entries:
-                self.remove(server_id, now)
+                self.remove(server_id, now, version)
 
     def update(self, entry: ServerEntry) -> None:
         """Apply a new or changed entry."""
@@ -246,8 +294,10 @@
             _log_entry("Server %s of %s changed: %s, %s", entry)
         if known.entry.service != entry.service:
             self._by_service = None
+        if known.removal is not None or known.entry.row_version != entry.row_version:
+            known.kept_entry = False
         known.entry = entry
-        known.removed_at = None
+        known.removal = None
         for model, version in entry.weights.items():
             # Weights never get older within an incarnation; such an entry is late.
             if version > known.weights.get(model, 0):
@@ -264,6 +314,14 @@
                 extra={"server": entry.server_id, "born_ms": entry.started_at_ms},
             )
             return
+        removal = self._removed.get(incarnation)
+        if removal is not None and (0, 0) < entry.row_version <= removal.version:
+            _LOGGER.info(
+                "Ignored a late entry of server %s: it was removed since",
+                entry.server_id,
+                extra={"server": entry.server_id, "born_ms": entry.started_at_ms},
+            )
+            return
         if previous is not None:
             previous.dead = True
             if previous.entry.started_at_ms < entry.started_at_ms:
@@ -271,7 +329,7 @@
             self._keep_facts(previous.incarnation, previous.facts)
         self._facts.pop(incarnation, None)
         # It is running, so an older copy of the store may show it too.
-        self._removed_incarnations.pop(incarnation, None)
+        self._removed.pop(incarnation, None)
         if entry.state is ServerState.DRAINING:
             facts.leaving = True
         server = Server(entry, dict(entry.weights), facts=facts)
@@ -294,14 +352,20 @@
         facts.leaving = True
         self._keep_facts(incarnation, facts)
 
-    def remove(self, server_id: str, now: float) -> None:
-        """Remove the server of a removed entry, but retain it just after an outage."""
+    def remove(
+        self, server_id: str, now: float, version: tuple[int, int] = (0, 0)
+    ) -> None:
+        """Remove the server of a removed entry, but retain it just after an outage.
+
+        `version` is one of the store by which the entry was gone.
+        """
         server = self.servers.get(server_id)
         if server is None:
             return
         if now - self._outage_ended_at < OUTAGE_GRACE_S:
-            if server.removed_at is None:
-                server.removed_at = now
+            if server.removal is None:
+                server.removal = Removal(version, now, True)
+                server.kept_entry = False
                 _LOGGER.info(
                     "Retained server %s: its entry was removed while this node did "
                     "not read the store",
@@ -315,17 +379,19 @@
                     },
                 )
             return
-        self._delete(server, now)
+        self._delete(server, Removal(version, now, True))
 
     def sweep(self, now: float) -> None:
         """Remove servers whose entries were not written again after an outage."""
         for server in list(self.servers.values()):
             waited_s = now - self._outage_ended_at
-            if server.removed_at is not None and waited_s >= OUTAGE_GRACE_S:
-                self._delete(server, now)
-        for incarnation, removed_at in list(self._removed_incarnations.items()):
-            if now - removed_at > REMOVED_INCARNATION_RETENTION_S:
-                del self._removed_incarnations[incarnation]
+            if server.removal is not None and waited_s >= OUTAGE_GRACE_S:
+                self._delete(server, Removal(server.removal.version, now, True))
+        while self._removed:
+            incarnation, oldest = next(iter(self._removed.items()))
+            if now - oldest.at <= REMOVED_INCARNATION_RETENTION_S:
+                break
+            del self._removed[incarnation]
 
     def suspects(self, now: float) -> list[Server]:
         """Return the suspected servers that are due for another check."""
@@ -337,15 +403,64 @@
 
     def leaving(self, now: float) -> tuple[str, ...]:
         """Return the servers whose entries are draining or were recently removed."""
-        for server_id, removed_at in list(self._removed_at.items()):
-            if now - removed_at > REMOVED_REPORT_S or server_id in self.servers:
-                del self._removed_at[server_id]
         draining = (
             server.entry.server_id
             for server in self.servers.values()
             if server.entry.state is ServerState.DRAINING
         )
-        return (*draining, *self._removed_at)
+        removed = (
+            report.server_id
+            for report in self.removed_reports(now)
+            if report.server_id not in self.servers
+        )
+        return (*draining, *removed)
+
+    def removed_reports(self, now: float) -> tuple[RemovedServer, ...]:
+        """Return the removals that this node has read recently, the newest first."""
+        reports: list[RemovedServer] = []
+        for incarnation, removal in reversed(self._removed.items()):
+            if now - removal.at > REMOVED_REPORT_S:
+                break
+            if removal.first_hand and len(reports) < REMOVED_REPORTS_MAX:
+                reports.append(RemovedServer(*incarnation, *removal.version))
+        return tuple(reports)
+
+    def remembered_removals(self) -> list[RemovedServer]:
+        """Return all removals that this node remembers."""
+        return [
+            RemovedServer(*incarnation, *removal.version)
+            for incarnation, removal in self._removed.items()
+        ]
+
+    def apply_removed(
+        self, reports: tuple[RemovedServer, ...], reporter: str, now: float
+    ) -> None:
+        """Apply a peer's report of removed entries.
+
+        It holds for good: only an entry that was written later shows that the server
+        runs.
+        """
+        for report in reports:
+            incarnation = (report.server_id, report.started_at_ms)
+            removal = Removal((report.era, report.version), now, False)
+            server = self.servers.get(report.server_id)
+            if server is None or server.incarnation != incarnation:
+                known = self._removed.get(incarnation)
+                if known is None or known.version < removal.version:
+                    self._remember_removal(incarnation, removal)
+            elif server.entry.row_version <= removal.version:
+                _LOGGER.info(
+                    "The entry of server %s was removed, as reported by node %s",
+                    report.server_id,
+                    reporter,
+                    extra={
+                        "server": report.server_id,
+                        "born_ms": report.started_at_ms,
+                        "peer": reporter,
+                        "store_version": report.version,
+                    },
+                )
+                self._delete(server, removal)
 
     def apply_leaving(
         self, server_ids: tuple[str, ...], reporter: str, now: float
@@ -405,17 +520,22 @@
         server.dead = True
         server.facts.superseded = True
 
-    def _delete(self, server: Server, now: float) -> None:
+    def _remember_removal(self, incarnation: tuple[str, int], removal: Removal) -> None:
+        self._removed[incarnation] = removal
+        self._removed.move_to_end(incarnation)
+        while len(self._removed) > REMOVED_INCARNATIONS_MAX:
+            self._removed.popitem(last=False)
+
+    def _delete(self, server: Server, removal: Removal) -> None:
         server.dead = True
         self._keep_facts(server.incarnation, server.facts)
         del self.servers[server.entry.server_id]
-        self._removed_at[server.entry.server_id] = now
-        self._removed_incarnations[server.incarnation] = now
+        self._remember_removal(server.incarnation, removal)
         self._by_service = None
         _LOGGER.info(
             "Removed server %s",
             server.entry.server_id,
-            extra={"server": server.entry.server_id, "at": now},
+            extra={"server": server.entry.server_id, "at": removal.at},
         )
 
 
--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent.event import Event
+from msgspec.structs import replace
 
 from arbutusyard import clock
 from arbutusyard.app import Application
@@ -27,6 +28,7 @@
     SERVERS_LONG_POLL_S,
     SERVERS_READ_INTERVAL_S,
     SNAPSHOT_DELAY_S,
+    STORE_GAP_MAX_S,
     STORE_READERS,
     TARGET_AGES_MAX,
 )
@@ -84,6 +86,9 @@
         "is_reader",
         "confirmation_fresh_s",
         "changed_at",
+        "read_version",
+        "_read_sent_at",
+        "_uninterrupted_since",
         "wait_s",
     )
 
@@ -115,6 +120,10 @@
         self.is_reader = True
         self.read_at = float("-inf")
         self._confirmation_at = float("-inf")
+        # Era and version of the store up to which the rows of a read are complete.
+        self.read_version = (0, 0)
+        self._read_sent_at = float("-inf")
+        self._uninterrupted_since = float("inf")
         self.confirmation_fresh_s = CONFIRMATION_FRESH_S
         self._wake = Event()
 
@@ -196,6 +205,7 @@
             self.changed_at = known_at if known_at > float("-inf") else None
             self._update_era(snapshot.era)
             self._record_read(sent_at)
+            self.read_version = (snapshot.era, snapshot.version)
             self._replace(snapshot.rows)
             self._version = snapshot.version
             return
@@ -207,6 +217,7 @@
             raise HistoryUnavailable("the store was restored from an older copy")
         self.changed_at = clock.now()
         self._record_read(sent_at)
+        self.read_version = (changes.era, changes.version)
         if changes.rows:
             self._apply(changes.rows)
         self._version = max(self._version, changes.version)
@@ -221,6 +232,7 @@
             )
             self.on_outage_end(clock.now())
             self.on_era_change()
+            self._uninterrupted_since = float("inf")
         self.era = era
 
     def _record_read(self, sent_at: float) -> None:
@@ -235,9 +247,24 @@
                 self.table,
                 extra={"away_s": round(gap_s, 3)},
             )
+        is_interrupted = (
+            self.unreachable or sent_at - self._read_sent_at > STORE_GAP_MAX_S
+        )
+        if is_interrupted or self._uninterrupted_since == float("inf"):
+            self._uninterrupted_since = sent_at
+        self._read_sent_at = sent_at
         self.unreachable = False
         self.confirmed_at = sent_at
 
+    def uninterrupted_s(self, now: float) -> float:
+        """Return for how many seconds this node has read the table without a gap.
+
+        Reads of peers do not count; 0 if the newest own read is too old or failed.
+        """
+        if self.unreachable or now - self._read_sent_at > STORE_GAP_MAX_S:
+            return 0.0
+        return max(0.0, now - self._uninterrupted_since)
+
     def _record_failure(self, exc: PlatformError) -> None:
         if not self.unreachable:
             _LOGGER.warning("Cannot read table %s: %s", self.table, exc)
@@ -318,6 +345,10 @@
         """Return the age of the newest confirmed read of the servers, in seconds."""
         return now - self._server_watcher.confirmed_at
 
+    def store_read_s(self, now: float) -> float:
+        """Return for how long this node has read the servers without a gap."""
+        return self._server_watcher.uninterrupted_s(now)
+
     def set_read_hooks(
         self,
         live_heartbeats: Callable[[], list[Heartbeat]],
@@ -476,25 +507,27 @@
     def _replace_servers(self, rows: tuple[Row, ...]) -> None:
         now = clock.now()
         entries = {row.key: entry for row in rows if (entry := self._entry(row))}
-        self.servers.replace(entries, now)
+        self.servers.replace(entries, now, self._server_watcher.read_version)
         self.servers.sweep(now)
 
     def _apply_servers(self, rows: tuple[Row, ...]) -> None:
         now = clock.now()
+        newest = {row.key: row for row in rows}
         for row in rows:
             entry = self._entry(row)
             if entry is not None:
                 self.servers.update(entry)
-            else:
+            elif newest[row.key] is row:
                 # A malformed entry describes no usable server.
-                self.servers.remove(row.key, now)
+                self.servers.remove(row.key, now, self._server_watcher.read_version)
         self.servers.sweep(now)
 
     def _entry(self, row: Row) -> ServerEntry | None:
         if row.version == 0:
             return None
         try:
-            return read_server(row.key, row.value)
+            entry = read_server(row.key, row.value)
+            return replace(entry, row_version=(row.era, row.version))
         except MalformedRow as exc:
             self._log_malformed(TABLE_SERVERS, row.key, exc)
             return None
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -112,6 +112,8 @@
     slots: int
     weights: dict[str, int]
     cold_s: float = 0.0
+    # Era and version of the store with which the entry was written.
+    row_version: tuple[int, int] = (0, 0)
 
 
 class WeightsTarget(Struct, frozen=True):
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -10,6 +10,7 @@
 from arbutusyard import clock
 from arbutusyard.app import Application
 from arbutusyard.fleet.caches import CacheWatcher
+from arbutusyard.fleet.const import REMOVED_INCARNATION_RETENTION_S, REMOVED_REPORT_S
 from arbutusyard.fleet.messages import Heartbeat, ReadConfirmation, ServerUpdate
 from arbutusyard.fleet.peers import PeerCoordinator
 from arbutusyard.fleet.servers import Server
@@ -117,6 +118,7 @@
             self._router.apply_segment_updates((update,), now)
         )
         peers.on_servers = self._apply_server_update
+        peers.on_removed = self._fleet_state.servers.apply_removed
         peers.on_confirmation = self._apply_confirmation
         self._relay.quarantine.on_news = self._broadcast_quarantine
         peers.on_quarantine = lambda update, now: self._relay.quarantine.apply(
@@ -221,6 +223,11 @@
             rate_s=self._relay.rate.rate_s(now),
             limits=self._router.limits.reports(now),
             quarantine=self._relay.quarantine.heartbeat_news(now),
+            removed_servers=self._fleet_state.servers.removed_reports(now),
+            store_read_s=self._fleet_state.store_read_s(now),
+            servers_age_s=min(
+                self._fleet_state.servers_age_s(now), REMOVED_INCARNATION_RETENTION_S
+            ),
         )
 
     def _apply_confirmation(
@@ -248,10 +255,21 @@
         )
         for server_id, started_at_ms in heartbeat.leaving_incarnations:
             self._fleet_state.servers.mark_leaving(server_id, started_at_ms)
+        self._apply_removed(heartbeat, now)
         self._router.limits.apply_reports(heartbeat.limits, now)
         if heartbeat.quarantine is not None:
             self._relay.quarantine.apply(heartbeat.quarantine, heartbeat.name, now)
 
+    def _apply_removed(self, heartbeat: Heartbeat, now: float) -> None:
+        """Apply a peer's report of removed servers; send it what it has missed."""
+        servers = self._fleet_state.servers
+        servers.apply_removed(heartbeat.removed_servers, heartbeat.name, now)
+        servers.apply_store_read(heartbeat.store_read_s, heartbeat.name, now)
+        # The reports in heartbeats have expired for a node that was away for longer.
+        if heartbeat.servers_age_s >= REMOVED_REPORT_S:
+            removed = servers.remembered_removals()
+            self._peers.send_removed(heartbeat, removed, now)
+
     def _count_quarantined(self) -> None:
         quarantined = self._relay.quarantine.counts()
         if quarantined != self._quarantined:
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -175,6 +175,7 @@
             for server in self._fleet_state.servers.of_service(service)
             if self.accepts(server, now) and server.entry.server_id not in excluded
         ]
+        servers = self._fleet_state.servers.without_retained(service, servers)
         if req.model:
             servers = self._with_allowed_weights(servers, req.model, now)
         if not servers:
--- a/tests/fleet/test_removed_servers.py
+++ b/tests/fleet/test_removed_servers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from arbutusyard.fleet.const import OUTAGE_GRACE_S
+from arbutusyard.fleet.const import OUTAGE_GRACE_S, REMOVED_INCARNATION_RETENTION_S
 from arbutusyard.platform.rows import TABLE_SERVERS
 from tests.fleet.simulation import SimulatedFleet
 
@@ -51,6 +51,21 @@
     assert not node.places_on("a", fleet.now)
 
 
+# Guards against DRAIN: no node remembers the removal any more, but the others have read
+# the store without interruption, so its absence was not an outage.
+def test_server_removed_long_ago_is_not_expected_back(fleet):
+    node = fleet.nodes[0]
+    node.cut = True
+    fleet.run(1.0)
+    fleet.store.write(TABLE_SERVERS, "a", None)
+    fleet.run(REMOVED_INCARNATION_RETENTION_S + 10.0)
+    fleet.store.write(TABLE_SERVERS, "b", None)
+    fleet.store.write(TABLE_SERVERS, "c", None)
+    node.cut = False
+    fleet.run(0.75)
+    assert not node.places_on("a", fleet.now)
+
+
 # Guards against DRAIN: a node that the store refused used a removed server again once
 # its peers' reports had expired.
 def test_removal_reported_to_a_refused_node_holds_until_it_reads_the_store(fleet):
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -3,7 +3,14 @@
 import pytest
 from msgspec.structs import replace
 
-from arbutusyard.fleet.const import LEAVING_REPORT_S, OUTAGE_GRACE_S, REMOVED_REPORT_S
+from arbutusyard.fleet.const import (
+    LEAVING_REPORT_S,
+    OUTAGE_GRACE_S,
+    REMOVED_INCARNATION_RETENTION_S,
+    REMOVED_INCARNATIONS_MAX,
+    REMOVED_REPORT_S,
+)
+from arbutusyard.fleet.messages import RemovedServer
 from arbutusyard.fleet.servers import ServerTable
 from arbutusyard.gateway.models import ServerEntry, ServerState
 
@@ -126,3 +133,59 @@
     servers.mark_leaving("i-2", 10)
     assert servers.usable_in_s("svc", 100.0) == 2.0
     assert servers.usable_in_s("other", 100.0) == 0.0
+
+
+# Guards against DRAIN: the report of a removal held for a few seconds.
+def test_reported_removal_holds_until_a_later_entry():
+    servers = table(replace(ENTRY, row_version=(1, 5)))
+    servers.apply_removed((RemovedServer("i-1", 10, 1, 4),), "n2", 101.0)
+    assert servers.get("i-1").usable(101.0)
+    servers.apply_removed((RemovedServer("i-1", 10, 1, 7),), "n2", 101.0)
+    assert servers.get("i-1") is None
+    servers.update(replace(ENTRY, row_version=(1, 6)))
+    assert servers.get("i-1") is None
+    servers.update(replace(ENTRY, row_version=(1, 8)))
+    assert servers.get("i-1").usable(102.0)
+
+
+def test_reported_removal_is_of_one_incarnation():
+    servers = table(replace(ENTRY, started_at_ms=11, row_version=(1, 5)))
+    servers.apply_removed((RemovedServer("i-1", 10, 1, 7),), "n2", 101.0)
+    assert servers.get("i-1").usable(101.0)
+    servers.update(replace(ENTRY, server_id="i-2", row_version=(1, 3)))
+    servers.apply_removed((RemovedServer("i-3", 10, 1, 7),), "n2", 101.0)
+    servers.update(replace(ENTRY, server_id="i-3", row_version=(1, 3)))
+    assert servers.get("i-2").usable(101.0)
+    assert servers.get("i-3") is None
+
+
+def test_removals_learned_from_peers_are_not_reported_again():
+    servers = table(ENTRY, replace(ENTRY, server_id="i-2"))
+    servers.remove("i-1", 101.0, (1, 6))
+    servers.apply_removed((RemovedServer("i-2", 10, 1, 7),), "n2", 101.0)
+    assert servers.removed_reports(102.0) == (RemovedServer("i-1", 10, 1, 6),)
+    assert servers.removed_reports(101.1 + REMOVED_REPORT_S) == ()
+    assert len(servers.remembered_removals()) == 2
+
+
+def test_memory_of_removals_is_bounded():
+    servers = ServerTable()
+    count = REMOVED_INCARNATIONS_MAX + 5
+    reports = tuple(RemovedServer(f"i-{n}", 1, 1, n) for n in range(count))
+    servers.apply_removed(reports, "n2", 100.0)
+    remembered = servers.remembered_removals()
+    assert len(remembered) == REMOVED_INCARNATIONS_MAX
+    assert remembered[-1] == reports[-1]
+    servers.sweep(101.0 + REMOVED_INCARNATION_RETENTION_S)
+    assert servers.remembered_removals() == []
+
+
+def test_peer_that_read_the_store_all_along_ends_the_grace_time():
+    servers = table(ENTRY)
+    servers.outage_ended(200.0)
+    servers.remove("i-1", 200.1)
+    servers.apply_store_read(0.0, "n2", 200.2)
+    servers.apply_store_read(1.0, "n2", 200.2)
+    assert servers.get("i-1").usable(200.2)
+    servers.apply_store_read(30.0, "n2", 200.2)
+    assert servers.get("i-1") is None
