Date target weights by the gap in which they may have been set

Peers that were there report the true age; without one nobody does. A change that follows a gap of more than 2.4 s is now dated by the newest confirmed read before the gap, as for a table that is read whole.

--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -62,7 +62,7 @@
     `confirmed_at` is the time at which the newest confirmed read was sent. `changed_at`
     is the assumed time of the changes that a read returns: the time of the read if it
     returns recent changes only, the time of the newest confirmed read before it if it
-    returns the whole table, and None if there was none before.
+    returns the whole table or follows a gap, and None if there was none before.
     """
 
     __slots__ = (
@@ -215,7 +215,9 @@
             # The store reuses the versions after a rollback, so this node's version
             # does not show which rows it lacks.
             raise HistoryUnavailable("the store was restored from an older copy")
-        self.changed_at = clock.now()
+        # What changed while this node did not read may have changed at any time since.
+        is_recent = sent_at - self.confirmed_at <= STORE_GAP_MAX_S
+        self.changed_at = clock.now() if is_recent else self.confirmed_at
         self._record_read(sent_at)
         self.read_version = (changes.era, changes.version)
         if changes.rows:
