--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -104,15 +104,29 @@
 
     def forget_entry(self):
         """Remove this server's entry, which it writes again soon."""
-        if self.state != "crashed":
+        if self.has_entry:
             self._store.remove("servers", self.server_id)
 
+    @property
+    def has_entry(self):
+        """Return whether this server writes its entry."""
+        return self.state not in ("crashed", "left")
+
     def drain(self):
         """Report that it drains, serve on for the drain time, then stop and restart."""
         self.state = "draining"
         self.write()
+        self._leave(DRAIN_S + LINGER_S)
+
+    def leave(self, linger_s):
+        """Remove the entry without a report, serve on for a time, then restart."""
+        self.state = "left"
+        self._store.remove("servers", self.server_id)
+        self._leave(linger_s)
+
+    def _leave(self, linger_s):
         self._ledger.draining_at[self.server_id] = self._ledger.now()
-        gevent.sleep(DRAIN_S + LINGER_S)
+        gevent.sleep(linger_s)
         gevent.killall([*self._tasks, *self._connection_tasks], block=False)
         self._server.stop(timeout=0)
         self._link.stop()
@@ -127,7 +141,8 @@
 
     def _write_periodically(self):
         while True:
-            self.write()
+            if self.has_entry:
+                self.write()
             gevent.sleep(HEARTBEAT_S)
 
     def write(self):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,17 +5,19 @@
 from tests.soak.world import soak
 
 # Seeds and the violation that each one found, in runs of 20 s with a pause of 0.6 s
-# between faults.
+# between faults; 4004 was found in 40 s with a pause of 2 s.
 REGRESSIONS = {
     9: "EXIT: SIGHUP ended a node that was starting",
     16: "DRAIN: silent connections to the store hid that a server leaves",
     110: "CONFIG: the stand-in's feed named a version newer than its rows",
+    4004: "DRAIN: a node retained a server that left while the node was away",
 }
 
 
 # Only seeds from 1000 on roll the store back to an older copy, in those from 2000 on
 # servers name limits on their requests, and in those from 3000 on a request crashes
-# servers and entries of servers vanish and return.
+# servers and entries of servers vanish and return; in those from 4000 on servers leave
+# without a report while nodes are away.
 @pytest.mark.parametrize("seed", [1, 1000, 2000, 3000, 3001, *REGRESSIONS])
 def test_faults_violate_no_guarantee(seed, tmp_path):
     duration_s = 20.0 if seed in REGRESSIONS else 8.0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -28,6 +28,7 @@
 from tests.soak.faults import FaultInjector
 from tests.soak.ledger import Attempt, Ledger
 from tests.soak.nodes import NodeProcess
+from tests.soak.proxy import LinkMode
 
 # For each kind of request: path prefix, kind of the route, service, and whether the
 # route is resumable.
@@ -48,6 +49,13 @@
 # First seed in whose runs a request crashes servers, and entries of servers vanish and
 # return.
 FIRST_DEADLY_SEED = 3000
+# First seed in whose runs servers leave without a report while nodes are away.
+FIRST_REMOVAL_SEED = 4000
+# Pause before nodes are away, how long they are, and how long a server that left then
+# serves on, in seconds.
+REMOVAL_INTERVAL_S = 1.0
+REMOVAL_AWAY_S = 6.0
+REMOVAL_LINGER_S = 13.0
 # Pauses between two such requests and between two such entries, in seconds.
 DEADLY_INTERVAL_S = 0.4
 FORGET_INTERVAL_S = 1.5
@@ -68,6 +76,7 @@
             random.Random(f"limit {seed}") if seed >= FIRST_LIMIT_SEED else None
         )
         self._has_deadly = seed >= FIRST_DEADLY_SEED
+        self._has_removals = seed >= FIRST_REMOVAL_SEED
         self._deadly_kind = "stream" if seed % 2 else "once"
         self.ledger = Ledger()
         self.store = Store()
@@ -159,15 +168,18 @@
         self._write_configuration()
         if self._target_version > 1:
             self._write_weights()
-        current_ids = {backend.server_id for backend in self.backends}
+        current_ids = {b.server_id for b in self.backends if b.state != "left"}
         for table, server_id in list(self.platform.rows):
             if table == "servers" and server_id not in current_ids:
                 gevent.spawn_later(
                     ENTRY_EXPIRY_S, self.store.remove, "servers", server_id
                 )
         for backend in self.backends:
-            if backend.state != "crashed":
+            if backend.has_entry:
                 backend.write()
+            elif backend.state == "left":
+                # The store has lost the removal that it had acknowledged.
+                self.ledger.draining_at.pop(backend.server_id, None)
 
     @contextlib.contextmanager
     def disturbed(self, name):
@@ -204,6 +216,10 @@
             if self._has_deadly:
                 self._tasks.append(gevent.spawn(self._run_deadly_client))
                 self._tasks.append(gevent.spawn(self._forget_entries))
+            removals = None
+            if self._has_removals:
+                removals = gevent.spawn(self._remove_servers)
+                self._tasks.append(removals)
             if faults is not None:
                 faults()
             else:
@@ -211,6 +227,9 @@
                     self, self.rng, self._rollback_rng, self._limit_rng
                 )
                 injector.run(duration_s, pause_s)
+            if removals is not None:
+                self._has_removals = False
+                removals.join()
             self._check_recovery(timed)
         finally:
             gevent.killall(self._tasks)
@@ -294,6 +313,32 @@
             gevent.sleep(FORGET_INTERVAL_S)
             rng.choice(self.backends).forget_entry()
 
+    def _remove_servers(self):
+        """Let servers leave without a report while some nodes are away."""
+        rng = random.Random("removals")
+        while self._has_removals:
+            gevent.sleep(REMOVAL_INTERVAL_S)
+            away = rng.sample(self.nodes, rng.randint(1, NODES - 1))
+            pauses = rng.random() < 0.5
+            tasks = [gevent.spawn(self._keep_away, node, pauses) for node in away]
+            gevent.sleep(0.5)
+            backend = rng.choice(self.backends)
+            peers = [b for b in self.backends if b.service == backend.service]
+            if all(peer.state == "ready" for peer in peers):
+                self.ledger.log(f"{backend.server_id} leaves without a report")
+                self._tasks.append(gevent.spawn(backend.leave, REMOVAL_LINGER_S))
+            gevent.joinall(tasks, raise_error=True)
+
+    def _keep_away(self, node, pauses):
+        """Pause a node, or cut it off from the store, for a while."""
+        with self.disturbed(node.name):
+            if pauses:
+                node.pause(REMOVAL_AWAY_S)
+            else:
+                node.link.set_mode(LinkMode.SILENT)
+                gevent.sleep(REMOVAL_AWAY_S)
+                node.link.set_mode(LinkMode.OPEN)
+
     def _connect(self, rng):
         """Connect to a node that the directory of a random node lists."""
         directory_node = rng.choice(self.nodes)
