Log software versions, and which attempt a client resumes

The logs did not show at which software version a stream went on, nor that a request resumes another one. An ended request is logged with the versions whose events were relayed, the attempt that it resumes and the event after which it does; a server's entry with its version.

--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -550,5 +550,6 @@
             "server": entry.server_id,
             "state": entry.state.value,
             "weights": entry.weights,
+            "software_version": entry.software_version,
         },
     )
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -88,6 +88,8 @@
     first_event_at: float | None = None
     # Number of events relayed to the client, over all attempts.
     events: int = 0
+    # Software versions of the servers whose events were relayed.
+    software_versions: list[str] = field(default_factory=list)
     # Head of the newest answer that was relayed or is being read.
     head: AnswerHead | None = None
     # Bytes after the last complete event of the newest stream.
@@ -502,6 +504,9 @@
             exchange.first_event_at = now
         if not caller.sent_head:
             caller.send_head(head.status, self.with_connection_header(head.headers))
+        version = placement.server.entry.software_version
+        if version not in exchange.software_versions:
+            exchange.software_versions.append(version)
         caller.send_data(b"".join(event.data for event in events))
         exchange.events += len(events)
         self._record_weights(exchange, placement, events)
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -112,6 +112,8 @@
     slots: int
     weights: dict[str, int]
     cold_s: float = 0.0
+    # Version of the server's software, not of its weights.
+    software_version: str = ""
     # Era and version of the store with which the entry was written.
     row_version: tuple[int, int] = (0, 0)
 
@@ -148,6 +150,8 @@
     output_tokens: int = 0
     segments: tuple[PromptSegment, ...] = ()
     resume_after: str = ""
+    # Id of the attempt that brought the first event of a stream that is resumed.
+    resumed_id: str = ""
 
 
 class Dispatch(Struct, frozen=True):
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -124,6 +124,8 @@
             req.segments = _parse_segments(value)
         case b"last-event-id":
             req.resume_after = _decode_text(value)
+        case b"resumes":
+            req.resumed_id = _decode_text(value)
         case b"host":
             req.host = _decode_text(value).rsplit(":", 1)[0].lower()
 
--- a/arbutusyard/platform/rows.py
+++ b/arbutusyard/platform/rows.py
@@ -246,6 +246,7 @@
         slots=max(1, wire.slots),
         weights={model.name: model.version for model in wire.models},
         cold_s=wire.cold_remaining_ms / MS_PER_S,
+        software_version=wire.version,
     )
 
 
