Let streams go on only at the software version that began them

What callers saw: an answer of 200 whose text was joined from two software versions, in one answer or over their tries, above all after all nodes had been killed at once. Cause: a server's software version was used nowhere, and the attempt that a client resumes was not read; what a killed node had known was lost. Class: "unknown" is taken for "the same".

- Within one answer the rest comes only from servers of the version of the first event; a server that turns out to have another one is not relayed.
- Each node remembers at which version its streams began (8 bytes of digest of account and id).
- The store lists the versions of a service before a stream begins there, so one listed version proves the origin, also after a kill of all nodes.
- What cannot be proven is refused at once: 503, which is true; with Retry-After only if it may be known later, else with a text that says to start again.
An id of another account, one used twice, or none at all proves nothing.
- The last server of a version takes new streams up to half of its slots.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -18,6 +18,7 @@
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.logs.handler import configure_node_logging
 from arbutusyard.metrics.deferred import DeferredMetrics
+from arbutusyard.origins.coordinator import OriginCoordinator
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.servers import ServerClient
 from arbutusyard.weights.coordinator import WeightsCoordinator
@@ -54,7 +55,8 @@
         cfg.weights_s - WEIGHTS_MARGIN_S,
         cfg.limit_grace_s,
     )
-    relay = Relay(cfg, fleet_state, peers.table, router, pool, metrics)
+    origins = OriginCoordinator(cfg.name, fleet_state, store, peers)
+    relay = Relay(cfg, fleet_state, peers.table, router, pool, metrics, origins)
     ingress = Ingress(cfg.callers_address, fleet_state, relay, cfg.max_fds)
     node = Node(cfg, incarnation, fleet_state, relay, router, pool, ingress, metrics)
     servers = ServerClient()
@@ -64,7 +66,16 @@
     caches = CacheWatcher(fleet_state, peers.table, router.segments, servers)
     node.register_callbacks(peers, weights, caches)
     watcher = SettingsWatcher(cfg, reread, node.reload)
-    for component in (watcher, fleet_state, peers, caches, node, ingress, weights):
+    for component in (
+        watcher,
+        fleet_state,
+        peers,
+        caches,
+        node,
+        ingress,
+        weights,
+        origins,
+    ):
         app.add(component)
     app.run()
     handler.flush_queue()
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Meta, Struct
 
+from arbutusyard.origins.models import Digest, OriginBatch
 from arbutusyard.quarantine.models import Finite, QuarantineNews
 
 # An IP address or host name and a port, separated by a colon.
@@ -173,6 +174,28 @@
     news: QuarantineNews
 
 
+class OriginUpdate(Struct, frozen=True, array_like=True, tag="origins"):
+    """Report which software versions began streams, to the nodes that keep that."""
+
+    name: str
+    batches: tuple[OriginBatch, ...]
+
+
+class OriginQuery(Struct, frozen=True, array_like=True, tag="origin_query"):
+    """Ask for the origin of a stream."""
+
+    name: str
+    digest: Digest
+
+
+class OriginAnswer(Struct, frozen=True, array_like=True, tag="origin_answer"):
+    """Answer a query; `batch` is None if the node does not know the origin."""
+
+    name: str
+    digest: Digest
+    batch: OriginBatch | None
+
+
 class Heartbeat(Struct, frozen=True, array_like=True, tag="beat"):
     """Report the state of a node to the other nodes."""
 
@@ -231,4 +254,7 @@
     | ServerUpdate
     | QuarantineUpdate
     | RemovalUpdate
+    | OriginUpdate
+    | OriginQuery
+    | OriginAnswer
 )
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -38,6 +38,9 @@
     Heartbeat,
     LoadUpdate,
     NodeRow,
+    OriginAnswer,
+    OriginQuery,
+    OriginUpdate,
     QuarantineUpdate,
     ReadConfirmation,
     RemovalUpdate,
@@ -95,6 +98,9 @@
         "_rotation",
         "on_heartbeat",
         "on_confirmation",
+        "on_origin_answer",
+        "on_origin_query",
+        "on_origins",
         "on_engines",
         "on_quarantine",
         "on_removed",
@@ -160,6 +166,15 @@
         self.on_removed: Callable[[tuple[RemovedServer, ...], str, float], None] = (
             lambda removed, reporter, now: None
         )
+        self.on_origins: Callable[[OriginUpdate, float], None] = lambda update, now: (
+            None
+        )
+        self.on_origin_query: Callable[[OriginQuery, float], None] = (
+            lambda question, now: None
+        )
+        self.on_origin_answer: Callable[[OriginAnswer, float], None] = (
+            lambda answer, now: None
+        )
         self.on_quarantine: Callable[[QuarantineUpdate, float], None] = (
             lambda update, now: None
         )
@@ -392,6 +407,10 @@
         except OSError as exc:
             _LOGGER.debug("Could not send a datagram to %s: %s", address, exc)
 
+    def send_datagram(self, peer: Heartbeat, datagram: Datagram) -> None:
+        """Send one datagram to one node."""
+        self._send_to(peer.peer_address, msgspec.msgpack.encode(datagram))
+
     def trigger_heartbeat(self) -> None:
         """Send the next heartbeat ahead of its time."""
         self._wake.set()
@@ -439,6 +458,12 @@
                 self._apply_server_update(datagram, now)
             case RemovalUpdate():
                 self.on_removed(datagram.removed, datagram.name, now)
+            case OriginUpdate():
+                self.on_origins(datagram, now)
+            case OriginQuery():
+                self.on_origin_query(datagram, now)
+            case OriginAnswer():
+                self.on_origin_answer(datagram, now)
             case QuarantineUpdate():
                 self.on_quarantine(datagram, now)
             case EngineUpdate():
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -169,13 +169,18 @@
         "_removed",
         "_rolled_back",
         "_outage_ended_at",
+        "changes",
         "known",
+        "on_new_software",
         "servers",
     )
 
     def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
         self.known = False
+        # Counts the changes of entries.
+        self.changes = 0
+        self.on_new_software: Callable[[Server], None] = lambda previous: None
         # What is known of incarnations without an entry, in the order of learning.
         self._facts: OrderedDict[tuple[str, int], ServerFacts] = OrderedDict()
         self._removed: OrderedDict[tuple[str, int], Removal] = OrderedDict()
@@ -294,9 +299,13 @@
             _log_entry("Server %s of %s changed: %s, %s", entry)
         if known.entry.service != entry.service:
             self._by_service = None
+        if known.entry.software_version != entry.software_version:
+            # It started again and doesn't state when.
+            self.on_new_software(known)
         if known.removal is not None or known.entry.row_version != entry.row_version:
             known.kept_entry = False
         known.entry = entry
+        self.changes += 1
         known.removal = None
         for model, version in entry.weights.items():
             # Weights never get older within an incarnation; such an entry is late.
@@ -322,7 +331,10 @@
                 extra={"server": entry.server_id, "born_ms": entry.started_at_ms},
             )
             return
+        self.changes += 1
         if previous is not None:
+            if previous.entry.software_version != entry.software_version:
+                self.on_new_software(previous)
             previous.dead = True
             if previous.entry.started_at_ms < entry.started_at_ms:
                 previous.facts.superseded = True
@@ -528,6 +540,7 @@
 
     def _delete(self, server: Server, removal: Removal) -> None:
         server.dead = True
+        self.changes += 1
         self._keep_facts(server.incarnation, server.facts)
         del self.servers[server.entry.server_id]
         self._remember_removal(server.incarnation, removal)
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -82,6 +82,15 @@
 # Retry-After of a refusal whose reason may not apply to other nodes, in seconds.
 RETRY_AFTER_ELSEWHERE_S: Final = 0.05
 
+# Body of the refusal of a stream that no server can continue.
+RESUME_REFUSED: Final = (
+    b"This stream cannot be resumed: no server is known to have the software version "
+    b"that began it. Send the request again from its beginning.\n"
+)
+# Fraction of its slots up to which the last server of a software version is used for
+# new streams while others serve; the rest is left to streams that only it can continue.
+LAST_SERVER_FRACTION: Final = 0.5
+
 # Time for which clients cache an answer of the directory, in seconds; some cache it
 # three times as long.
 DIRECTORY_KEEP_S: Final = 2.0
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -41,6 +41,7 @@
 from arbutusyard.gateway.pool import ServerConnection, ServerPool, connection_cap
 from arbutusyard.gateway.router import Placement, PlacementRouter
 from arbutusyard.limits.sharing import FleetShare
+from arbutusyard.origins.coordinator import OriginCoordinator
 from arbutusyard.platform.headers import dispatch_headers, event_weights_version
 from arbutusyard.quarantine.const import BEGIN_S, CRASH_CHECK_INTERVAL_S
 from arbutusyard.quarantine.coordinator import RequestQuarantine, request_key
@@ -88,8 +89,10 @@
     first_event_at: float | None = None
     # Number of events relayed to the client, over all attempts.
     events: int = 0
-    # Software versions of the servers whose events were relayed.
-    software_versions: list[str] = field(default_factory=list)
+    # Software version that began the stream, the only one at which it may go on; None
+    # before the first event of a new stream. And where that was learned.
+    software_version: str | None = None
+    origin_source: str = ""
     # Head of the newest answer that was relayed or is being read.
     head: AnswerHead | None = None
     # Bytes after the last complete event of the newest stream.
@@ -123,6 +126,7 @@
         "_fleet_state",
         "_malformed_limit_ids",
         "_malformed_pause_ids",
+        "_origins",
         "_pool",
         "_quarantine",
         "_router",
@@ -136,8 +140,10 @@
         router: PlacementRouter,
         pool: ServerPool,
         quarantine: RequestQuarantine,
+        origins: OriginCoordinator,
     ) -> None:
         self._admission = admission
+        self._origins = origins
         self._fleet_state = fleet_state
         self._router = router
         self._pool = pool
@@ -307,7 +313,11 @@
         if exchange.executions + 1 >= exchange.route.max_attempts:
             return False
         others = self._fleet_state.servers.of_service(exchange.service)
-        return any(self._router.accepts(other, now) for other in others)
+        return any(
+            exchange.software_version in (None, other.entry.software_version)
+            and self._router.accepts(other, now)
+            for other in others
+        )
 
     def _connection_cap(self, service: str) -> int:
         catalog = self._fleet_state.catalog
@@ -338,6 +348,7 @@
         if head.status < 300 and not head.stamped:
             raise AnswerBroken("answer has no Response-Stamp header")
         if exchange.route.streaming and head.status < 300:
+            self._check_software(exchange, server)
             self._relay_stream(exchange, placement, conn, head)
             server.count_outcome(False, clock.now())
             self._record_answer(exchange, clock.now())
@@ -504,13 +515,37 @@
             exchange.first_event_at = now
         if not caller.sent_head:
             caller.send_head(head.status, self.with_connection_header(head.headers))
-        version = placement.server.entry.software_version
-        if version not in exchange.software_versions:
-            exchange.software_versions.append(version)
+        if not exchange.events:
+            self._record_beginning(exchange, placement.server, now)
         caller.send_data(b"".join(event.data for event in events))
         exchange.events += len(events)
         self._record_weights(exchange, placement, events)
 
+    def _record_beginning(self, exchange: Exchange, server: Server, now: float) -> None:
+        """Record at which software version a stream begins, before its first event."""
+        if exchange.software_version is None:
+            exchange.software_version = server.entry.software_version
+        if exchange.route.retry_policy is RetryPolicy.RESUME:
+            account = exchange.account.name if exchange.account else ""
+            self._origins.record_beginning(
+                account, exchange.req.request_id, server, now
+            )
+
+    def _check_software(self, exchange: Exchange, server: Server) -> None:
+        """Raise AnswerBroken if a server has another version than began the stream.
+
+        It may have started again under its id since it was chosen.
+        """
+        version = exchange.software_version
+        if version is None:
+            return
+        current = self._fleet_state.servers.get(server.entry.server_id) or server
+        if current.entry.software_version != version:
+            raise AnswerBroken(
+                f"software version {current.entry.software_version} cannot continue a "
+                f"stream of version {version}"
+            )
+
     @staticmethod
     def _record_weights(
         exchange: Exchange, placement: Placement, events: list[StreamEvent]
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -129,7 +129,12 @@
             self.is_ready, lambda now: now - self._started_at, self._router.limits
         )
         self._fleet_state.on_target_weights = weights.wake
-        self._fleet_state.on_store_rollback = peers.rewrite_row
+        self._fleet_state.on_store_rollback = self._handle_store_rollback
+
+    def _handle_store_rollback(self) -> None:
+        """Write to the store again what an older copy of it may lack."""
+        self._peers.rewrite_row()
+        self._relay.origins.handle_store_rollback()
 
     def setup(self, app: Application) -> None:
         """Start serving the readiness, directory and metrics endpoints."""
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -13,6 +13,7 @@
 from arbutusyard.gateway.const import (
     CONNECT_ATTEMPTS,
     NOT_RUN_RETRIES,
+    RESUME_REFUSED,
     RETRY_AFTER_S,
     SERVER_WAIT_FRACTION,
     SERVER_WAIT_INTERVAL_S,
@@ -26,6 +27,8 @@
 from arbutusyard.limits.retry_budget import RetryBudget
 from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.metrics.deferred import DeferredMetrics
+from arbutusyard.origins.coordinator import OriginCoordinator
+from arbutusyard.origins.models import Began, UnknownOrigin
 from arbutusyard.platform.headers import refusal_headers
 from arbutusyard.quarantine.const import RETRY_AFTER_MAX_S, SEGMENTS_MAX
 from arbutusyard.quarantine.coordinator import (
@@ -48,6 +51,7 @@
         "_fleet_state",
         "_metrics",
         "_router",
+        "origins",
         "quarantine",
         "rate",
     )
@@ -60,12 +64,15 @@
         router: PlacementRouter,
         pool: ServerPool,
         metrics: DeferredMetrics,
+        origins: OriginCoordinator | None = None,
     ) -> None:
         self._admission = Admission(fleet_state, cfg.revoke_s)
+        self.origins = origins or OriginCoordinator(peers.me, fleet_state)
         self.quarantine = RequestQuarantine(peers.me)
         self._dispatcher = Dispatcher(
-            self._admission, fleet_state, router, pool, self.quarantine
+            self._admission, fleet_state, router, pool, self.quarantine, self.origins
         )
+        router.is_listed = self.origins.versions.is_listed
         self._fleet_state = fleet_state
         self._router = router
         self._metrics = metrics
@@ -119,13 +126,67 @@
             shared_keys(req.model, req.segments) if req.model else (),
             sequence=EventSequence(req.resume_after),
         )
-        self._retry_budget.count_request(admitted.service, now)
         outcome = "caller_gone"
         try:
-            outcome = self._try_servers(exchange)
+            refused = self._find_origin(exchange)
+            self._retry_budget.count_request(exchange.service, now)
+            outcome = refused or self._try_servers(exchange)
         finally:
             self._record_outcome(exchange, outcome, clock.now())
 
+    def _find_origin(self, exchange: Exchange) -> str:
+        """Find the software version that began a stream that a client resumes.
+
+        Refuse the request if that cannot be proven, as servers do not check it; return
+        the outcome's name then.
+        """
+        req = exchange.req
+        if not exchange.route.streaming or not (req.resume_after or req.resumed_id):
+            return ""
+        account = exchange.account.name if exchange.account else ""
+        match self.origins.find(
+            account, req.resumed_id, exchange.service, req.arrived_at
+        ):
+            case Began(service=service, version=version, source=source):
+                if any(share.service == service for share in exchange.route.shares):
+                    exchange.service = service
+                exchange.software_version = version
+                exchange.origin_source = source
+                return ""
+            case UnknownOrigin(reason=reason, is_final=is_final):
+                return self._refuse_resume(exchange, f"origin_{reason}", is_final)
+
+    def _refuse_resume(self, exchange: Exchange, reason: str, is_final: bool) -> str:
+        """Refuse to resume a stream; return the outcome's name.
+
+        Without Retry-After the client should start the request anew.
+        """
+        now = clock.now()
+        versions = self.origins.versions.of_service(exchange.service, now)
+        _LOGGER.info(
+            "Refused to resume a stream",
+            extra={
+                "request_id": exchange.req.request_id,
+                "resumed_id": exchange.req.resumed_id,
+                "reason": reason,
+                "began_version": exchange.software_version,
+                "origin_source": exchange.origin_source,
+                "service": exchange.service,
+                "serving_versions": sorted(versions),
+            },
+        )
+        if exchange.conn.sent_head:
+            return f"cut_{reason}"
+        retry_after_s = None if is_final else RETRY_AFTER_S
+        refusal = Refusal(503, reason, retry_after_s)
+        headers = self._dispatcher.with_connection_header(
+            refusal_headers(exchange.req, refusal)
+        )
+        body = RESUME_REFUSED if is_final else b""
+        exchange.conn.answer(refusal.status, headers, body)
+        self._metrics.count_refusal(reason)
+        return f"{refusal.status}_{reason}"
+
     def _try_servers(self, exchange: Exchange) -> str:
         """Try servers until one answers; return the name of the outcome."""
         wait_until = clock.now() + SERVER_WAIT_FRACTION * exchange.route.objective_s
@@ -151,8 +212,14 @@
                 exchange.excluded,
                 now,
                 suspect_key,
+                exchange.software_version,
+                exchange.route.retry_policy is RetryPolicy.RESUME,
             )
             if placement is None:
+                if not self._router.has_software(
+                    exchange.service, exchange.software_version
+                ):
+                    return self._refuse_ended_version(exchange)
                 usable_in_s = self._router.usable_in_s(exchange.service, now)
                 if now + usable_in_s < wait_until:
                     gevent.sleep(SERVER_WAIT_INTERVAL_S)
@@ -171,6 +238,13 @@
             if not self._may_retry(exchange, result):
                 return self._answer_failure(exchange, result.value)
 
+    def _refuse_ended_version(self, exchange: Exchange) -> str:
+        """Answer a stream whose software version has no server left."""
+        reason = "software_version_ended"
+        if exchange.executions and not exchange.conn.sent_head:
+            return self._answer_failure(exchange, reason)
+        return self._refuse_resume(exchange, reason, is_final=True)
+
     def _may_spend_retry(self, exchange: Exchange, now: float) -> bool:
         """Take a retry from the joint budget; return False if it is used up."""
         if self._retry_budget.spend(exchange.service, now):
@@ -319,7 +393,8 @@
                 "framing": exchange.head.framing.value if exchange.head else "",
                 "events": exchange.events,
                 "last_event_id": exchange.sequence.last_id,
-                "software_versions": exchange.software_versions,
+                "software_version": exchange.software_version,
+                "origin_source": exchange.origin_source,
                 "resumed_id": req.resumed_id,
                 "resume_after": req.resume_after,
                 "incomplete_bytes": exchange.incomplete_bytes,
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -1,7 +1,7 @@
 """Choose a backend server for each request and track what is in flight there."""
 
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from hashlib import blake2b
 
@@ -18,6 +18,7 @@
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
+from arbutusyard.gateway.const import LAST_SERVER_FRACTION
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
 from arbutusyard.limits.const import LIMIT_GRACE_S
 from arbutusyard.limits.server_limits import ServerLimits
@@ -116,6 +117,7 @@
         "_rng",
         "_service_speeds",
         "has_connection",
+        "is_listed",
         "limits",
         "on_check",
         "on_weights_mismatch",
@@ -145,6 +147,7 @@
         self.segments = SegmentMap()
         self._service_speeds: dict[str, PrefillSpeed] = {}
         self._rng = random.Random(peers.me)
+        self.is_listed: Callable[[str, str], bool] = lambda service, version: True
         self.has_connection: Callable[[Server, float], bool] = lambda server, now: True
         self.on_load: Callable[[ServerLoad, SegmentUpdate | None], None] = (
             lambda load, segments: None
@@ -165,10 +168,13 @@
         excluded: set[str],
         now: float,
         suspect_key: bytes = b"",
+        software_version: str | None = None,
+        is_resumable: bool = False,
     ) -> Placement | None:
         """Choose the best usable server; return None when there is none.
 
-        The key of a suspect selects one server, the same on all nodes.
+        The key of a suspect selects one server, the same on all nodes. A stream that
+        has begun goes only to servers of its software version.
         """
         servers = [
             server
@@ -176,6 +182,12 @@
             if self.accepts(server, now) and server.entry.server_id not in excluded
         ]
         servers = self._fleet_state.servers.without_retained(service, servers)
+        if software_version is not None:
+            servers = [
+                s for s in servers if s.entry.software_version == software_version
+            ]
+        elif is_resumable:
+            servers = self._for_new_stream(service, servers)
         if req.model:
             servers = self._with_allowed_weights(servers, req.model, now)
         if not servers:
@@ -191,6 +203,38 @@
         """Return whether this node may send a server a request now."""
         return server.usable(now) and self.limits.wait_s(server.incarnation, now) <= 0
 
+    def has_software(self, service: str, version: str | None) -> bool:
+        """Return whether a server that stays has a software version; None is any."""
+        return version is None or any(
+            server.is_staying and server.entry.software_version == version
+            for server in self._fleet_state.servers.of_service(service)
+        )
+
+    def _for_new_stream(self, service: str, servers: list[Server]) -> list[Server]:
+        """Prefer servers at which a new stream may begin while versions differ."""
+        counts = Counter(
+            server.entry.software_version
+            for server in self._fleet_state.servers.of_service(service)
+            if server.is_staying
+        )
+        if len(counts) <= 1 and all(self.is_listed(service, v) for v in counts):
+            return servers
+        listed = [
+            server
+            for server in servers
+            if self.is_listed(service, server.entry.software_version)
+        ]
+        roomy = [
+            server
+            for server in listed
+            if counts[server.entry.software_version] > 1
+            or self._in_flight(server) < LAST_SERVER_FRACTION * server.entry.slots
+        ]
+        return roomy or listed or servers
+
+    def _in_flight(self, server: Server) -> int:
+        return server.in_flight + self._peers.load(server.entry.server_id)[0]
+
     def usable_in_s(self, service: str, now: float) -> float:
         """Return in how many seconds a server of a service may take a request.
 
--- a/arbutusyard/platform/client.py
+++ b/arbutusyard/platform/client.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from arbutusyard import clock
 from arbutusyard.const import MS_PER_S
 from arbutusyard.platform.exceptions import (
     CallOutcomeUnknown,
@@ -61,13 +62,15 @@
 class PlatformClient:
     """Read and write the store's tables and objects."""
 
-    __slots__ = ("_address", "_pool", "calls", "era")
+    __slots__ = ("_address", "_clock_offset_s", "_pool", "calls", "era")
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = HttpPool(CONNECT_TIMEOUT_S, IDLE_CONNECTIONS_MAX)
         self.calls = 0
         self.era: int | None = None
+        # The store's steady clock minus this node's; None before the first answer.
+        self._clock_offset_s: float | None = None
 
     def commit(self, *operations: Operation) -> bool:
         """Commit operations in one transaction; return False on a version mismatch."""
@@ -107,6 +110,7 @@
         query = {"table": table, "after": after, "wait_ms": int(wait_s * MS_PER_S)}
         resp = self._get(PATH_FEED, query, READ_TIMEOUT_S + wait_s)
         answer, era = _decode_object(resp.data, PATH_FEED), _era(resp)
+        self._record_clock(answer)
         return Changes(_decode_rows(answer, era), _store_version(answer), era)
 
     def put_object(self, key: str, data: bytes) -> None:
@@ -127,6 +131,20 @@
             raise PlatformOutcomeUnknown(f"GET {path}: answer is empty")
         return resp.data
 
+    def store_time_s(self, now: float) -> float:
+        """Return the time of the store's steady clock, in seconds.
+
+        It survives restarts of nodes and is the same for all of them, but for the time
+        that an answer takes. 0 before the first answer.
+        """
+        offset_s = self._clock_offset_s
+        return now + offset_s if offset_s is not None else 0.0
+
+    def _record_clock(self, answer: dict[str, Any]) -> None:
+        now_ms = answer.get("now_ms")
+        if isinstance(now_ms, int | float):
+            self._clock_offset_s = now_ms / MS_PER_S - clock.now()
+
     def vms(self) -> VmList:
         """Read the operators' list of VMs, which the own interface uses."""
         vms = []
@@ -170,6 +188,7 @@
                 query["to"] = end
             resp = self._get(PATH_ROWS, query, READ_TIMEOUT_S)
             answer = _decode_object(resp.data, PATH_ROWS)
+            self._record_clock(answer)
             if rows and _era(resp) != rows[0].era:
                 raise PlatformUnavailable("store rollback between two pages of a table")
             page = _decode_rows(answer, _era(resp))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -76,7 +76,12 @@
         )
         rows = [self._row(table, key) for key in keys[:limit]]
         more = len(keys) > limit
-        return {"rows": rows, "more_pages": more, "ver": self.version, "now_ms": 0}
+        return {
+            "rows": rows,
+            "more_pages": more,
+            "ver": self.version,
+            "now_ms": now_ms(),
+        }
 
     def _row(self, table: str, key: str) -> dict:
         value, version = self.rows[table, key]
@@ -131,6 +136,11 @@
         self.commit({"puts": [{**row, "value": value}]})
 
 
+def now_ms() -> int:
+    """Return the store's steady clock."""
+    return time.monotonic_ns() // 1_000_000
+
+
 def build(platform: Platform) -> bottle.Bottle:
     """Build the HTTP application."""
     app = bottle.Bottle()
@@ -161,7 +171,7 @@
         if loses_answer():
             raise bottle.HTTPError(504, "answer lost")
         status = 200 if committed else 412
-        return reply({"ver": platform.version, "now_ms": 0}, status)
+        return reply({"ver": platform.version, "now_ms": now_ms()}, status)
 
     @app.get("/-/rows-get")
     def read() -> bottle.HTTPResponse:
@@ -196,7 +206,7 @@
         # Read the version with the rows, before the delay, so that both are consistent.
         version = platform.version
         apply_faults()
-        return reply({"rows": rows, "ver": version, "now_ms": 0})
+        return reply({"rows": rows, "ver": version, "now_ms": now_ms()})
 
     @app.put("/-/blob-put/<key:path>")
     def put_object(key: str) -> bytes:
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -14,6 +14,7 @@
 from arbutusyard.gateway.pool import ServerPool
 from arbutusyard.gateway.relay import Relay
 from arbutusyard.gateway.router import PlacementRouter
+from arbutusyard.origins.coordinator import OriginCoordinator
 from arbutusyard.platform.exceptions import HistoryUnavailable, PlatformUnavailable
 from arbutusyard.platform.models import Changes, Row, Snapshot
 from arbutusyard.platform.rows import KEY_CONFIG, TABLE_OPERATOR, TABLE_SERVERS
@@ -22,6 +23,8 @@
 from tests.gateway.support import METRICS, SETTINGS
 
 REQUEST = CallerRequest("r", b"GET", b"/a/x", "h.test", "/a/x", [], b"", 0.0)
+# Time of the store's clock when the simulation's is 0, in seconds.
+STORE_CLOCK_S = 5e5
 # Step of the simulated time, in seconds; nodes send a heartbeat in each step.
 STEP_S = 0.25
 
@@ -38,16 +41,16 @@
 
     def write(self, table, key, value):
         """Write a row, or remove it if its value is None."""
-        if value is None and (table, key) not in self.rows:
-            return
-        self.version += 1
-        if value is None:
+        if value is not None:
+            self.write_bytes(table, key, json.dumps(value).encode())
+        elif (table, key) in self.rows:
+            self.version += 1
             del self.rows[table, key]
-            row = Row(key, b"", 0)
-        else:
-            row = self.rows[table, key] = Row(
-                key, json.dumps(value).encode(), self.version
-            )
+            self.history.append((self.version, table, Row(key, b"", 0)))
+
+    def write_bytes(self, table, key, value):
+        self.version += 1
+        row = self.rows[table, key] = Row(key, value, self.version)
         self.history.append((self.version, table, row))
 
     def drop_history(self):
@@ -71,6 +74,27 @@
         rows = tuple(r for (name, _), r in self._store.rows.items() if name == table)
         return Snapshot(rows, self._store.version)
 
+    def get(self, table, key):
+        self._check()
+        return self._store.rows.get((table, key), Row(key, b"", 0))
+
+    def scan(self, table, prefix=""):
+        return self.snapshot(table).rows
+
+    def write(self, table, key, value):
+        self._check()
+        self._store.write_bytes(table, key, value)
+
+    def put(self, put):
+        """Write a row if its version matches; return its new version, or 0."""
+        if self.get(put.table, put.key).version != put.if_version:
+            return 0
+        self._store.write_bytes(put.table, put.key, put.value)
+        return self._store.version
+
+    def store_time_s(self, now):
+        return now + STORE_CLOCK_S
+
     def follow(self, table, after, wait_s):
         self._check()
         if after < self._store.history_start:
@@ -120,7 +144,10 @@
             "z",
         )
         self.router = PlacementRouter(self.state, self.peers.table, "z", 6.5)
-        relay = Relay(cfg, self.state, self.peers.table, self.router, pool, METRICS)
+        self.origins = OriginCoordinator(self.name, self.state, client, self.peers)
+        relay = Relay(
+            cfg, self.state, self.peers.table, self.router, pool, METRICS, self.origins
+        )
         self.node = Node(
             cfg,
             self.incarnation,
@@ -144,6 +171,8 @@
 
     def sendto(self, data, address):
         self.fleet.datagrams.append((self, f"{address[0]}:{address[1]}", data))
+        if self.fleet.delivers_at_once:
+            self.fleet.deliver()
 
     def spawn(self, name, func, *args, restart=None):
         """Run a delayed broadcast at once."""
@@ -161,15 +190,22 @@
         self.peers.table.sweep(now)
         self.node._tick(now)
         self.peers.send()
+        if not self.origins.is_loaded:
+            self.origins.load(now)
+        self.origins.track(now)
+        self.origins.push(now)
+        self.origins.persist(now)
 
     def places_on(self, server_id, now):
         """Tell whether a request may go to a server once all others have failed."""
         others = {*self.state.servers.servers} - {server_id}
         return self.place(now, others) == server_id
 
-    def place(self, now, excluded=()):
+    def place(self, now, excluded=(), version=None, resumable=False):
         """Return the server chosen for a request; None if there is none."""
-        placement = self.router.place(REQUEST, None, "svc", 0.2, set(excluded), now)
+        placement = self.router.place(
+            REQUEST, None, "svc", 0.2, set(excluded), now, b"", version, resumable
+        )
         return placement.server.entry.server_id if placement is not None else None
 
 
@@ -181,6 +217,8 @@
         self.count = count
         self.store = SimulatedStore()
         self.datagrams = []
+        # Datagrams arrive while their sender waits for the answers to them.
+        self.delivers_at_once = False
         monkeypatch.setattr(clock, "now", lambda: self.now)
         self.store.write(TABLE_OPERATOR, KEY_CONFIG, CONFIG)
         self.nodes = [SimulatedNode(self, n, 1) for n in range(count)]
@@ -200,6 +238,10 @@
         for node in self.nodes:
             if not node.frozen:
                 node.step(self.now)
+        self.deliver()
+
+    def deliver(self):
+        """Deliver the datagrams that were sent."""
         datagrams, self.datagrams = self.datagrams, []
         nodes = {node.address: node for node in self.nodes}
         for sender, address, data in datagrams:
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -15,6 +15,7 @@
             "host": "h.test",
             "path_prefix": "/a/",
             "kind": "streaming",
+            "resumable": True,
             "timeout_ms": 2000,
             "service": "svc",
         }
--- a/tests/fleet/test_hostile_input.py
+++ b/tests/fleet/test_hostile_input.py
@@ -14,6 +14,9 @@
     EngineUpdate,
     Heartbeat,
     LoadUpdate,
+    OriginAnswer,
+    OriginQuery,
+    OriginUpdate,
     QuarantineUpdate,
     ReadConfirmation,
     SegmentUpdate,
@@ -26,6 +29,8 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.models import ServerEntry, ServerState
 from arbutusyard.gateway.router import PlacementRouter
+from arbutusyard.origins.coordinator import OriginCoordinator
+from arbutusyard.origins.models import OriginBatch
 from arbutusyard.platform.models import Row
 from arbutusyard.quarantine.coordinator import RequestQuarantine
 from arbutusyard.quarantine.models import (
@@ -62,6 +67,7 @@
     some(st.builds(SoundReport, st.binary(max_size=13), NUMBERS)),
     some(st.builds(QuarantineReport, KEYS, COUNTS, NUMBERS, NUMBERS, NUMBERS)),
 )
+BATCHES = st.builds(OriginBatch, TEXTS, TEXTS, NUMBERS, KEYS)
 HEARTBEATS = st.builds(
     Heartbeat,
     name=TEXTS,
@@ -104,6 +110,9 @@
         some(LIMITS),
     ),
     st.builds(QuarantineUpdate, TEXTS, NEWS),
+    st.builds(OriginUpdate, TEXTS, some(BATCHES)),
+    st.builds(OriginQuery, TEXTS, st.binary(max_size=18)),
+    st.builds(OriginAnswer, TEXTS, st.binary(max_size=18), st.none() | BATCHES),
 )
 
 
@@ -135,6 +144,7 @@
     peers = PeerCoordinator("me", "10.0.0.9:1", (), None, 1, lambda seq: own)
     router = PlacementRouter(state, peers.table, "z", 6.5)
     quarantine = RequestQuarantine("me")
+    OriginCoordinator("me", state, None, peers)
     peers._socket = ScriptedSocket([msgspec.msgpack.encode(d) for d in datagrams])
 
     def apply_servers(update, now):
