Send reports of removed servers through the test of hostile datagrams

The reports of removals, and how long a node has read the store, are datagrams that any sender may write.

--- a/tests/fleet/test_hostile_input.py
+++ b/tests/fleet/test_hostile_input.py
@@ -19,6 +19,8 @@
     OriginUpdate,
     QuarantineUpdate,
     ReadConfirmation,
+    RemovalUpdate,
+    RemovedServer,
     SegmentUpdate,
     ServerLimitReport,
     ServerLoad,
@@ -67,6 +69,7 @@
     some(st.builds(SoundReport, st.binary(max_size=13), NUMBERS)),
     some(st.builds(QuarantineReport, KEYS, COUNTS, NUMBERS, NUMBERS, NUMBERS)),
 )
+REMOVED = st.builds(RemovedServer, TEXTS, COUNTS, COUNTS, COUNTS)
 BATCHES = st.builds(OriginBatch, TEXTS, TEXTS, NUMBERS, KEYS)
 HEARTBEATS = st.builds(
     Heartbeat,
@@ -95,6 +98,9 @@
     entries=some(st.tuples(TEXTS, st.binary(max_size=13))),
     limits=some(LIMITS),
     quarantine=st.none() | NEWS,
+    removed_servers=some(REMOVED),
+    store_read_s=NUMBERS,
+    servers_age_s=NUMBERS,
 )
 DATAGRAMS = st.one_of(
     HEARTBEATS,
@@ -110,6 +116,7 @@
         some(LIMITS),
     ),
     st.builds(QuarantineUpdate, TEXTS, NEWS),
+    st.builds(RemovalUpdate, TEXTS, some(REMOVED)),
     st.builds(OriginUpdate, TEXTS, some(BATCHES)),
     st.builds(OriginQuery, TEXTS, st.binary(max_size=18)),
     st.builds(OriginAnswer, TEXTS, st.binary(max_size=18), st.none() | BATCHES),
@@ -159,6 +166,11 @@
         router.apply_unreachable(heartbeat.unreachable, now)
         state.apply_target_ages(heartbeat.target_ages, now)
         state.servers.apply_leaving(heartbeat.leaving_servers, heartbeat.name, now)
+        state.servers.apply_removed(heartbeat.removed_servers, heartbeat.name, now)
+        state.servers.apply_store_read(heartbeat.store_read_s, heartbeat.name, now)
+        if heartbeat.servers_age_s >= 0:
+            removed = state.servers.remembered_removals()
+            peers.send_removed(heartbeat, removed, now)
         for incarnation in heartbeat.leaving_incarnations:
             state.servers.mark_leaving(*incarnation)
         router.limits.apply_reports(heartbeat.limits, now)
@@ -166,6 +178,7 @@
             quarantine.apply(heartbeat.quarantine, heartbeat.name, now)
 
     peers.on_servers = apply_servers
+    peers.on_removed = state.servers.apply_removed
     peers.on_heartbeat = apply_heartbeat
     peers.on_engines = router.apply_engine_statuses
     peers.on_segment_update = lambda update, now: router.apply_segment_updates(
