Refuse a resume soon where the store does not answer

Both reads are given 0.3 s together with the wait for other nodes; the refusal has Retry-After, as the origin may be known later.

--- a/arbutusyard/origins/const.py
+++ b/arbutusyard/origins/const.py
@@ -47,5 +47,7 @@
 ROW_DIGESTS_MAX: Final = 4000
 # Time whose origins share a row of the store, in seconds.
 SLOT_S: Final = 5.0
-# Timeout of asking the other nodes for an origin, in seconds.
+# Timeouts of asking the other nodes, and of reading the store, for an origin, in
+# seconds. A client waits for both; the store answers in milliseconds.
 ASK_TIMEOUT_S: Final = 0.12
+STORE_TIMEOUT_S: Final = 0.3
--- a/arbutusyard/origins/coordinator.py
+++ b/arbutusyard/origins/coordinator.py
@@ -30,6 +30,7 @@
     PUSH_INTERVAL_S,
     ROW_DIGESTS_MAX,
     SLOT_S,
+    STORE_TIMEOUT_S,
     TABLE_ORIGINS,
     VERSIONS_INTERVAL_S,
 )
@@ -44,7 +45,7 @@
 from arbutusyard.origins.records import OriginRecord, OriginRecords, stream_digest
 from arbutusyard.origins.versions import SoftwareVersions
 from arbutusyard.platform.client import PlatformClient
-from arbutusyard.platform.exceptions import PlatformError
+from arbutusyard.platform.exceptions import PlatformError, PlatformUnavailable
 from arbutusyard.routing.chain import rank
 from arbutusyard.supervisor import Supervisor
 
@@ -176,7 +177,8 @@
         is_readable = True
         if len(self.versions.of_service(service, arrived_at)) <= 1:
             try:
-                possible = self.versions.read(service)
+                with _store_timeout():
+                    possible = self.versions.read(service)
             except PlatformError as exc:
                 _LOGGER.info("Cannot read the software versions: %s", exc)
                 is_readable = False
@@ -189,15 +191,18 @@
         record = self.records.get(digest, arrived_at)
         if record is not None:
             return _origin(record)
+        if not is_readable:
+            return UnknownOrigin("store_unreadable", is_final=False)
         try:
-            self._scan(arrived_at)
+            with _store_timeout():
+                self._scan(arrived_at)
         except PlatformError as exc:
             _LOGGER.info("Cannot read the origins of streams: %s", exc)
             return UnknownOrigin("store_unreadable", is_final=False)
         record = self.records.get(digest, arrived_at)
         if record is not None:
             return _origin(record)
-        return UnknownOrigin("not_remembered", is_final=is_readable)
+        return UnknownOrigin("not_remembered", is_final=True)
 
     def is_keeper(self, now: float) -> bool:
         """Return whether this node keeps origins for others."""
@@ -435,6 +440,13 @@
         )
 
 
+def _store_timeout() -> gevent.Timeout:
+    """Return a context that raises PlatformUnavailable if the store is too slow."""
+    return gevent.Timeout(
+        STORE_TIMEOUT_S, PlatformUnavailable(f"no answer in {STORE_TIMEOUT_S} s")
+    )
+
+
 def _origin(record: OriginRecord) -> Origin:
     if record.version == AMBIGUOUS:
         return UnknownOrigin("ambiguous", is_final=True)
--- a/tests/origins/test_resumes.py
+++ b/tests/origins/test_resumes.py
@@ -1,10 +1,11 @@
 """Test that the origin of a stream is found wherever and whenever it is resumed."""
 
+import gevent
 import pytest
 
 from arbutusyard.origins.models import Began, UnknownOrigin
 from arbutusyard.platform.rows import TABLE_SERVERS
-from tests.fleet.simulation import SimulatedFleet, SimulatedNode
+from tests.fleet.simulation import SimulatedClient, SimulatedFleet, SimulatedNode
 from tests.fleet.support import entry
 
 
@@ -108,6 +109,16 @@
     assert find(fleet, fleet.nodes[0], "r1").is_final
 
 
+def test_client_does_not_wait_for_a_store_that_does_not_answer(fleet, monkeypatch):
+    def hang(self, table, prefix=""):
+        gevent.sleep(30.0)
+
+    monkeypatch.setattr(SimulatedClient, "scan", hang)
+    with gevent.Timeout(5.0):
+        found = find(fleet, fleet.nodes[0], "r1")
+    assert found == UnknownOrigin("store_unreadable", is_final=False)
+
+
 def test_id_of_another_account_and_no_id_name_no_stream(fleet):
     begin(fleet, fleet.nodes[0], "s0", "r1")
     for account, request_id in (("other", "r1"), ("acc", ""), ("acc", "never")):
