Ask a server that may have started again before a stream goes on there

The end of a connection in an answer, a refused connection and a peer's report of either hint at that; then the server is asked once for its start, before the first event is relayed. A stream is not continued at another incarnation, nor where it cannot be asked; a new one that begins there cannot be resumed. Servers without a start in their entries are not asked.

Open: a node that had no connection to the server and got no report of its end does not suspect it.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -56,10 +56,12 @@
         cfg.limit_grace_s,
     )
     origins = OriginCoordinator(cfg.name, fleet_state, store, peers)
-    relay = Relay(cfg, fleet_state, peers.table, router, pool, metrics, origins)
+    servers = ServerClient()
+    relay = Relay(
+        cfg, fleet_state, peers.table, router, pool, metrics, origins, servers
+    )
     ingress = Ingress(cfg.callers_address, fleet_state, relay, cfg.max_fds)
     node = Node(cfg, incarnation, fleet_state, relay, router, pool, ingress, metrics)
-    servers = ServerClient()
     weights = WeightsCoordinator(
         cfg.name, fleet_state, peers, store, servers, cfg.lease_s, cfg.weights_s
     )
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -62,6 +62,10 @@
     first_hand: bool = True
     suspect_until: float = 0.0
     suspect_s: float = 0.0
+    # When something last hinted at a restart under the same id, and when a check that
+    # ruled it out was sent.
+    restart_suspected_at: float = float("-inf")
+    verified_at: float = float("-inf")
     failure_rate: float = 0.0
     failure_at: float = 0.0
     loading_until: float = 0.0
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -29,6 +29,7 @@
     NotSent,
     Unreachable,
 )
+from arbutusyard.gateway.incarnations import IncarnationCheck
 from arbutusyard.gateway.models import (
     Account,
     AnswerHead,
@@ -42,6 +43,7 @@
 from arbutusyard.gateway.router import Placement, PlacementRouter
 from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.origins.coordinator import OriginCoordinator
+from arbutusyard.origins.models import AMBIGUOUS
 from arbutusyard.platform.headers import dispatch_headers, event_weights_version
 from arbutusyard.quarantine.const import BEGIN_S, CRASH_CHECK_INTERVAL_S
 from arbutusyard.quarantine.coordinator import RequestQuarantine, request_key
@@ -124,6 +126,7 @@
     __slots__ = (
         "_admission",
         "_fleet_state",
+        "_incarnations",
         "_malformed_limit_ids",
         "_malformed_pause_ids",
         "_origins",
@@ -141,8 +144,10 @@
         pool: ServerPool,
         quarantine: RequestQuarantine,
         origins: OriginCoordinator,
+        incarnations: IncarnationCheck,
     ) -> None:
         self._admission = admission
+        self._incarnations = incarnations
         self._origins = origins
         self._fleet_state = fleet_state
         self._router = router
@@ -183,6 +188,7 @@
             if isinstance(exc, Unreachable):
                 was_suspected = server.suspected
                 server.suspect(clock.now())
+                server.restart_suspected_at = clock.now()
                 if not was_suspected:
                     self._router.on_unreachable(server.entry.server_id)
             self._router.limits.give_back(server.incarnation)
@@ -196,6 +202,7 @@
                 exchange, placement, AttemptResult.BROKEN, exc
             )
             if conn is not None and conn.ended:
+                server.restart_suspected_at = clock.now()
                 self._record_evidence(exchange, placement, clock.now())
         except AnswerLate as exc:
             server.count_outcome(True, clock.now())
@@ -528,17 +535,32 @@
         if exchange.route.retry_policy is RetryPolicy.RESUME:
             account = exchange.account.name if exchange.account else ""
             self._origins.record_beginning(
-                account, exchange.req.request_id, server, now
+                account,
+                exchange.req.request_id,
+                server,
+                exchange.software_version,
+                now,
             )
 
     def _check_software(self, exchange: Exchange, server: Server) -> None:
-        """Raise AnswerBroken if a server has another version than began the stream.
+        """Raise AnswerBroken if a server may not continue a stream.
 
-        It may have started again under its id since it was chosen.
+        It may have started again under its id since it was chosen, or before, with
+        another software version. A new stream that may have begun there cannot be
+        resumed.
         """
         version = exchange.software_version
+        is_current = (
+            exchange.route.retry_policy is not RetryPolicy.RESUME
+            or not exchange.req.model
+            or self._incarnations.is_current(server)
+        )
         if version is None:
+            if not is_current:
+                exchange.software_version = AMBIGUOUS
             return
+        if not is_current:
+            raise AnswerBroken("the server may have started again with other software")
         current = self._fleet_state.servers.get(server.entry.server_id) or server
         if current.entry.software_version != version:
             raise AnswerBroken(
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -20,6 +20,7 @@
 )
 from arbutusyard.gateway.events import EventSequence
 from arbutusyard.gateway.exchange import AttemptResult, Dispatcher, Exchange
+from arbutusyard.gateway.incarnations import IncarnationCheck
 from arbutusyard.gateway.models import CallerRequest, Refusal, RetryPolicy
 from arbutusyard.gateway.pool import ServerPool
 from arbutusyard.gateway.router import Placement, PlacementRouter
@@ -30,6 +31,7 @@
 from arbutusyard.origins.coordinator import OriginCoordinator
 from arbutusyard.origins.models import Began, UnknownOrigin
 from arbutusyard.platform.headers import refusal_headers
+from arbutusyard.platform.servers import ServerClient
 from arbutusyard.quarantine.const import RETRY_AFTER_MAX_S, SEGMENTS_MAX
 from arbutusyard.quarantine.coordinator import (
     RequestQuarantine,
@@ -65,12 +67,19 @@
         pool: ServerPool,
         metrics: DeferredMetrics,
         origins: OriginCoordinator | None = None,
+        servers: ServerClient | None = None,
     ) -> None:
         self._admission = Admission(fleet_state, cfg.revoke_s)
         self.origins = origins or OriginCoordinator(peers.me, fleet_state)
         self.quarantine = RequestQuarantine(peers.me)
         self._dispatcher = Dispatcher(
-            self._admission, fleet_state, router, pool, self.quarantine, self.origins
+            self._admission,
+            fleet_state,
+            router,
+            pool,
+            self.quarantine,
+            self.origins,
+            IncarnationCheck(servers),
         )
         router.is_listed = self.origins.versions.is_listed
         self._fleet_state = fleet_state
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -644,6 +644,7 @@
                 continue
             if now - max(server.last_byte_at, server.reached_at) > grace_s:
                 server.suspect(now, first_hand=False)
+                server.restart_suspected_at = now
                 self.on_check(server)
 
     def _on_standby(self, now: float) -> bool:
--- a/arbutusyard/origins/coordinator.py
+++ b/arbutusyard/origins/coordinator.py
@@ -146,7 +146,7 @@
         self._unwritten |= set(self._slots)
 
     def record_beginning(
-        self, account: str, request_id: str, server: Server, now: float
+        self, account: str, request_id: str, server: Server, version: str, now: float
     ) -> None:
         """Record that a server's first event of a stream is being relayed."""
         if not request_id:
@@ -155,7 +155,7 @@
         service = server.entry.service
         record = OriginRecord(
             service,
-            server.entry.software_version,
+            version,
             now + self.versions.life_s,
             SOURCE_OWN,
             server.incarnation,
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -31,6 +31,7 @@
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.metrics.deferred import DeferredMetrics
+from arbutusyard.platform.servers import ServerClient
 
 STAMP = "Response-Stamp: s\r\n"
 SETTINGS = NodeSettings(
@@ -208,7 +209,13 @@
         self.router = PlacementRouter(self.fleet_state, peers, "z", 6.5)
         self.pool = ServerPool()
         self.relay = Relay(
-            SETTINGS, self.fleet_state, peers, self.router, self.pool, METRICS
+            SETTINGS,
+            self.fleet_state,
+            peers,
+            self.router,
+            self.pool,
+            METRICS,
+            servers=ServerClient(),
         )
         self.relay.update_share(FleetShare(recent=0, settled=True))
         self.ingress = Ingress("127.0.0.1:0", self.fleet_state, self.relay, 1024)
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -1,9 +1,11 @@
 """A stream holds events of servers of one software version only."""
 
+import json
+
 from msgspec.structs import replace
 
 from arbutusyard.gateway.models import RetryPolicy
-from tests.gateway.support import chunk, event, stream_head, wait_for
+from tests.gateway.support import answer, chunk, event, stream_head, wait_for
 
 STREAM = {"streaming": True, "retry_policy": RetryPolicy.RESUME, "max_attempts": 3}
 
@@ -111,3 +113,52 @@
     set_versions(gateway, "v1", "v1")
     assert resume(gateway, "r1").complete
     wait_for(lambda: len(servers[0].requests) + len(servers[1].requests) == 1)
+
+
+def restartable_stream(born):
+    """Return a server that states its start and breaks off each request's stream."""
+
+    def script(request):
+        if request.first.startswith("GET /-/report"):
+            report = {"busy": False, "sequence": 0, "models": [], "born": born}
+            yield answer(request, body=json.dumps(report).encode())
+        elif "breaks" in request.headers:
+            yield from broken_stream(request)
+        else:
+            yield from whole_stream(request)
+
+    return script
+
+
+# Guards against ORDER: a server started again under its id with another software
+# version, and streams went on there before its entry came.
+def test_stream_does_not_go_on_at_a_server_that_has_started_again(run):
+    gateway, servers = run(restartable_stream(2), whole_stream, **STREAM)
+    set_versions(gateway, "v1", "v2")
+    use_only(gateway, 0)
+    assert gateway.call(Request_Id="r1", Model="m").complete
+    # The end of a connection may be that of a process.
+    gateway.call(Request_Id="r3", Model="m", Breaks="1")
+    use_only(gateway, 0)
+    got = resume(gateway, "r1", Model="m")
+    assert got.status == 502
+    # What begins there is of an unproven version.
+    use_only(gateway, 0)
+    assert gateway.call(Request_Id="r4", Model="m").complete
+    use_only(gateway, 0)
+    assert resume(gateway, "r4", Model="m").status == 503
+
+
+def test_server_that_has_not_started_again_is_asked_once(run):
+    gateway, servers = run(restartable_stream(1), whole_stream, **STREAM)
+    set_versions(gateway, "v1", "v2")
+    use_only(gateway, 0)
+    gateway.call(Request_Id="r3", Model="m", Breaks="1")
+    servers[0].requests.clear()
+    for n in range(4):
+        use_only(gateway, 0)
+        assert gateway.call(Request_Id=f"r{10 + n}", Model="m").complete
+    use_only(gateway, 0)
+    assert resume(gateway, "r10", Model="m").complete
+    reports = [r for r in servers[0].requests if r.first.startswith("GET /-/report")]
+    assert len(reports) == 1
--- a/tests/origins/test_resumes.py
+++ b/tests/origins/test_resumes.py
@@ -21,7 +21,9 @@
 
 def begin(fleet, node, server_id, request_id, account="acc"):
     server = node.state.servers.get(server_id)
-    node.origins.record_beginning(account, request_id, server, fleet.now)
+    node.origins.record_beginning(
+        account, request_id, server, server.entry.software_version, fleet.now
+    )
 
 
 def find(fleet, node, request_id, account="acc"):
--- a/tests/origins/test_resumes_machine.py
+++ b/tests/origins/test_resumes_machine.py
@@ -91,7 +91,10 @@
                 return
             server = node.state.servers.get(server_id)
             stream_id = f"r{len(self.streams)}"
-            node.origins.record_beginning(account, stream_id, server, self.fleet.now)
+            version = server.entry.software_version
+            node.origins.record_beginning(
+                account, stream_id, server, version, self.fleet.now
+            )
             self.streams[stream_id] = ModelStream(
                 number, account, self.versions[server_id], self.fleet.now
             )
