Let the soak's engines get newer software, and clients resume streams

From seed 5000 on engines are replaced by ones of a newer software version every 3 s, all nodes are killed after half of these, and clients resume their streams, up to four times, at any node.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -10,6 +10,7 @@
 from arbutusyard.gateway.const import NO_LINGER
 from tests.framing import FRAMINGS, frame
 from tests.gateway.support import answer, not_run, read_message
+from tests.soak import resumes
 from tests.soak.const import (
     DEADLY_BODY,
     DEADLY_RESTART_S,
@@ -23,6 +24,7 @@
 )
 from tests.soak.ledger import plain_body, stream_event
 from tests.soak.proxy import Link
+from tests.soak.resumes import STREAM_PREFIX, software_event
 
 IDENTITY_HEADERS = "Response-Stamp: {0}\r\nInstance-Id: {0}\r\n"
 # Mean time that a server works on a request, in seconds.
@@ -44,6 +46,8 @@
         self.service = service
         self.is_engine = service == "llm"
         self.version = 1
+        # Version of the software with which the next incarnation starts.
+        self.next_software = "v1"
         self.fault = ""
         self._ledger = ledger
         self._store = store
@@ -59,6 +63,7 @@
         """Begin an incarnation under a new id and address."""
         self._start_count += 1
         self.server_id = f"{self.name}-{self._start_count}"
+        self.software = self.next_software
         self.started_at_ms = 1_000 * self._start_count
         self.state = "ready"
         self.fault = ""
@@ -152,7 +157,7 @@
             "service": self.service,
             "address": self._link.address,
             "zone": "z",
-            "version": "v1",
+            "version": self.software,
             "slots": 32,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -298,10 +303,22 @@
 
     def _stream(self, sock, request, headers, fault):
         """Send a stream event by event, or a part of it that ends anywhere."""
-        request_id = request.headers["request-id"]
-        total = random.Random(request_id).randint(1, MAX_EVENTS)
+        request_id = request.headers.get("resumes", request.headers["request-id"])
         first = int(request.headers.get("last-event-id", 0)) + 1
-        events = [stream_event(request_id, n, total) for n in range(first, total + 1)]
+        interval_s = EVENT_INTERVAL_S
+        if request_id.startswith(STREAM_PREFIX):
+            stream_id = request_id.partition(".")[0]
+            interval_s = resumes.EVENT_INTERVAL_S
+            total = random.Random(stream_id).randint(resumes.MIN_EVENTS, MAX_EVENTS)
+            events = [
+                software_event(stream_id, n, total, self.software)
+                for n in range(first, total + 1)
+            ]
+        else:
+            total = random.Random(request_id).randint(1, MAX_EVENTS)
+            events = [
+                stream_event(request_id, n, total) for n in range(first, total + 1)
+            ]
         headers += f"Weight-Versions: {self.version}\r\n"
         headers += "Content-Type: text/event-stream\r\n"
         head, data, framing = self._framed(request, headers, events)
@@ -318,7 +335,7 @@
         size = max(1, len(data) // max(1, len(events)))
         for start in range(0, len(data), size):
             sock.sendall(data[start : start + size])
-            gevent.sleep(EVENT_INTERVAL_S)
+            gevent.sleep(interval_s)
         if framing == "close":
             request.last = True
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,7 +1,7 @@
 """Record what clients and backend servers observe, and check the guarantees on it."""
 
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from tests.soak.const import (
@@ -14,6 +14,8 @@
 )
 from tests.soak.limits import LimitCheck
 
+# Kinds of requests whose answers are streams; clients resume those of a sequence.
+STREAMS = ("stream", "sequence")
 # Statuses that guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -30,6 +32,7 @@
     node: str
     sent_at: float
     body: bytes = b""
+    headers: tuple[str, ...] = ()
     # The start of the node whose process the request was sent to, counted from 1.
     start_count: int = 0
     status: int | None = None
@@ -69,6 +72,8 @@
     # When each server crashed that ran a deadly request, and later runs of it.
     deadly_crashes: list[float] = field(default_factory=list)
     deadly_retries: int = 0
+    # Resumed streams: tried, went on, and refused for good.
+    resumes: Counter = field(default_factory=Counter)
     limits: LimitCheck = field(default_factory=LimitCheck)
     started_at: float = field(default_factory=time.monotonic)
 
@@ -191,7 +196,7 @@
         runs = self.runs.get(attempt.request_id, [])
         if status in NOT_RUN_STATUSES and attempt.non_idempotent and runs:
             self.add_violation("REFUSED", f"{attempt.request_id} {status} has run")
-        if status == 200 and complete:
+        if status == 200 and complete and attempt.kind != "sequence":
             self._check_answer(attempt, runs, body)
         if status is None and any(run.answered for run in runs):
             self._check_lost(attempt)
@@ -201,7 +206,7 @@
 
         This must hold while a node ends by SIGTERM, too.
         """
-        if attempt.kind != "stream" and self.is_undisturbed(_harm_key(attempt.node)):
+        if attempt.kind not in STREAMS and self.is_undisturbed(_harm_key(attempt.node)):
             self.add_violation("LOST", f"{attempt.request_id} of {attempt.node}")
 
     def _check_answer(self, attempt, runs, body):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,13 +11,15 @@
     16: "DRAIN: silent connections to the store hid that a server leaves",
     110: "CONFIG: the stand-in's feed named a version newer than its rows",
     4004: "DRAIN: a node retained a server that left while the node was away",
+    5000: "ORDER: clients' streams held events of two software versions",
 }
 
 
 # Only seeds from 1000 on roll the store back to an older copy, in those from 2000 on
 # servers name limits on their requests, and in those from 3000 on a request crashes
 # servers and entries of servers vanish and return; in those from 4000 on servers leave
-# without a report while nodes are away.
+# without a report while nodes are away; in those from 5000 on engines get newer
+# software, all nodes are killed now and then, and clients resume streams.
 @pytest.mark.parametrize("seed", [1, 1000, 2000, 3000, 3001, *REGRESSIONS])
 def test_faults_violate_no_guarantee(seed, tmp_path):
     duration_s = 20.0 if seed in REGRESSIONS else 8.0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,9 +26,10 @@
     RECOVER_S,
 )
 from tests.soak.faults import FaultInjector
-from tests.soak.ledger import Attempt, Ledger
+from tests.soak.ledger import STREAMS, Attempt, Ledger
 from tests.soak.nodes import NodeProcess
 from tests.soak.proxy import LinkMode
+from tests.soak.resumes import ResumingClient
 
 # For each kind of request: path prefix, kind of the route, service, and whether the
 # route is resumable.
@@ -56,6 +57,14 @@
 REMOVAL_INTERVAL_S = 1.0
 REMOVAL_AWAY_S = 6.0
 REMOVAL_LINGER_S = 13.0
+# First seed in whose runs engines get newer software versions, all nodes are killed
+# then and again, and clients resume streams; their number, the time between two
+# versions, in seconds, and the fraction of the versions after which all nodes are
+# killed.
+FIRST_SOFTWARE_SEED = 5000
+RESUMING_CLIENTS = 6
+SOFTWARE_INTERVAL_S = 3.0
+KILL_ALL_FRACTION = 0.5
 # Pauses between two such requests and between two such entries, in seconds.
 DEADLY_INTERVAL_S = 0.4
 FORGET_INTERVAL_S = 1.5
@@ -75,8 +84,9 @@
         self._limit_rng = (
             random.Random(f"limit {seed}") if seed >= FIRST_LIMIT_SEED else None
         )
-        self._has_deadly = seed >= FIRST_DEADLY_SEED
-        self._has_removals = seed >= FIRST_REMOVAL_SEED
+        self._has_deadly = FIRST_DEADLY_SEED <= seed < FIRST_SOFTWARE_SEED
+        self._has_removals = FIRST_REMOVAL_SEED <= seed < FIRST_SOFTWARE_SEED
+        self._has_software = seed >= FIRST_SOFTWARE_SEED
         self._deadly_kind = "stream" if seed % 2 else "once"
         self.ledger = Ledger()
         self.store = Store()
@@ -216,10 +226,15 @@
             if self._has_deadly:
                 self._tasks.append(gevent.spawn(self._run_deadly_client))
                 self._tasks.append(gevent.spawn(self._forget_entries))
-            removals = None
+            disturbances = []
             if self._has_removals:
-                removals = gevent.spawn(self._remove_servers)
-                self._tasks.append(removals)
+                disturbances.append(gevent.spawn(self._remove_servers))
+            if self._has_software:
+                disturbances.append(gevent.spawn(self._renew_software))
+                for number in range(RESUMING_CLIENTS):
+                    client = ResumingClient(self, number)
+                    self._tasks.append(gevent.spawn(client.run))
+            self._tasks += disturbances
             if faults is not None:
                 faults()
             else:
@@ -227,14 +242,15 @@
                     self, self.rng, self._rollback_rng, self._limit_rng
                 )
                 injector.run(duration_s, pause_s)
-            if removals is not None:
-                self._has_removals = False
-                removals.join()
+            self._has_removals = self._has_software = False
+            gevent.joinall(disturbances, raise_error=True)
             self._check_recovery(timed)
         finally:
             gevent.killall(self._tasks)
+            resumes = self.ledger.resumes
             self.ledger.log(
                 f"{len(self.ledger.attempts)} attempts, {self._served_count} ok"
+                + (f", resumes {dict(resumes)}" if resumes else "")
             )
             for node in self.nodes:
                 node.stop()
@@ -329,6 +345,64 @@
                 self._tasks.append(gevent.spawn(backend.leave, REMOVAL_LINGER_S))
             gevent.joinall(tasks, raise_error=True)
 
+    def _renew_software(self):
+        """Start engines with newer software, and kill all nodes now and then."""
+        rng = random.Random("software")
+        number = 1
+        while self._has_software:
+            gevent.sleep(SOFTWARE_INTERVAL_S)
+            number += 1
+            engines = [b for b in self.backends if b.is_engine]
+            for backend in engines:
+                backend.next_software = f"v{number}"
+            for backend in rng.sample(engines, rng.randint(1, len(engines) - 1)):
+                if backend.state == "ready":
+                    self.ledger.log(f"{backend.server_id} is replaced by v{number}")
+                    self._tasks.append(gevent.spawn(backend.drain))
+            if rng.random() < KILL_ALL_FRACTION:
+                gevent.sleep(rng.uniform(0.2, 2.0))
+                self.ledger.log("all nodes are killed")
+                for node in self.nodes:
+                    self.ledger.mark_harmed(node.name)
+                    node.kill()
+                gevent.sleep(rng.uniform(0.1, 0.5))
+                for node in self.nodes:
+                    self.start(node)
+
+    def send_stream(self, rng, request_id, headers):
+        """Send the request of a stream to a random node; return what came, or None."""
+        node, sock = self._connect(rng)
+        if sock is None:
+            return None
+        key = self._keys["open"][-1]
+        attempt = Attempt(
+            request_id,
+            "sequence",
+            False,
+            key,
+            "open",
+            node.name,
+            self.ledger.now(),
+            b"x",
+            headers,
+            node.start_count,
+        )
+        self.ledger.attempts[request_id] = attempt
+        received = None
+        try:
+            sock.settimeout(CLIENT_TIMEOUT_S + 1)
+            sock.sendall(_request(attempt, ROUTES["stream"][0] + "x"))
+            received = read_answer(sock)
+        except (OSError, ValueError):
+            # What came before the connection ended is in what the reader returned.
+            received = None
+        finally:
+            sock.close()
+        status = received.status if received is not None else None
+        complete = received is not None and received.complete
+        self.ledger.record_outcome(attempt, status, b"", complete)
+        return received
+
     def _keep_away(self, node, pauses):
         """Pause a node, or cut it off from the store, for a while."""
         with self.disturbed(node.name):
@@ -456,7 +530,8 @@
     ]
     if attempt.body:
         lines.append(f"Content-Length: {len(attempt.body)}")
-    if attempt.kind == "stream":
+    lines += attempt.headers
+    if attempt.kind in STREAMS:
         lines += [f"Model: {MODEL}", "Token-Count: 400,12", "Prefix-Hash: a:100,b:300"]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + attempt.body
 
