--- a/arbutusyard/logs/explain.py
+++ b/arbutusyard/logs/explain.py
@@ -32,11 +32,13 @@
 def select_lines(request_id: str, lines: list[Line]) -> list[Line]:
     """Return a request's lines and those of its context, in order of time.
 
-    The context is what may have decided the request: state changes that its nodes
+    The lines of attempts at the same stream, which it resumes or which resume it, are
+    among them. The context is what may have decided the request: state changes that its nodes
     logged shortly before it, and what any node logged about the servers it was sent to.
     """
-    request_lines = [line for line in lines if line.get("request_id") == request_id]
-    if not request_lines:
+    ids = _stream_ids(request_id, lines)
+    request_lines = [line for line in lines if line.get("request_id") in ids]
+    if not any(line["request_id"] == request_id for line in request_lines):
         return []
     nodes = {line.get("node") for line in request_lines}
     servers = {line["server"] for line in request_lines if line.get("server")}
@@ -57,6 +59,19 @@
     )
 
 
+def _stream_ids(request_id: str, lines: list[Line]) -> set[str]:
+    """Return the ids of all attempts at the stream of a request."""
+    began_ids = {request_id}
+    for line in lines:
+        if line.get("request_id") == request_id and line.get("resumed_id"):
+            began_ids.add(line["resumed_id"])
+    return began_ids | {
+        line["request_id"]
+        for line in lines
+        if line.get("resumed_id") in began_ids and "request_id" in line
+    }
+
+
 def request_timeline(request_id: str, lines: list[Line]) -> list[str]:
     """Return a request's lines, marked with a star, and their context as text."""
     selected = select_lines(request_id, lines)
--- a/tests/logs/test_explain.py
+++ b/tests/logs/test_explain.py
@@ -2,7 +2,7 @@
 
 import json
 
-from arbutusyard.logs.explain import read_lines, request_timeline
+from arbutusyard.logs.explain import read_lines, request_timeline, select_lines
 
 
 def line(created, node, message, **fields):
@@ -46,3 +46,19 @@
 
 def test_unknown_request_has_an_empty_timeline():
     assert request_timeline("r9", read_lines(LINES)) == []
+
+
+def test_attempts_at_the_same_stream_are_shown_with_each_other():
+    lines = [
+        {"created": 1.0, "node": "a", "request_id": "r1", "message": "began"},
+        {"created": 2.0, "node": "b", "request_id": "r2", "resumed_id": "r1"},
+        {"created": 3.0, "node": "c", "request_id": "r3", "resumed_id": "r1"},
+        {"created": 4.0, "node": "c", "request_id": "r4", "resumed_id": ""},
+    ]
+    lines = [{"message": "Request ended", **line} for line in lines]
+    for request_id in ("r1", "r2", "r3"):
+        selected = select_lines(request_id, lines)
+        assert [line["request_id"] for line in selected] == ["r1", "r2", "r3"]
+    assert [line["request_id"] for line in select_lines("r4", lines)] == ["r4"]
+    timeline = request_timeline("r2", lines)
+    assert [text[0] for text in timeline] == [" ", "*", " "]
