Send missed removals only by nodes that have read the store since

DRAIN, found in review: in an outage that all nodes see, each reader would have sent all remembered removals to all peers every second, and listed them for each heartbeat, though it knew no more than they did.

--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -340,13 +340,17 @@
             )
 
     def send_removed(
-        self, peer: Heartbeat, removed: list[RemovedServer], now: float
+        self,
+        peer: Heartbeat,
+        list_removed: Callable[[], list[RemovedServer]],
+        now: float,
     ) -> None:
         """Send removals of servers to a peer that has missed the reports of them."""
         sent_at = self._removed_sent_at.get(peer.name, float("-inf"))
         if not self.reads_for_others(now) or now - sent_at < REMOVED_RESEND_S:
             return
         self._removed_sent_at[peer.name] = now
+        removed = list_removed()
         for start in range(0, len(removed), REMOVED_PER_DATAGRAM_MAX):
             reports = tuple(removed[start : start + REMOVED_PER_DATAGRAM_MAX])
             update = RemovalUpdate(self.table.me, reports)
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -441,11 +441,17 @@
                 reports.append(RemovedServer(*incarnation, *removal.version))
         return tuple(reports)
 
-    def remembered_removals(self) -> list[RemovedServer]:
-        """Return all removals that this node remembers."""
+    def remembered_removals(self, age_s: float, now: float) -> list[RemovedServer]:
+        """Return the remembered removals that a node may lack.
+
+        `age_s` is the age of its newest read in seconds; readers may have read the
+        removals somewhat later than it did.
+        """
+        since = now - age_s - REMOVED_REPORT_S
         return [
             RemovedServer(*incarnation, *removal.version)
             for incarnation, removal in self._removed.items()
+            if removal.at >= since
         ]
 
     def apply_removed(
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -270,10 +270,13 @@
         servers = self._fleet_state.servers
         servers.apply_removed(heartbeat.removed_servers, heartbeat.name, now)
         servers.apply_store_read(heartbeat.store_read_s, heartbeat.name, now)
-        # The reports in heartbeats have expired for a node that was away for longer.
-        if heartbeat.servers_age_s >= REMOVED_REPORT_S:
-            removed = servers.remembered_removals()
-            self._peers.send_removed(heartbeat, removed, now)
+        # The reports in heartbeats have expired for a node that was away for longer
+        # than this one.
+        age_s = heartbeat.servers_age_s
+        if age_s >= REMOVED_REPORT_S > self._fleet_state.servers_age_s(now):
+            self._peers.send_removed(
+                heartbeat, lambda: servers.remembered_removals(age_s, now), now
+            )
 
     def _count_quarantined(self) -> None:
         quarantined = self._relay.quarantine.counts()
--- a/tests/fleet/test_hostile_input.py
+++ b/tests/fleet/test_hostile_input.py
@@ -169,8 +169,10 @@
         state.servers.apply_removed(heartbeat.removed_servers, heartbeat.name, now)
         state.servers.apply_store_read(heartbeat.store_read_s, heartbeat.name, now)
         if heartbeat.servers_age_s >= 0:
-            removed = state.servers.remembered_removals()
-            peers.send_removed(heartbeat, removed, now)
+            age_s = heartbeat.servers_age_s
+            peers.send_removed(
+                heartbeat, lambda: state.servers.remembered_removals(age_s, now), now
+            )
         for incarnation in heartbeat.leaving_incarnations:
             state.servers.mark_leaving(*incarnation)
         router.limits.apply_reports(heartbeat.limits, now)
--- a/tests/fleet/test_servers.py
+++ b/tests/fleet/test_servers.py
@@ -165,7 +165,8 @@
     servers.apply_removed((RemovedServer("i-2", 10, 1, 7),), "n2", 101.0)
     assert servers.removed_reports(102.0) == (RemovedServer("i-1", 10, 1, 6),)
     assert servers.removed_reports(101.1 + REMOVED_REPORT_S) == ()
-    assert len(servers.remembered_removals()) == 2
+    assert len(servers.remembered_removals(60.0, 102.0)) == 2
+    assert servers.remembered_removals(4.0, 120.0) == []
 
 
 def test_memory_of_removals_is_bounded():
@@ -173,11 +174,11 @@
     count = REMOVED_INCARNATIONS_MAX + 5
     reports = tuple(RemovedServer(f"i-{n}", 1, 1, n) for n in range(count))
     servers.apply_removed(reports, "n2", 100.0)
-    remembered = servers.remembered_removals()
+    remembered = servers.remembered_removals(60.0, 100.0)
     assert len(remembered) == REMOVED_INCARNATIONS_MAX
     assert remembered[-1] == reports[-1]
     servers.sweep(101.0 + REMOVED_INCARNATION_RETENTION_S)
-    assert servers.remembered_removals() == []
+    assert servers.remembered_removals(1e6, 101.0) == []
 
 
 def test_peer_that_read_the_store_all_along_ends_the_grace_time():
