Keep unsent origins, and look at versions only where they differ

Origins were dropped while no keeper was ready, as after a start of all nodes; they wait now. A failed write of the versions was repeated every 0.1 s, with a warning each; now after 0.5 s. Placement counted the versions of all servers for each stream; now only if a service has several. Only routes whose streams may be resumed are looked up, others are forwarded as before. Asking a server for its start counts against its limit.

--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -173,6 +173,8 @@
         "_removed",
         "_rolled_back",
         "_outage_ended_at",
+        "_software",
+        "_software_changes",
         "changes",
         "known",
         "on_new_software",
@@ -184,6 +186,9 @@
         self.known = False
         # Counts the changes of entries.
         self.changes = 0
+        # Software versions by service, as of a number of changes.
+        self._software: dict[str, frozenset[str]] = {}
+        self._software_changes = -1
         self.on_new_software: Callable[[Server], None] = lambda previous: None
         # What is known of incarnations without an entry, in the order of learning.
         self._facts: OrderedDict[tuple[str, int], ServerFacts] = OrderedDict()
@@ -205,6 +210,18 @@
                 group.append(server)
         return self._by_service.get(service, [])
 
+    def software_versions(self, service: str) -> frozenset[str]:
+        """Return the software versions of a service's servers."""
+        if self._software_changes != self.changes:
+            self._software_changes = self.changes
+            self._software = {}
+        versions = self._software.get(service)
+        if versions is None:
+            versions = self._software[service] = frozenset(
+                server.entry.software_version for server in self.of_service(service)
+            )
+        return versions
+
     def usable_in_s(
         self,
         service: str,
--- a/arbutusyard/gateway/incarnations.py
+++ b/arbutusyard/gateway/incarnations.py
@@ -6,6 +6,7 @@
 
 from arbutusyard import clock
 from arbutusyard.fleet.servers import Server
+from arbutusyard.limits.server_limits import ServerLimits
 from arbutusyard.platform.exceptions import PlatformOutcomeUnknown
 from arbutusyard.platform.servers import ServerClient
 
@@ -19,10 +20,11 @@
     answer this at their reports, which cost as much as a health check.
     """
 
-    __slots__ = ("_client", "_running")
+    __slots__ = ("_client", "_limits", "_running")
 
-    def __init__(self, client: ServerClient | None) -> None:
+    def __init__(self, client: ServerClient | None, limits: ServerLimits) -> None:
         self._client = client
+        self._limits = limits
         # Checks under way; requests to the same server share one.
         self._running: dict[tuple[str, int], AsyncResult] = {}
 
@@ -49,6 +51,8 @@
     def _verify(self, server: Server) -> bool:
         sent_at = clock.now()
         entry = server.entry
+        # A server's limit counts reports, too.
+        self._limits.count_sent(server.incarnation, sent_at)
         try:
             report = self._client.report(entry.address, entry.server_id)
         except PlatformOutcomeUnknown as exc:
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -79,7 +79,7 @@
             pool,
             self.quarantine,
             self.origins,
-            IncarnationCheck(servers),
+            IncarnationCheck(servers, router.limits),
         )
         router.is_listed = self.origins.versions.is_listed
         self._fleet_state = fleet_state
@@ -150,7 +150,8 @@
         the outcome's name then.
         """
         req = exchange.req
-        if not exchange.route.streaming or not (req.resume_after or req.resumed_id):
+        is_resumable = exchange.route.retry_policy is RetryPolicy.RESUME
+        if not is_resumable or not (req.resume_after or req.resumed_id):
             return ""
         account = exchange.account.name if exchange.account else ""
         match self.origins.find(
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -212,13 +212,14 @@
 
     def _for_new_stream(self, service: str, servers: list[Server]) -> list[Server]:
         """Prefer servers at which a new stream may begin while versions differ."""
+        versions = self._fleet_state.servers.software_versions(service)
+        if len(versions) <= 1 and all(self.is_listed(service, v) for v in versions):
+            return servers
         counts = Counter(
             server.entry.software_version
             for server in self._fleet_state.servers.of_service(service)
             if server.is_staying
         )
-        if len(counts) <= 1 and all(self.is_listed(service, v) for v in counts):
-            return servers
         listed = [
             server
             for server in servers
--- a/arbutusyard/logs/explain.py
+++ b/arbutusyard/logs/explain.py
@@ -33,8 +33,9 @@
     """Return a request's lines and those of its context, in order of time.
 
     The lines of attempts at the same stream, which it resumes or which resume it, are
-    among them. The context is what may have decided the request: state changes that its nodes
-    logged shortly before it, and what any node logged about the servers it was sent to.
+    among them. The context is what may have decided the request: state changes that its
+    nodes logged shortly before it, and what any node logged about the servers it was
+    sent to.
     """
     ids = _stream_ids(request_id, lines)
     request_lines = [line for line in lines if line.get("request_id") in ids]
--- a/arbutusyard/origins/const.py
+++ b/arbutusyard/origins/const.py
@@ -28,6 +28,8 @@
 # which a node no longer relies on having seen it listed, in seconds.
 END_DELAY_S: Final = 5.0
 UNLIST_DELAY_S: Final = 2.0
+# Delay before a failed read or write of the list is retried, in seconds.
+RETRY_DELAY_S: Final = 0.5
 # Maximum number of attempts at a conditional write, since nodes may write at once.
 WRITE_ATTEMPTS: Final = 5
 
--- a/arbutusyard/origins/coordinator.py
+++ b/arbutusyard/origins/coordinator.py
@@ -28,6 +28,7 @@
     NODES_PER_KEEPER,
     PERSIST_INTERVAL_S,
     PUSH_INTERVAL_S,
+    RECORDS_MAX,
     ROW_DIGESTS_MAX,
     SLOT_S,
     STORE_TIMEOUT_S,
@@ -255,9 +256,10 @@
 
     def push(self, now: float) -> None:
         """Send the pending origins to their keepers."""
-        if not self._pending:
-            return
+        del self._pending[:-RECORDS_MAX]
         keepers = {node.name: node for node in self._keepers(now)}
+        if not self._pending or not keepers:
+            return
         pending, self._pending = self._pending, []
         by_keeper: dict[str, list[bytes]] = {}
         for digest in pending:
--- a/arbutusyard/origins/versions.py
+++ b/arbutusyard/origins/versions.py
@@ -13,6 +13,7 @@
     END_DELAY_S,
     LIFE_MARGIN_S,
     LIFE_TIMEOUT_FACTOR,
+    RETRY_DELAY_S,
     TABLE_SOFTWARE,
     UNLIST_DELAY_S,
     WRITE_ATTEMPTS,
@@ -44,6 +45,7 @@
         "_observed_changes",
         "_open",
         "_present",
+        "_retry_at",
         "_seen_at",
         "_services",
     )
@@ -62,6 +64,7 @@
         self._seen_at: dict[ServiceVersion, float] = {}
         # Versions that this node has read to be listed as serving since it saw them.
         self._listed: set[ServiceVersion] = set()
+        self._retry_at = float("-inf")
         # All versions that the store listed as serving when it was last read.
         self._open: set[ServiceVersion] = set()
 
@@ -124,6 +127,8 @@
         for pair in list(self._listed):
             if now - self._seen_at[pair] > UNLIST_DELAY_S:
                 self._listed.discard(pair)
+        if now < self._retry_at:
+            return
         unlisted = self._present - self._listed
         ended = {
             pair
@@ -138,9 +143,11 @@
                     {version for name, version in ended if name == service},
                 )
             except PlatformError as exc:
+                self._retry_at = clock.now() + RETRY_DELAY_S
                 _LOGGER.warning(
                     "Cannot list the software versions of %s: %s", service, exc
                 )
+                return
 
     def _observe(self, now: float) -> None:
         """Record which versions the servers of resumable streams have now."""
