Keep origins that come during a write, and while no node is ready

Origins that reached a keeper while it wrote to the store counted as written, so the last of a slot were lost with all keepers. In an outage of the store no node is ready, so nobody kept the origins of streams that began then. Both tests failed before and pass; nothing that was proven wrongly could come of either, only refusals.

--- a/arbutusyard/origins/coordinator.py
+++ b/arbutusyard/origins/coordinator.py
@@ -212,9 +212,13 @@
         )
 
     def _keepers(self, now: float) -> list[Heartbeat]:
-        """Return the nodes that keep origins for all."""
+        """Return the nodes that keep origins for all.
+
+        In an outage of the store no node is ready, and any may keep them.
+        """
         table = self._peers.table
-        ready = [node for node in table.ranked(now) if node.ready]
+        ranked = table.ranked(now)
+        ready = [node for node in ranked if node.ready] or ranked
         nodes = len(table.peers) + 1
         return ready[: max(KEEPERS_MIN, nodes // NODES_PER_KEEPER)]
 
@@ -319,14 +323,16 @@
         for slot in sorted(self._unwritten & set(self._slots)):
             digests = self._slots[slot][-ROW_DIGESTS_MAX:]
             row = OriginRow(slot * SLOT_S, self.records.batches(digests, now))
+            # Origins that come during the write are written next.
+            self._unwritten.discard(slot)
             try:
                 self._client.write(
                     TABLE_ORIGINS, self._row_key(slot), msgspec.msgpack.encode(row)
                 )
             except PlatformError as exc:
                 _LOGGER.warning("Cannot write the origins of streams: %s", exc)
+                self._unwritten.add(slot)
                 return
-            self._unwritten.discard(slot)
         self._unwritten &= set(self._slots)
 
     def _row_key(self, slot: int) -> str:
--- a/tests/origins/test_resumes.py
+++ b/tests/origins/test_resumes.py
@@ -4,6 +4,7 @@
 import pytest
 
 from arbutusyard.origins.models import Began, UnknownOrigin
+from arbutusyard.origins.records import OriginRecord
 from arbutusyard.platform.rows import TABLE_SERVERS
 from tests.fleet.simulation import SimulatedClient, SimulatedFleet, SimulatedNode
 from tests.fleet.support import entry
@@ -121,6 +122,40 @@
     assert found == UnknownOrigin("store_unreadable", is_final=False)
 
 
+# Guards against lost origins: those that came during a write counted as written.
+def test_origins_that_come_during_a_write_are_written_next(fleet, monkeypatch):
+    node = next(n for n in fleet.nodes if n.origins.is_keeper(fleet.now))
+    write = SimulatedClient.write
+
+    def slow_write(self, table, key, value):
+        write(self, table, key, value)
+        node.origins._keep([b"during"], fleet.now)
+        monkeypatch.setattr(SimulatedClient, "write", write)
+
+    begin(fleet, node, "s0", "r1")
+    record = OriginRecord("svc", "v1", fleet.now + 9.0, "peer")
+    node.origins.records.add(b"during", record)
+    node.origins._keep([b"before"], fleet.now)
+    monkeypatch.setattr(SimulatedClient, "write", slow_write)
+    node.origins.persist(fleet.now)
+    node.origins.persist(fleet.now)
+    rows = [row.value for (table, _), row in fleet.store.rows.items()]
+    assert any(b"during" in value for value in rows)
+
+
+def test_origins_are_kept_while_no_node_is_ready(fleet):
+    # Nodes are not ready once they have not read the store for some seconds.
+    fleet.store.down = True
+    fleet.run(6.0)
+    assert not any(node.node.is_ready(fleet.now) for node in fleet.nodes)
+    begin(fleet, fleet.nodes[4], "s0", "r1")
+    fleet.run(0.5)
+    restart(fleet, 4)
+    fleet.store.down = False
+    fleet.run(2.0)
+    assert find(fleet, fleet.nodes[4], "r1").version == "v1"
+
+
 def test_id_of_another_account_and_no_id_name_no_stream(fleet):
     begin(fleet, fleet.nodes[0], "s0", "r1")
     for account, request_id in (("other", "r1"), ("acc", ""), ("acc", "never")):
