Keep a server's connection only once its request is written whole

Cause: send() leaves what the socket does not take to a task; prepare_for_reuse() asked h11, which counts a request as sent once it is encoded. Any complete answer returned the connection. Ruled out: a writer that outlives its socket and writes to a reused descriptor; gevent ends it. Change: the connection holds its writer and is free only after all bytes are written; otherwise it is reset, so that the server counts it as closed at once and the rest is not sent. Weighed: to keep it until the rest is written; that spends the link on a body nobody needs.

--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -8,6 +8,7 @@
 
 import gevent
 import h11
+from gevent import Greenlet
 
 from arbutusyard import clock
 from arbutusyard.fleet.servers import Server
@@ -58,6 +59,7 @@
         "_sent_at",
         "_server",
         "_sock",
+        "_writer",
         "address",
         "ended",
         "idle_until",
@@ -73,6 +75,8 @@
         self._reading_head = False
         self._head_bytes = 0
         self._head_started_at: float | None = None
+        # Writes what the socket did not take at once; None once it has written all.
+        self._writer: Greenlet | None = None
         # Whether the kernel probes the link, and when the last byte was sent.
         self._probed = False
         self._sent_at = math.inf
@@ -107,7 +111,7 @@
             ) from exc
         if sent < len(data):
             # The server may answer before it has read the whole request.
-            gevent.spawn(self._send_remaining, data[sent:])
+            self._writer = gevent.spawn(self._send_remaining, data[sent:])
         else:
             self._sent_at = clock.now()
 
@@ -121,11 +125,13 @@
         try:
             self._sock.settimeout(None)
             self._sock.sendall(data)
-            self._sent_at = clock.now()
         except OSError as exc:
-            _LOGGER.debug(
+            _LOGGER.info(
                 "Failed to send the rest of a request to %s: %s", self.address, exc
             )
+            return
+        self._sent_at = clock.now()
+        self._writer = None
 
     def read_head(self, request_id: str, deadline: float) -> AnswerHead:
         """Read the head of the answer to a request; skip answers to other requests.
@@ -183,6 +189,14 @@
         """Prepare for the next request; return False if the connection must close."""
         if head.closes or self._h11.trailing_data[0]:
             return False
+        # For h11 a request is sent as soon as it is encoded.
+        if self._writer is not None:
+            _LOGGER.info(
+                "Closing a connection to %s, which answered before it had read the "
+                "request",
+                self.address,
+            )
+            return False
         if self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
@@ -209,6 +223,9 @@
 
     def close(self) -> None:
         """Close the connection, which makes the server stop processing its request."""
+        if self._writer is not None:
+            self.abort()
+            return
         self._sock.close()
 
     def abort(self) -> None:
@@ -217,6 +234,8 @@
         Otherwise a slow link could go on sending a long request for seconds after its
         client has disconnected.
         """
+        if self._writer is not None:
+            self._writer.kill(block=False)
         with contextlib.suppress(OSError):
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         self._sock.close()
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent.server import StreamServer
+from msgspec.structs import replace
 
 from arbutusyard import clock
 from arbutusyard.app import Application
@@ -123,7 +124,7 @@
             sock.close()
 
 
-def read_message(reader):
+def read_message(reader, with_body=True):
     request_line = reader.readline()
     if not request_line:
         return None
@@ -132,7 +133,9 @@
         name, _, value = line.decode().partition(":")
         headers[name.strip().lower()] = value.strip()
     body = b""
-    if headers.get("transfer-encoding") == "chunked":
+    if not with_body:
+        pass
+    elif headers.get("transfer-encoding") == "chunked":
         while size := int(reader.readline(), 16):
             body += reader.read(size + 2)[:-2]
         reader.readline()
@@ -230,6 +233,11 @@
             )
         )
 
+    def configure_limits(self, **limits):
+        """Replace the limits on clients' requests."""
+        cfg = self.fleet_state.catalog.cfg
+        self.fleet_state.catalog = Catalog(replace(cfg, limits=IngressLimits(**limits)))
+
     def confirm(self, age_s=0.0):
         """Mark the configuration as confirmed `age_s` seconds ago."""
         self.fleet_state._config_watcher.confirmed_at = clock.now() - age_s
--- /dev/null
+++ b/tests/gateway/test_early_answers.py
@@ -0,0 +1,151 @@
+"""Test servers that answer before they have read a long request."""
+
+import socket
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from arbutusyard.gateway.models import RetryPolicy
+from tests.gateway.support import (
+    Gateway,
+    answer,
+    chunk,
+    event,
+    not_run,
+    read_message,
+    request_bytes,
+    stream_head,
+)
+
+# Larger than the socket buffers of a connection with small windows, in bytes.
+LONG_BYTES = 6_000_000
+WINDOW_BYTES = 65_536
+
+
+class EarlyServer:
+    """Answer long requests early, then read their bodies; keep all bytes received.
+
+    It pauses whenever it has read another `step` bytes of a body.
+    """
+
+    def __init__(self, script, short, step, pause_s):
+        self._script = script
+        self._short = short
+        self._step = step
+        self._pause_s = pause_s
+        self.early = True
+        # For each long request, its expected size and the bytes received.
+        self.bodies = []
+        self.first_lines = []
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(64)
+        self._server = StreamServer(listener, self._serve)
+        self._server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def _serve(self, sock, _):
+        reader = sock.makefile("rb")
+        while request := read_message(reader, with_body=False):
+            self.first_lines.append(request.first)
+            size = int(request.headers["content-length"])
+            is_long = size >= LONG_BYTES
+            if is_long and self.early:
+                sock.sendall(self._script(request))
+            body = b""
+            if is_long:
+                self.bodies.append([size, b""])
+                record = self.bodies[-1]
+            pause_at = 0
+            while len(body) < size:
+                if is_long and len(body) >= pause_at:
+                    gevent.sleep(self._pause_s)
+                    pause_at = len(body) + self._step
+                try:
+                    data = reader.read1(size - len(body))
+                except OSError:
+                    return
+                if not data:
+                    return
+                body += data
+                if is_long:
+                    record[1] = body
+            if not (is_long and self.early):
+                sock.sendall(self._short(request))
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+
+def whole_stream(request):
+    return stream_head(request) + chunk(event(1)) + b"0\r\n\r\n"
+
+
+def long_request(request_id):
+    return request_bytes(
+        body=b"x" * LONG_BYTES, Request_Id=request_id, Deadline_Ms="6000"
+    )
+
+
+@pytest.fixture
+def early():
+    """Start a gateway in front of one server that answers early."""
+    started = []
+
+    def start(script, short=answer, step=1, pause_s=0.1, **route):
+        server = EarlyServer(script, short, step, pause_s)
+        gateway = Gateway(server, timeout_s=8.0, **route)
+        gateway.configure_limits(body_bytes=2 * LONG_BYTES)
+        started.extend([gateway, server])
+        return gateway, server
+
+    yield start
+    for item in started:
+        item.stop()
+
+
+# Guards against UNASKED: the head of another request was written into the rest of a
+# body that its server had not yet read, as the connection was taken for free.
+@pytest.mark.parametrize(
+    ("script", "streaming"),
+    [
+        (not_run, False),
+        (answer, False),
+        (lambda request: answer(request, "500 Error"), False),
+        (lambda request: answer(request, "404 Not Found"), False),
+        (whole_stream, True),
+    ],
+    ids=["rejection", "success", "error", "not_found", "stream"],
+)
+def test_no_other_request_is_written_into_a_body_that_is_still_due(
+    early, script, streaming
+):
+    short = whole_stream if streaming else answer
+    gateway, server = early(
+        script, short, retry_policy=RetryPolicy.ONCE, streaming=streaming
+    )
+    gateway.call(long_request("long"))
+    others = [
+        gevent.spawn(gateway.call, Request_Id=f"other{n}", Deadline_Ms="4000")
+        for n in range(4)
+    ]
+    gevent.joinall(others, timeout=8.0)
+    # The server has read what is left of each connection.
+    gevent.sleep(0.5)
+    for _, body in server.bodies:
+        assert body == b"x" * len(body)
+    assert all(line.startswith("POST /a/x ") for line in server.first_lines)
+    assert [other.value.status for other in others] == [200] * 4
+
+
+# Guards against UNASKED: a connection whose request is not written whole was kept.
+def test_a_connection_is_not_used_again_before_its_request_is_written_whole(early):
+    gateway, server = early(answer)
+    assert gateway.call(long_request("long")).status == 200
+    assert not any(gateway.pool._idle.values())
+    assert not gateway.pool._open_counts
