Go on writing a request after its reader's timeout

Callers saw: a request with a long body at a server that pauses for over 0.2 s within it ended at its deadline without an answer; the server never got the rest. A failure is logged. An experiment with a socket pair showed the writer's TimeoutError 0.2 s after its first wait.

--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -122,14 +122,21 @@
         return data + self._h11.send(h11.EndOfMessage())
 
     def _send_remaining(self, data: bytes) -> None:
-        try:
-            self._sock.settimeout(None)
-            self._sock.sendall(data)
-        except OSError as exc:
-            _LOGGER.info(
-                "Failed to send the rest of a request to %s: %s", self.address, exc
-            )
-            return
+        remaining = memoryview(data)
+        while remaining:
+            try:
+                remaining = remaining[self._sock.send(remaining) :]
+            except TimeoutError:
+                # The concurrent reader of this socket has set its own timeout.
+                continue
+            except OSError as exc:
+                _LOGGER.info(
+                    "Failed to send the last %d bytes of a request to %s: %s",
+                    len(remaining),
+                    self.address,
+                    exc,
+                )
+                return
         self._sent_at = clock.now()
         self._writer = None
 
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -149,3 +149,14 @@
     assert gateway.call(long_request("long")).status == 200
     assert not any(gateway.pool._idle.values())
     assert not gateway.pool._open_counts
+
+
+# Guards against LOST: the reader's timeout ended the task that writes the rest of the
+# body, so that the server never got it.
+def test_a_long_request_reaches_a_server_that_reads_it_slowly(early):
+    gateway, server = early(answer, step=1_500_000, pause_s=0.5)
+    server.early = False
+    assert gateway.call(long_request("long")).status == 200
+    assert [len(body) for _, body in server.bodies] == [LONG_BYTES]
+    # Its connection is free.
+    assert [len(idle) for idle in gateway.pool._idle.values()] == [1]
