Never send a request again on a connection that has carried it

Cause: an answer's ID names a request, not an attempt at it; the pool handed out the connection on which this very request had been rejected. Ruled out: answers to other IDs, which are skipped. Change: a connection remembers the IDs that it carried and carries none of them again; it closes after 512. An answer without an ID is attributed on a connection that carried nothing else only.

--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -41,6 +41,10 @@
 # Number of connections to one server that each node may open in a fleet of any size.
 CONNECTIONS_MIN: Final = 4
 
+# Number of requests after which a connection is closed. It bounds the IDs that each
+# connection remembers.
+CARRIED_REQUESTS_MAX: Final = 512
+
 # Maximum number of attempts at a request that fail before a byte of it is sent.
 CONNECT_ATTEMPTS: Final = 5
 # Maximum number of retries of a request that servers refuse without executing it.
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -169,7 +169,7 @@
         exchange.head = None
         try:
             self._router.begin_attempt(placement, now)
-            conn = self._pool.acquire(server, cap, now)
+            conn = self._pool.acquire(server, exchange.req.request_id, cap, now)
             if not server.is_staying:
                 raise NotSent(f"{conn.address} left while its connection opened")
             conn.should_abandon = lambda: self._should_abandon(exchange, placement)
@@ -231,7 +231,8 @@
             urgency=_urgency(exchange.route, account),
             resume_after=exchange.sequence.last_id,
         )
-        conn.send(req.method, req.target, dispatch_headers(req, dispatch), req.body)
+        headers = dispatch_headers(req, dispatch)
+        conn.send(req.request_id, req.method, req.target, headers, req.body)
 
     def _record_evidence(
         self, exchange: Exchange, placement: Placement, now: float
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -14,6 +14,7 @@
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.const import (
     ANSWER_HEAD_TIMEOUT_S,
+    CARRIED_REQUESTS_MAX,
     CONNECT_TIMEOUT_S,
     CONNECTION_FRACTION,
     CONNECTIONS_MIN,
@@ -50,6 +51,7 @@
 
     __slots__ = (
         "_body",
+        "_carried",
         "_h11",
         "_head_bytes",
         "_head_started_at",
@@ -72,6 +74,8 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._body = b""
+        # IDs of all requests that were sent on this connection.
+        self._carried: set[str] = set()
         self._reading_head = False
         self._head_bytes = 0
         self._head_started_at: float | None = None
@@ -91,7 +95,24 @@
         """Return the incarnation of the connected server: its id and start in ms."""
         return self._server.incarnation
 
-    def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether an answer can be attributed to an attempt at a request.
+
+        An answer's ID names a request but not an attempt at it, so a late copy of the
+        answer to an earlier attempt on this connection would pass for a new answer.
+        """
+        return not self._carried or (
+            bool(request_id) and request_id not in self._carried
+        )
+
+    def send(
+        self,
+        request_id: str,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
         """Send a request; raise NotSent if no byte of it was sent."""
         if body or method in (b"POST", b"PUT", b"PATCH"):
             headers = [*headers, (b"content-length", b"%d" % len(body))]
@@ -109,6 +130,7 @@
             raise NotSent(
                 f"connection to {self.address} failed before a byte was sent: {exc}"
             ) from exc
+        self._carried.add(request_id)
         if sent < len(data):
             # The server may answer before it has read the whole request.
             self._writer = gevent.spawn(self._send_remaining, data[sent:])
@@ -157,6 +179,7 @@
                 raise AnswerBroken(f"{self.address} did not send the head of an answer")
             head = read_answer(event.status_code, list(event.headers))
             if head.request_id == request_id or not (head.request_id or head.stamped):
+                self._check_attribution(head)
                 self._reading_head = False
                 return head
             _LOGGER.warning(
@@ -167,6 +190,14 @@
             self._skip_answer(deadline)
         raise AnswerBroken(f"{self.address} sent too many messages before the answer")
 
+    def _check_attribution(self, head: AnswerHead) -> None:
+        """Raise AnswerBroken if an answer may belong to an earlier request."""
+        if not head.request_id and len(self._carried) > 1:
+            raise AnswerBroken(
+                f"{self.address} sent an answer without an ID on a connection that has "
+                "carried other requests"
+            )
+
     def read_data(self, deadline: float) -> bytes | None:
         """Read a chunk of the body; return None at its end."""
         while True:
@@ -196,6 +227,9 @@
         """Prepare for the next request; return False if the connection must close."""
         if head.closes or self._h11.trailing_data[0]:
             return False
+        # A late copy of an answer without an ID could not be told from another answer.
+        if not head.request_id or len(self._carried) >= CARRIED_REQUESTS_MAX:
+            return False
         # For h11 a request is sent as soon as it is encoded.
         if self._writer is not None:
             _LOGGER.info(
@@ -348,18 +382,38 @@
         self._open_counts: dict[object, int] = {}
         self.opened = 0
 
-    def acquire(self, server: Server, cap: int, now: float) -> ServerConnection:
-        """Return a connection; raise NotSent if none can be provided."""
+    def acquire(
+        self, server: Server, request_id: str, cap: int, now: float
+    ) -> ServerConnection:
+        """Return a connection that has not carried a request with this ID.
+
+        Raise NotSent if none can be provided.
+        """
         idle = self._idle.get(server.incarnation, [])
-        while idle:
+        carried: list[ServerConnection] = []
+        found: ServerConnection | None = None
+        while idle and found is None:
             conn = idle.pop()
-            if conn.address == server.entry.address and conn.is_usable(now):
-                return conn
-            self.discard(conn)
-        if self._open_counts.get(server.incarnation, 0) >= cap:
+            if conn.address != server.entry.address or not conn.is_usable(now):
+                self.discard(conn)
+            elif conn.may_carry(request_id):
+                found = conn
+            else:
+                carried.append(conn)
+        if found is None and carried and self.open_count(server) >= cap:
+            # Makes room for a new connection.
+            self.discard(carried.pop())
+        idle += reversed(carried)
+        if found is not None:
+            return found
+        if self.open_count(server) >= cap:
             raise NotSent(f"all {cap} connections to {server.entry.address} are in use")
         return self._connect(server)
 
+    def open_count(self, server: Server) -> int:
+        """Return the number of open connections to a server's incarnation."""
+        return self._open_counts.get(server.incarnation, 0)
+
     def has_idle_connection(self, server: Server, now: float) -> bool:
         """Return whether an idle connection to a server is available."""
         idle = self._idle.get(server.incarnation)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -75,7 +75,11 @@
 
     def _serve(self, sock, _):
         reader = sock.makefile("rb")
+        carried = []
         while request := read_message(reader):
+            # The IDs of the requests that came before it on its connection.
+            request.carried = list(carried)
+            carried.append(request.headers.get("request-id"))
             self.requests.append(request)
             try:
                 for data in self.script(request):
--- a/tests/gateway/test_client_disconnects.py
+++ b/tests/gateway/test_client_disconnects.py
@@ -20,8 +20,8 @@
     address = f"127.0.0.1:{listener.getsockname()[1]}"
     entry = ServerEntry("s", 1, "w", address, "z", ServerState.READY, 4, {})
     pool = ServerPool()
-    conn = pool.acquire(Server(entry), 4, clock.now())
-    conn.send(b"POST", b"/", [(b"host", b"h")], BODY)
+    conn = pool.acquire(Server(entry), "r1", 4, clock.now())
+    conn.send("r1", b"POST", b"/", [(b"host", b"h")], BODY)
     accepted, _ = listener.accept()
     gevent.sleep(PAUSE_S)
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -465,7 +465,7 @@
 
 
 def test_a_broken_idle_connection_does_not_make_its_server_suspected(run, monkeypatch):
-    def broken(self, server, cap, now):
+    def broken(self, server, request_id, cap, now):
         raise NotSent("the idle connection broke")
 
     gateway, _ = run(good)
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -33,8 +33,8 @@
     silent_server,
 ):
     pool = ServerPool()
-    conn = pool.acquire(silent_server, 8, clock.now())
-    conn.send(b"POST", b"/", [(b"host", b"h")], b"body")
+    conn = pool.acquire(silent_server, "r1", 8, clock.now())
+    conn.send("r1", b"POST", b"/", [(b"host", b"h")], b"body")
     assert not is_probed(conn)
     deadline = clock.now() + 5.0
     reader = gevent.spawn(conn.read_head, "r1", deadline)
