Treat a head with parts of two answers as broken

Callers would see: a request that ran is refused or sent again, or gets the status of another answer, where a server tears a copy of an earlier answer before the one that is due. Cause: the last of two Request-Id headers counted; Not-Executed was trusted beside a stamp and with any status. Change: such heads, and heads with a status line within, break the attempt.

--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -192,6 +192,8 @@
     keep_s: float | None = None
     length: int | None = None
     framing: Framing = Framing.CLOSE
+    # The headers exclude each other, as if parts of two answers had been joined.
+    contradictory: bool = False
     # The server is draining and takes no more requests in this incarnation.
     leaving: bool = False
     # Pause that a full server asks for, in seconds; None if absent or malformed.
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -3,8 +3,10 @@
 import contextlib
 import logging
 import math
+import re
 import socket
 from collections.abc import Callable
+from typing import Final
 
 import gevent
 import h11
@@ -45,6 +47,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}", re.ASCII)
+
 
 class ServerConnection:
     """Carry requests over a connection to a backend server, one at a time."""
@@ -178,6 +182,8 @@
             if not isinstance(event, h11.Response):
                 raise AnswerBroken(f"{self.address} did not send the head of an answer")
             head = read_answer(event.status_code, list(event.headers))
+            if head.contradictory or _contains_status_line(event):
+                raise AnswerBroken(f"{self.address} sent parts of several answers")
             if head.request_id == request_id or not (head.request_id or head.stamped):
                 self._check_attribution(head)
                 self._reading_head = False
@@ -510,6 +516,12 @@
         return conn
 
 
+def _contains_status_line(event: h11.Response) -> bool:
+    """Return whether another answer begins in the head, so that the first is torn."""
+    values = (event.reason, *(value for _, value in event.headers))
+    return any(STATUS_LINE.search(value) for value in values)
+
+
 def set_timeouts(sock: socket.socket) -> None:
     """Make the kernel close a connection whose peer is unresponsive.
 
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -53,6 +53,8 @@
 # Highest limit that is told apart from higher ones, in requests per second.
 SERVER_LIMIT_MAX_S: Final = 1e9
 DECIMAL_NUMBER: Final = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
+# Statuses with which a server may state that it did not run a request.
+NOT_RUN_STATUSES: Final = frozenset({400, 421, 429, 503})
 
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -169,7 +171,10 @@
     for name, value in raw:
         match name:
             case b"request-id":
-                head.request_id = _decode_text(value)
+                request_id = _decode_text(value)
+                if head.request_id not in ("", request_id):
+                    head.contradictory = True
+                head.request_id = request_id
             case b"response-stamp":
                 head.stamped = True
             case b"not-executed":
@@ -201,6 +206,8 @@
                 head.pause_s = _parse_number(value)
     # A server answers 421 without a stamp to a request that was meant for another
     # incarnation, and never runs it.
+    if head.not_run and (head.stamped or status not in NOT_RUN_STATUSES):
+        head.contradictory = True
     head.not_run = head.not_run or (status == 421 and not head.stamped)
     return head
 
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -6,6 +6,7 @@
 from arbutusyard.gateway.models import RetryPolicy
 from arbutusyard.gateway.pool import ServerPool
 from tests.gateway.support import (
+    STAMP,
     answer,
     chunk,
     event,
@@ -120,6 +121,47 @@
     assert len(runs) == len(set(runs))
 
 
+TORN = [
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nDate: ",
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: r0\r\nDate: x",
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: r0\r\n",
+    b"HTTP/1.1 503 Service Unav",
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 200\r\n\r\nx",
+    b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r0\r\nContent-Length: 9\r\n\r\nx",
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\nx",
+]
+
+
+# Guards against REFUSED and MIXED: the head of a copy that is torn continues with the
+# head of the answer that is due.
+@pytest.mark.parametrize("torn", TORN)
+def test_a_torn_copy_does_not_lend_its_status_to_the_next_answer(run, torn):
+    runs = []
+
+    def tearing(request):
+        runs.append(request.headers["request-id"])
+        if request.carried:
+            yield torn
+        yield answer(request)
+
+    gateway, _ = run(tearing, retry_policy=RetryPolicy.ONCE)
+    assert gateway.call(Request_Id="r0").status == 200
+    got = gateway.call(Request_Id="r1")
+    assert got.status == 502
+    assert runs == ["r0", "r1"]
+
+
+# A status that states that a request ran takes precedence over Not-Executed.
+@pytest.mark.parametrize("status", ["200 OK", "500 Error", "504 Gateway Timeout"])
+def test_an_answer_that_a_server_gives_after_a_run_is_no_rejection(run, status):
+    def contradictory(request):
+        yield answer(request, status, b"x", f"Not-Executed: 1\r\n{STAMP}")
+
+    gateway, (server,) = run(contradictory, retry_policy=RetryPolicy.ONCE)
+    assert gateway.call().status not in (503, 429)
+    assert len(server.requests) == 1
+
+
 # The connections that a request may not use again stay open for others, unless the
 # server accepts no further connection.
 def test_connections_that_carried_a_request_stay_within_the_limit(run, monkeypatch):
