End an attempt at an unexpected answer without a length at once

Callers saw: a request ends at its deadline. Cause: the unexpected answer is read to the end of its connection, with the answer that is due in its body. Change: the attempt breaks at once. Evidence: test_an_unexpected_answer_without_a_length_ends_the_attempt_at_once timed out before.

--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -40,7 +40,7 @@
     NotSent,
     Unreachable,
 )
-from arbutusyard.gateway.models import AnswerHead
+from arbutusyard.gateway.models import AnswerHead, Framing
 from arbutusyard.platform.headers import read_answer
 
 _LOGGER = logging.getLogger(__name__)
@@ -193,6 +193,11 @@
                 self.address,
                 extra={"request_id": request_id, "other": head.request_id},
             )
+            if head.framing is Framing.CLOSE:
+                raise AnswerBroken(
+                    f"{self.address} sent an answer to another request that ends with "
+                    "the connection"
+                )
             self._skip_answer(deadline)
         raise AnswerBroken(f"{self.address} sent too many messages before the answer")
 
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -151,6 +151,20 @@
     assert runs == ["r0", "r1"]
 
 
+# Guards against LOST: an answer to another request that only the end of its connection
+# delimits was read until the deadline, with the answer that is due in its body.
+def test_an_unexpected_answer_without_a_length_ends_the_attempt_at_once(run):
+    def unframed(request):
+        if request.carried:
+            yield f"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n{STAMP}\r\nx".encode()
+        yield answer(request)
+
+    gateway, _ = run(unframed, retry_policy=RetryPolicy.ANY)
+    assert gateway.call(Request_Id="r0").status == 200
+    with gevent.Timeout(1.0):
+        assert gateway.call(Request_Id="r1", Deadline_Ms="1900").status in (200, 502)
+
+
 # A status that states that a request ran takes precedence over Not-Executed.
 @pytest.mark.parametrize("status", ["200 OK", "500 Error", "504 Gateway Timeout"])
 def test_an_answer_that_a_server_gives_after_a_run_is_no_rejection(run, status):
