Bound the bytes and the time of each call to the store and to servers

Cause: HttpPool read answers with http.client, with no limit on size and a timeout for each read only; an announced length was reserved at once. Ruled out: the size of bodies alone. Heads, informational responses, chunk extensions and trailers without end, or all of them sent slowly, hold a call as well.

--- a/arbutusyard/platform/client.py
+++ b/arbutusyard/platform/client.py
@@ -21,7 +21,7 @@
     PlatformOutcomeUnknown,
     PlatformUnavailable,
 )
-from arbutusyard.platform.http import HttpAnswer, HttpPool
+from arbutusyard.platform.http import CallLimits, HttpAnswer, HttpPool
 from arbutusyard.platform.models import (
     Changes,
     Check,
@@ -43,6 +43,16 @@
 READ_TIMEOUT_S: Final = 1.2
 # Timeout of a write, in seconds; it may queue behind other writes for up to a second.
 WRITE_TIMEOUT_S: Final = 2.0
+# Maximum time of a whole call beyond the time that it waits for changes, in seconds. A
+# page of 1 MB may come over a slow link.
+CALL_TIMEOUT_S: Final = 5.0
+# Maximum number of bytes of an answer. The platform's specification limits a page of
+# rows to 1 MB before it is encoded, and an object to 8 MiB; the rest is for its head.
+ANSWER_BYTES_MAX: Final = 8_388_608 + 65_536
+# Maximum number of pages of a table and of bytes of its values, in case the store never
+# says that a page is the last.
+TABLE_PAGES_MAX: Final = 200
+TABLE_BYTES_MAX: Final = 33_554_432
 # Maximum number of idle connections to the store.
 IDLE_CONNECTIONS_MAX: Final = 8
 # Maximum number of rows in one page of a read.
@@ -179,8 +189,8 @@
 
     def _read_range(self, table: str, start: str, end: str) -> tuple[list[Row], int]:
         rows: list[Row] = []
-        version = 0
-        while True:
+        version = size = 0
+        for _ in range(TABLE_PAGES_MAX):
             query = {"table": table, "part": "", "limit": PAGE_ROWS_MAX}
             if start:
                 query["from"] = start
@@ -193,12 +203,16 @@
                 raise PlatformUnavailable("store rollback between two pages of a table")
             page = _decode_rows(answer, _era(resp))
             rows += page
+            size += sum(len(row.value) for row in page)
             # Later pages may be newer than the first one. Following the table from the
             # first page's version may repeat changes but misses none.
             version = version or _store_version(answer)
             if not answer.get("more_pages") or not page:
                 return rows, version
+            if size > TABLE_BYTES_MAX or page[-1].key < start:
+                break
             start = page[-1].key + "\x00"
+        raise PlatformOutcomeUnknown(f"table {table} has no end")
 
     def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpAnswer:
         return self._request("GET", f"{path}?{urlencode(query)}", timeout_s=timeout_s)
@@ -218,9 +232,11 @@
     ) -> HttpAnswer:
         self.calls += 1
         headers = {"Content-Type": "application/json"} if body is not None else {}
+        # A call that waits for changes has a longer timeout than READ_TIMEOUT_S.
+        limits = CallLimits(timeout_s, timeout_s + CALL_TIMEOUT_S, ANSWER_BYTES_MAX)
         try:
             resp = self._pool.request(
-                method, self._address, path, headers, body, timeout_s
+                method, self._address, path, headers, body, limits
             )
         except ConnectFailed as exc:
             raise PlatformUnavailable(f"{method} {path}: {exc}") from exc
--- a/arbutusyard/platform/servers.py
+++ b/arbutusyard/platform/servers.py
@@ -12,12 +12,20 @@
     ConnectFailed,
     PlatformOutcomeUnknown,
 )
-from arbutusyard.platform.http import HttpAnswer, HttpPool
+from arbutusyard.platform.http import CallLimits, HttpAnswer, HttpPool
 from arbutusyard.weights.models import LoadOrder, OrderOutcome, ServerReport
 
 # Timeout of an answer, in seconds. A server answers an order at once; after a second
 # without an answer the order's outcome counts as unknown.
 CALL_TIMEOUT_S: Final = 1.0
+# Maximum time of a whole call to a cache store beyond its wait for events,
+# in seconds. Requests wait for no such call.
+EVENTS_TIMEOUT_S: Final = 3.0
+# Maximum number of bytes of a report or of the answer to an order. A report lists some
+# fifty bytes for each request that runs or waits.
+REPORT_BYTES_MAX: Final = 262_144
+# Maximum number of bytes of an answer with cache events, some sixty for each event.
+EVENTS_BYTES_MAX: Final = 2_097_152
 # Timeout of opening a connection, in seconds.
 CONNECT_TIMEOUT_S: Final = 0.5
 # Maximum number of idle connections to each server.
@@ -131,7 +139,10 @@
         path = f"{PATH_EVENTS}?since={since}"
         headers = {"Wait-Ms": str(EVENTS_WAIT_MS)}
         wait_s = EVENTS_WAIT_MS / MS_PER_S
-        resp = self._request("GET", address, path, headers, None, wait_s)
+        limits = CallLimits(
+            CALL_TIMEOUT_S + wait_s, EVENTS_TIMEOUT_S + wait_s, EVENTS_BYTES_MAX
+        )
+        resp = self._request("GET", address, path, headers, None, limits)
         if resp.status != 200:
             raise PlatformOutcomeUnknown(
                 f"cache events of {address}: status {resp.status}"
@@ -150,8 +161,9 @@
     def _call_incarnation(
         self, method: str, address: str, path: str, server_id: str, body: Any
     ) -> HttpAnswer:
+        limits = CallLimits(CALL_TIMEOUT_S, CALL_TIMEOUT_S, REPORT_BYTES_MAX)
         return self._request(
-            method, address, path, {"Expect-Instance": server_id}, body, 0.0
+            method, address, path, {"Expect-Instance": server_id}, body, limits
         )
 
     def _request(
@@ -161,16 +173,13 @@
         path: str,
         headers: dict[str, str],
         body: Any,
-        wait_s: float,
+        limits: CallLimits,
     ) -> HttpAnswer:
         data = None
         if body is not None:
             headers["Content-Type"] = "application/json"
             data = msgspec.json.encode(body)
-        read_timeout_s = CALL_TIMEOUT_S + wait_s
         try:
-            return self._pool.request(
-                method, address, path, headers, data, read_timeout_s
-            )
+            return self._pool.request(method, address, path, headers, data, limits)
         except (ConnectFailed, CallOutcomeUnknown) as exc:
             raise PlatformOutcomeUnknown(f"{method} {address}{path}: {exc}") from exc
