Ask less often for reports that cannot be read, and do not wait for them

Callers saw: streams at a server with a slow or endless report waited up to 1 s each for a check of its start; the roll-out and each 421 asked again at once; one client that left made the check fail for all requests that shared it. Cause: the decisions above the call had no memory of a failed one. Change: pauses of 0.5 to 2 s for each incarnation, for all users of its report; no wait for 0.5 s after a failed check of a start, which runs in its own task; cache stores likewise. A server that answers invalidly is reachable and is not suspected. REPORT_PAUSE_MAX_S stays far under the time that weights may take after a heal.

--- a/arbutusyard/fleet/caches.py
+++ b/arbutusyard/fleet/caches.py
@@ -10,6 +10,7 @@
 from arbutusyard.fleet.const import (
     CACHE_READ_INTERVAL_S,
     CACHE_REPORTERS,
+    CACHE_RETRY_MAX_S,
     CACHE_RETRY_S,
     CACHE_STORE_UPDATES_MAX,
     CACHE_WATCHERS,
@@ -108,14 +109,17 @@
     def _read_events(self, address: str) -> None:
         """Read one store's events for as long as this node has to watch it."""
         position = 0
+        retry_s = CACHE_RETRY_S
         while self._is_watcher() and address in self._addresses():
             try:
                 batch = self._client.poll_cache_events(address, position)
             except PlatformOutcomeUnknown as exc:
                 self._record_epoch(address, 0, str(exc))
                 position = 0
-                gevent.sleep(CACHE_RETRY_S)
+                gevent.sleep(retry_s)
+                retry_s = min(CACHE_RETRY_MAX_S, retry_s * 2)
                 continue
+            retry_s = CACHE_RETRY_S
             if batch.epoch != self._epochs.get(address):
                 self._record_epoch(address, batch.epoch, "")
             self._apply(address, batch)
--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -167,6 +167,9 @@
 # Delay before a cache store is contacted again, and interval between checks of which
 # stores to watch, in seconds.
 CACHE_RETRY_S: Final = 0.5
+# Maximum delay before a cache store that does not answer is contacted again, in
+# seconds.
+CACHE_RETRY_MAX_S: Final = 2.0
 # Number of heartbeats that carry an update on segments or cache stores, since datagrams
 # may be lost.
 UPDATE_HEARTBEATS: Final = 3
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -66,6 +66,8 @@
     # ruled it out was sent.
     restart_suspected_at: float = float("-inf")
     verified_at: float = float("-inf")
+    # Time before which the server is not asked again when it started.
+    verify_after: float = float("-inf")
     failure_rate: float = 0.0
     failure_at: float = 0.0
     loading_until: float = 0.0
--- a/arbutusyard/gateway/incarnations.py
+++ b/arbutusyard/gateway/incarnations.py
@@ -1,7 +1,9 @@
 """Verify that a server is still the incarnation that its entry describes."""
 
 import logging
+from typing import Final
 
+import gevent
 from gevent.event import AsyncResult
 
 from arbutusyard import clock
@@ -12,6 +14,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# Time after a failed check before the same incarnation is asked again, in seconds.
+# Requests that arrive meanwhile do not wait.
+VERIFY_PAUSE_S: Final = 0.5
+
 
 class IncarnationCheck:
     """Ask servers that may have started again under their ids when they started.
@@ -36,17 +42,24 @@
             or not server.entry.started_at_ms
         ):
             return True
+        if clock.now() < server.verify_after:
+            return False
         running = self._running.get(server.incarnation)
-        if running is not None:
-            return running.get()
-        running = self._running[server.incarnation] = AsyncResult()
+        if running is None:
+            running = self._running[server.incarnation] = AsyncResult()
+            # A task of its own, since the request that needs it first may be given up.
+            gevent.spawn(self._run, server, running)
+        return running.get()
+
+    def _run(self, server: Server, running: AsyncResult) -> None:
         is_current = False
         try:
             is_current = self._verify(server)
         finally:
+            if not is_current:
+                server.verify_after = clock.now() + VERIFY_PAUSE_S
             del self._running[server.incarnation]
             running.set(is_current)
-        return is_current
 
     def _verify(self, server: Server) -> bool:
         sent_at = clock.now()
--- a/arbutusyard/platform/exceptions.py
+++ b/arbutusyard/platform/exceptions.py
@@ -15,6 +15,10 @@
     """Report that a call may have had an effect: no valid answer to it arrived."""
 
 
+class PlatformAnswerInvalid(PlatformOutcomeUnknown):
+    """Report that the other end is reachable but what it sent is no valid answer."""
+
+
 class ConnectFailed(ArbutusyardError):
     """Report that no connection could be opened, so nothing was sent."""
 
@@ -23,6 +27,10 @@
     """Report that a request was sent, at least in part, and got no complete answer."""
 
 
+class AnswerInvalid(CallOutcomeUnknown):
+    """Report that what was sent as the answer is malformed or too large."""
+
+
 class HistoryUnavailable(PlatformError):
     """Report that the store no longer has all changes since a version."""
 
--- a/arbutusyard/platform/http.py
+++ b/arbutusyard/platform/http.py
@@ -8,7 +8,11 @@
 from msgspec import Struct
 
 from arbutusyard import clock
-from arbutusyard.platform.exceptions import CallOutcomeUnknown, ConnectFailed
+from arbutusyard.platform.exceptions import (
+    AnswerInvalid,
+    CallOutcomeUnknown,
+    ConnectFailed,
+)
 
 # Maximum time that sent bytes may stay unacknowledged before the kernel closes the
 # connection, in milliseconds; without it, a call on a dead connection would hang.
@@ -62,14 +66,17 @@
         """Send a request and return the answer.
 
         Raise ConnectFailed when nothing was sent, CallOutcomeUnknown when the request
-        was sent, at least in part, without a complete answer within the limits.
+        was sent, at least in part, without a complete answer within the limits, and
+        AnswerInvalid if what came is malformed or too large.
         """
         conn = self._acquire(address)
         complete = False
         try:
             answer = conn.call(method, path, headers, body, limits)
             complete = True
-        except (h11.RemoteProtocolError, OSError) as exc:
+        except h11.RemoteProtocolError as exc:
+            raise AnswerInvalid(str(exc)) from exc
+        except OSError as exc:
             raise CallOutcomeUnknown(f"{type(exc).__name__}: {exc}") from exc
         finally:
             if not complete:
--- a/arbutusyard/platform/servers.py
+++ b/arbutusyard/platform/servers.py
@@ -8,8 +8,10 @@
 from arbutusyard.const import MS_PER_S
 from arbutusyard.fleet.messages import CacheEvent, CacheEventBatch
 from arbutusyard.platform.exceptions import (
+    AnswerInvalid,
     CallOutcomeUnknown,
     ConnectFailed,
+    PlatformAnswerInvalid,
     PlatformOutcomeUnknown,
 )
 from arbutusyard.platform.http import CallLimits, HttpAnswer, HttpPool
@@ -116,11 +118,11 @@
         """Read a server's report; raise PlatformOutcomeUnknown if there is none."""
         resp = self._call_incarnation("GET", address, PATH_REPORT, server_id, None)
         if resp.status != 200:
-            raise PlatformOutcomeUnknown(f"report: status {resp.status}")
+            raise PlatformAnswerInvalid(f"report: status {resp.status}")
         try:
             wire = msgspec.json.decode(resp.data, type=WireReport)
         except msgspec.DecodeError as exc:
-            raise PlatformOutcomeUnknown(f"report is malformed: {exc}") from exc
+            raise PlatformAnswerInvalid(f"report is malformed: {exc}") from exc
         return ServerReport(
             loading=wire.busy,
             orders_taken=wire.sequence,
@@ -150,7 +152,7 @@
         try:
             wire = msgspec.json.decode(resp.data, type=WireEvents)
         except msgspec.DecodeError as exc:
-            raise PlatformOutcomeUnknown(f"cache events are malformed: {exc}") from exc
+            raise PlatformAnswerInvalid(f"cache events are malformed: {exc}") from exc
         events = tuple(
             CacheEvent(item[1] == "+", str(item[2]), str(item[3]))
             for item in wire.events
@@ -181,5 +183,7 @@
             data = msgspec.json.encode(body)
         try:
             return self._pool.request(method, address, path, headers, data, limits)
+        except AnswerInvalid as exc:
+            raise PlatformAnswerInvalid(f"{method} {address}{path}: {exc}") from exc
         except (ConnectFailed, CallOutcomeUnknown) as exc:
             raise PlatformOutcomeUnknown(f"{method} {address}{path}: {exc}") from exc
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -16,7 +16,10 @@
 from arbutusyard.gateway.models import ServerState
 from arbutusyard.limits.server_limits import ServerLimits
 from arbutusyard.platform.client import PlatformClient
-from arbutusyard.platform.exceptions import PlatformOutcomeUnknown
+from arbutusyard.platform.exceptions import (
+    PlatformAnswerInvalid,
+    PlatformOutcomeUnknown,
+)
 from arbutusyard.platform.servers import ServerClient
 from arbutusyard.routing.segments import PREFILL_TOKENS_PER_S
 from arbutusyard.supervisor import Restart, Supervisor
@@ -34,6 +37,8 @@
     LOADING_SLACK_S,
     ORDER_DELIVERY_MAX_S,
     PLAN_INTERVAL_S,
+    REPORT_FAILURES_MAX,
+    REPORT_PAUSE_MAX_S,
     REPORT_POLL_S,
     RETRY_DELAY_S,
     STATUS_REPEAT_S,
@@ -67,6 +72,7 @@
         "_downtime_s",
         "_peers",
         "_ready",
+        "_report_failures",
         "_retry_at",
         "_supervisor",
         "_uptime_s",
@@ -102,6 +108,9 @@
         self._downtime_s = DRAIN_RUNS_MAX_S + INITIAL_LOAD_TIME_S + LOADING_SLACK_S
         self._engine_statuses: dict[str, tuple[EngineStatus, float]] = {}
         self._orders_taken: dict[tuple[str, int], int] = {}
+        # Number of consecutive reports of each server that could not be read, and the
+        # time from which the next one is read.
+        self._report_failures: dict[tuple[str, int], tuple[int, float]] = {}
         self._retry_at: dict[tuple[str, int], float] = {}
         self._limits = ServerLimits(node)
         self._ready: Callable[[float], bool] = lambda now: False
@@ -332,7 +341,6 @@
             # refused order and shows whether the engine can be reached at all.
             orders_known = server.incarnation in self._orders_taken
             if not orders_known and self._read_report(server) is None:
-                server.suspect(clock.now())
                 return
             self._mark_loading(model, server)
             self._wait_idle(server)
@@ -342,7 +350,9 @@
                 took_s = clock.now() - started_at
                 self._downtime_s += DOWNTIME_WEIGHT * (took_s - self._downtime_s)
             else:
-                self._retry_at[server.incarnation] = clock.now() + RETRY_DELAY_S
+                retry_at = clock.now() + RETRY_DELAY_S
+                _, read_at = self._report_failures.get(server.incarnation, (0, 0.0))
+                self._retry_at[server.incarnation] = max(retry_at, read_at)
             self._loading.discard(server.incarnation)
             server.loading_until = 0.0
             version = server.weights.get(model, 0)
@@ -437,6 +447,7 @@
         while clock.now() - started_at < LOAD_TIMEOUT_S / 2 and not server.dead:
             report = self._read_report(server)
             if report is None:
+                gevent.sleep(REPORT_POLL_S)
                 return
             if report.weights.get(model, 0) >= version:
                 if outcome is OrderOutcome.ACCEPTED:
@@ -448,16 +459,35 @@
             gevent.sleep(max(REPORT_POLL_S, interval_s))
 
     def _read_report(self, server: Server) -> ServerReport | None:
-        """Return a server's report after applying it, or None without a valid one."""
+        """Return a server's report after applying it, or None without a valid one.
+
+        A server whose reports cannot be read is asked less and less often.
+        """
         entry = server.entry
+        failures, read_at = self._report_failures.get(server.incarnation, (0, 0.0))
+        if failures and clock.now() < read_at:
+            return None
         self._limits.count_sent(server.incarnation, clock.now())
         try:
             report = self._client.report(entry.address, entry.server_id)
         except PlatformOutcomeUnknown as exc:
+            pause_s = min(REPORT_PAUSE_MAX_S, RETRY_DELAY_S * 2**failures)
+            self._report_failures[server.incarnation] = (
+                min(failures + 1, REPORT_FAILURES_MAX),
+                clock.now() + pause_s,
+            )
             _LOGGER.info(
-                "Cannot read the report of server %s: %s", entry.server_id, exc
+                "Cannot read the report of server %s: %s",
+                entry.server_id,
+                exc,
+                extra={"server": entry.server_id, "pause_s": pause_s},
             )
+            if not isinstance(exc, PlatformAnswerInvalid) and (
+                server.incarnation not in self._orders_taken
+            ):
+                server.suspect(clock.now())
             return None
+        self._report_failures.pop(server.incarnation, None)
         if report.started_at_ms != entry.started_at_ms:
             self._mark_superseded(server)
             return None
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -2,10 +2,19 @@
 
 import json
 
+import gevent
 from msgspec.structs import replace
 
+from arbutusyard import clock
 from arbutusyard.gateway.models import RetryPolicy
-from tests.gateway.support import answer, chunk, event, stream_head, wait_for
+from tests.gateway.support import (
+    answer,
+    chunk,
+    event,
+    request_bytes,
+    stream_head,
+    wait_for,
+)
 
 STREAM = {"streaming": True, "retry_policy": RetryPolicy.RESUME, "max_attempts": 3}
 
@@ -162,3 +171,58 @@
     assert resume(gateway, "r10", Model="m").complete
     reports = [r for r in servers[0].requests if r.first.startswith("GET /-/report")]
     assert len(reports) == 1
+
+
+# Guards against late streams: each request waited for a report that did not come.
+def test_requests_do_not_wait_for_a_report_that_just_failed_to_come(run):
+    asked = []
+
+    def silent_report(request):
+        if request.first.startswith("GET /-/report"):
+            asked.append(request)
+            yield b"HTTP/1.1 200 OK\r\n"
+            gevent.sleep(3.0)
+        elif "breaks" in request.headers:
+            yield from broken_stream(request)
+        else:
+            yield from whole_stream(request)
+
+    gateway, _ = run(silent_report, **STREAM)
+    set_versions(gateway, "v1")
+    gateway.call(Request_Id="r0", Model="m", Breaks="1")
+    use_only(gateway, 0)
+    assert gateway.call(Request_Id="r1", Model="m").complete
+    assert len(asked) == 1
+    use_only(gateway, 0)
+    started_at = clock.now()
+    assert gateway.call(Request_Id="r2", Model="m").complete
+    assert clock.now() - started_at < 0.3
+    assert len(asked) == 1
+
+
+# A check that many requests share goes on when the client of the first one leaves.
+def test_a_client_that_leaves_does_not_fail_the_check_for_others(run):
+    def slow_report(request):
+        if request.first.startswith("GET /-/report"):
+            gevent.sleep(0.5)
+            report = {"busy": False, "sequence": 0, "models": [], "born": 1}
+            yield answer(request, body=json.dumps(report).encode())
+        elif "breaks" in request.headers:
+            yield from broken_stream(request)
+        else:
+            yield from whole_stream(request)
+
+    gateway, servers = run(slow_report, **STREAM)
+    set_versions(gateway, "v1")
+    gateway.call(Request_Id="r0", Model="m", Breaks="1")
+    use_only(gateway, 0)
+    leaving = gateway.connect()
+    leaving.sendall(request_bytes(Request_Id="r1", Model="m"))
+    wait_for(lambda: any("report" in r.first for r in servers[0].requests))
+    other = gevent.spawn(gateway.call, Request_Id="r2", Model="m")
+    gevent.sleep(0.1)
+    leaving.close()
+    assert other.get(timeout=3).complete
+    use_only(gateway, 0)
+    # Its version is proven, so it can be resumed.
+    assert resume(gateway, "r2", Model="m").complete
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -34,6 +34,8 @@
         self.log = []
         self.faults = []
         self.busy = False
+        # Times at which a report without end was asked for.
+        self.endless_reports = None
         self.server = ScriptedServer(self._script)
 
     @property
@@ -42,6 +44,11 @@
 
     def _script(self, request):
         if request.first.startswith("GET /-/report"):
+            if self.endless_reports is not None:
+                self.endless_reports.append(clock.now())
+                yield b"HTTP/1.1 200 OK\r\n\r\n"
+                while True:
+                    yield b" " * 65_536
             report = {
                 "busy": self.busy,
                 "sequence": self.orders,
@@ -219,6 +226,31 @@
     wait_for(lambda: all(engine.version == 2 for engine in engines), 12)
 
 
+# Guards against LOST and VERSION: a report without end held the roll-out up, and was
+# asked for again at once.
+def test_an_engine_whose_report_does_not_end_does_not_delay_the_others(make_nodes):
+    engines = [Engine() for _ in range(4)]
+    endless = Engine()
+    endless.endless_reports = []
+    (node,) = make_nodes([endless, *engines], "n1")
+    node.set_target(2)
+    wait_for(lambda: all(engine.version == 2 for engine in engines), 12)
+    started_at = clock.now()
+    gevent.sleep(4.0)
+    asked = [at for at in endless.endless_reports if at >= started_at]
+    assert 1 <= len(asked) <= 4
+    # Once it can be read it gets its weights.
+    endless.endless_reports = None
+    wait_for(lambda: endless.version == 2, 4)
+    # A mismatch found by a request does not ask more often either.
+    endless.endless_reports = []
+    server = node.fleet_state.servers.get("e0")
+    for _ in range(20):
+        node.weights.check_weights(server)
+        gevent.sleep(0.05)
+    assert len(endless.endless_reports) <= 2
+
+
 def test_a_lease_holder_cut_off_from_the_store_is_succeeded_by_a_node_that_reads_it(
     make_nodes,
 ):
