Open a connection for each order and each report

Operators would see: weights count as loaded that are not, where a server repeats an answer. Cause: orders and reports have no IDs and shared pooled connections, so a late copy of a report's 200 was taken for the outcome of an order. Change: a new connection for each; cache events, which are polled all the time, keep theirs. Evidence: test_a_copy_of_an_answer_is_not_the_outcome_of_the_next_call failed before (HOLDS in place of CONFLICT).

--- a/arbutusyard/platform/servers.py
+++ b/arbutusyard/platform/servers.py
@@ -30,7 +30,7 @@
 EVENTS_BYTES_MAX: Final = 2_097_152
 # Timeout of opening a connection, in seconds.
 CONNECT_TIMEOUT_S: Final = 0.5
-# Maximum number of idle connections to each server.
+# Maximum number of idle connections to each cache store.
 IDLE_CONNECTIONS_MAX: Final = 4
 
 PATH_ORDER: Final = "/-/order"
@@ -90,10 +90,13 @@
 class ServerClient:
     """Call the interfaces of backend servers that clients do not use."""
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_pool", "_single_calls")
 
     def __init__(self) -> None:
         self._pool = HttpPool(CONNECT_TIMEOUT_S, IDLE_CONNECTIONS_MAX)
+        # Orders and reports have no IDs, so on a connection that was used before a late
+        # copy of an answer would pass for the next one.
+        self._single_calls = HttpPool(CONNECT_TIMEOUT_S, idle_max=0)
 
     def order_load(self, order: LoadOrder) -> OrderOutcome:
         """Order a load of weights; raise PlatformOutcomeUnknown without an answer."""
@@ -144,7 +147,7 @@
         limits = CallLimits(
             CALL_TIMEOUT_S + wait_s, EVENTS_TIMEOUT_S + wait_s, EVENTS_BYTES_MAX
         )
-        resp = self._request("GET", address, path, headers, None, limits)
+        resp = self._request(self._pool, "GET", address, path, headers, None, limits)
         if resp.status != 200:
             raise PlatformOutcomeUnknown(
                 f"cache events of {address}: status {resp.status}"
@@ -164,12 +167,14 @@
         self, method: str, address: str, path: str, server_id: str, body: Any
     ) -> HttpAnswer:
         limits = CallLimits(CALL_TIMEOUT_S, CALL_TIMEOUT_S, REPORT_BYTES_MAX)
+        headers = {"Expect-Instance": server_id}
         return self._request(
-            method, address, path, {"Expect-Instance": server_id}, body, limits
+            self._single_calls, method, address, path, headers, body, limits
         )
 
     def _request(
         self,
+        pool: HttpPool,
         method: str,
         address: str,
         path: str,
@@ -182,7 +187,7 @@
             headers["Content-Type"] = "application/json"
             data = msgspec.json.encode(body)
         try:
-            return self._pool.request(method, address, path, headers, data, limits)
+            return pool.request(method, address, path, headers, data, limits)
         except AnswerInvalid as exc:
             raise PlatformAnswerInvalid(f"{method} {address}{path}: {exc}") from exc
         except (ConnectFailed, CallOutcomeUnknown) as exc:
