Send datagrams without blocking, from a queue if the kernel takes none

Users saw: LOST around SIGTERM, and DRAIN and VERSION after the task that follows the servers' table had failed (their logs are cut before the exception; reproduced here, not proved to be it). Cause: any task sent with a blocking send. On a full link the first one waits, and each further one gets gevent's ConcurrentObjectUseError: the watcher as it confirms a read, a request's task as it reports its load, and the node's drain, which ends the process. Change: DatagramOutbox tries without blocking and queues in order, within 256 KiB and 0.5 s.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -175,3 +175,11 @@
 UPDATE_HEARTBEATS: Final = 3
 # Maximum number of pending updates on cache stores; the oldest are dropped.
 CACHE_STORE_UPDATES_MAX: Final = 32
+# Maximum size of the datagrams that wait for a kernel that takes none, in bytes, and
+# maximum time for which they wait, in seconds: by then a newer heartbeat is due.
+OUTBOX_BYTES_MAX: Final = 262_144
+OUTBOX_RETENTION_S: Final = 0.5
+# Interval between attempts to send queued datagrams, in seconds.
+OUTBOX_RETRY_S: Final = 0.005
+# Minimum interval between log lines on dropped datagrams, in seconds.
+OUTBOX_LOG_INTERVAL_S: Final = 1.0
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -50,6 +50,7 @@
     ServerLoad,
     ServerUpdate,
 )
+from arbutusyard.fleet.outbox import DatagramOutbox
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.limits.const import BUDGET_RETENTION_S
 from arbutusyard.limits.sharing import FleetShare, SharingNodes
@@ -78,6 +79,7 @@
         "_build_heartbeat",
         "_failure_domain",
         "_incarnation",
+        "_outbox",
         "_pending_leaving",
         "_pending_limits",
         "_removed_sent_at",
@@ -128,6 +130,7 @@
         self._build_heartbeat = build_heartbeat
         self._failure_domain = failure_domain
         self._incarnation = incarnation
+        self._outbox: DatagramOutbox | None = None
         self._wake = Event()
         self._readers_seen_at: dict[str, float] = {}
         # When each peer was last sent the remembered removals of servers, by name.
@@ -186,7 +189,9 @@
         host, port = self._address.rsplit(":", 1)
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, int(port)))
+        self._outbox = DatagramOutbox(self._socket)
         self._supervisor = app.supervisor.child(self.name)
+        self._supervisor.spawn("outbox", self._outbox.run)
         self._supervisor.spawn("receive", self._receive_forever)
         self._supervisor.spawn("send", self._send_forever)
         self._supervisor.spawn("register", self._register)
@@ -405,11 +410,7 @@
             self._send_to(heartbeat.peer_address, data)
 
     def _send_to(self, address: str, data: bytes) -> None:
-        host, port = address.rsplit(":", 1)
-        try:
-            self._socket.sendto(data, (host, int(port)))
-        except OSError as exc:
-            _LOGGER.debug("Could not send a datagram to %s: %s", address, exc)
+        self._outbox.send(address, data, clock.now())
 
     def send_datagram(self, peer: Heartbeat, datagram: Datagram) -> None:
         """Send one datagram to one node."""
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -7,6 +7,7 @@
 
 from arbutusyard import clock
 from arbutusyard.fleet.caches import CacheWatcher
+from arbutusyard.fleet.outbox import DatagramOutbox
 from arbutusyard.fleet.peers import PeerCoordinator
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.models import CallerRequest
@@ -164,11 +165,18 @@
         caches = CacheWatcher(self.state, self.peers.table, self.router.segments, None)
         self.node.register_callbacks(self.peers, weights, caches)
         self.peers._socket = self
+        self.peers._outbox = DatagramOutbox(self)
         self.peers._supervisor = self
         self.peers._addresses = {f"10.0.0.{n}:1" for n in range(self.fleet.count)} - {
             self.address
         }
 
+    def gettimeout(self):
+        return None
+
+    def settimeout(self, timeout_s):
+        pass
+
     def sendto(self, data, address):
         self.fleet.datagrams.append((self, f"{address[0]}:{address[1]}", data))
         if self.fleet.delivers_at_once:
