Confirm a read of a table only after its rows are applied

Users saw: DRAIN and VERSION after the task of the servers' table had failed. Cause: the read was recorded as done first, so a table whose rows could not be applied counted as fresh and was confirmed to peers. Not proved to be what the users saw. Evidence: test_a_read_whose_rows_cannot_be_applied_is_repeated_and_not_confirmed failed before.

--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -167,6 +167,17 @@
                 gevent.sleep(retry_s)
                 retry_s = min(READ_RETRY_MAX_S, retry_s * 2)
                 continue
+            except Exception as exc:
+                # A table that is not followed leads requests to servers that left.
+                _LOGGER.exception(
+                    "Reading table %s failed with %s: %s",
+                    self.table,
+                    type(exc).__name__,
+                    exc,
+                )
+                gevent.sleep(retry_s)
+                retry_s = min(READ_RETRY_MAX_S, retry_s * 2)
+                continue
             retry_s = READ_RETRY_S
             gevent.sleep(self.interval_s)
 
@@ -189,6 +200,10 @@
         except PlatformError as exc:
             self._record_failure(exc)
             raise
+        except Exception:
+            # Which rows were applied is not known, so the table is read whole next.
+            self._version = None
+            raise
         # This node's own read confirms as much as a peer's confirmation.
         self._confirmation_at = self.read_at = clock.now()
         self.after_read(heartbeats)
@@ -204,10 +219,11 @@
             known_at = self.confirmed_at
             self.changed_at = known_at if known_at > float("-inf") else None
             self._update_era(snapshot.era)
-            self._record_read(sent_at)
+            self._end_outage(sent_at)
             self.read_version = (snapshot.era, snapshot.version)
             self._replace(snapshot.rows)
             self._version = snapshot.version
+            self._record_read(sent_at)
             return
         wait_s = self.wait_s if self.is_reader else 0.0
         changes = self._client.follow(self.table, self._version, wait_s)
@@ -218,11 +234,12 @@
         # What changed while this node did not read may have changed at any time since.
         is_recent = sent_at - self.confirmed_at <= STORE_GAP_MAX_S
         self.changed_at = clock.now() if is_recent else self.confirmed_at
-        self._record_read(sent_at)
+        self._end_outage(sent_at)
         self.read_version = (changes.era, changes.version)
         if changes.rows:
             self._apply(changes.rows)
         self._version = max(self._version, changes.version)
+        self._record_read(sent_at)
 
     def _update_era(self, era: int) -> None:
         if self.era is not None and era != self.era:
@@ -237,7 +254,8 @@
             self._uninterrupted_since = float("inf")
         self.era = era
 
-    def _record_read(self, sent_at: float) -> None:
+    def _end_outage(self, sent_at: float) -> None:
+        """Record that an outage has ended, before the rows of a read are applied."""
         # A long gap is an outage even if no call failed, as after a VM was suspended.
         gap_s = sent_at - self.confirmed_at
         if self.unreachable or OUTAGE_GAP_S < gap_s < float("inf"):
@@ -249,6 +267,9 @@
                 self.table,
                 extra={"away_s": round(gap_s, 3)},
             )
+
+    def _record_read(self, sent_at: float) -> None:
+        """Record a read whose rows were applied."""
         is_interrupted = (
             self.unreachable or sent_at - self._read_sent_at > STORE_GAP_MAX_S
         )
--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -343,3 +343,51 @@
     store.platform.delay_s = 0.0
     wait_for(lambda: fleet_state.target_version("m") == 2)
     assert 0 <= fleet_state.superseded_s("m", 1, clock.now()) < 1.0
+
+
+# Guards against DRAIN and VERSION: a read counted as done although its rows were not
+# applied, and the task that follows the table was down.
+def test_a_read_whose_rows_cannot_be_applied_is_repeated_and_not_confirmed(
+    store, fleet_state, caplog
+):
+    watcher = fleet_state._server_watcher
+    failures = []
+    confirmed = []
+    fleet_state.set_read_hooks(
+        lambda: [], lambda table, digest, heartbeats: confirmed.append(table)
+    )
+
+    class FailingServers(type(fleet_state.servers)):
+        __slots__ = ()
+
+        def update(self, entry):
+            if entry.server_id == "s2" and len(failures) < 3:
+                failures.append(watcher.confirmed_at)
+                raise RuntimeError("scripted")
+            super().update(entry)
+
+    fleet_state.servers.__class__ = FailingServers
+    store.write("servers", "s2", entry())
+    wait_for(lambda: failures)
+    confirmed_at = watcher.confirmed_at
+    confirmed.clear()
+    gevent.sleep(0.1)
+    assert watcher.confirmed_at == confirmed_at
+    assert "servers" not in confirmed
+    wait_for(lambda: fleet_state.servers.get("s2") is not None, 5.0)
+    assert watcher.confirmed_at > confirmed_at
+    assert "Reading table servers failed with RuntimeError: scripted" in caplog.text
+    # Removals are not taken for the effect of an outage of the store.
+    store.remove("servers", "s1")
+    wait_for(lambda: fleet_state.servers.get("s1") is None, 1.0)
+
+
+# A node goes on following a table although it cannot tell its peers.
+def test_a_hook_that_fails_does_not_end_the_reading_of_a_table(store, fleet_state):
+    def failing(table, digest, heartbeats):
+        raise RuntimeError("scripted")
+
+    fleet_state.set_read_hooks(lambda: [], failing)
+    for n in range(2, 5):
+        store.write("servers", f"s{n}", entry())
+        wait_for(lambda n=n: fleet_state.servers.get(f"s{n}") is not None, 3.0)
