Give up a silent server only if another attempt can follow

Clients saw: streams that ended without a whole answer while their server was still at work (LOST). In the users' record the lost request's server is unresponsive on another node in the same seconds. Cause: whether the retry budget allows the next attempt, and whether it can continue what the client has got, was asked after the attempt had been given up. Change: both are asked before; the retry is paid as the server is given up, and given back if no attempt was made. What cannot follow waits for its server. Evidence: test_a_silent_server_is_only_given_up_if_another_attempt_can_follow: both cases cut off before. Tests on unresponsive and prefilling servers pass.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+from collections.abc import Callable
 
 from msgspec import Struct, field
 
@@ -87,6 +88,8 @@
     # Attempts that failed before a byte was sent.
     connect_failures: int = 0
     excluded: set[str] = field(default_factory=set)
+    # The next attempt was taken from the retry budget as this one was given up.
+    retry_is_paid: bool = False
     sequence: EventSequence = field(default_factory=EventSequence)
     first_event_at: float | None = None
     # Number of events relayed to the client, over all attempts.
@@ -134,6 +137,7 @@
         "_quarantine",
         "_router",
         "share",
+        "spend_retry",
     )
 
     def __init__(
@@ -154,6 +158,7 @@
         self._pool = pool
         self._quarantine = quarantine
         self.share = FleetShare()
+        self.spend_retry: Callable[[str, float], bool] = lambda service, now: True
         self._malformed_limit_ids: set[str] = set()
         self._malformed_pause_ids: set[str] = set()
 
@@ -320,12 +325,18 @@
             return False
         if exchange.executions + 1 >= exchange.route.max_attempts:
             return False
+        if not exchange.can_continue():
+            return False
         others = self._fleet_state.servers.of_service(exchange.service)
-        return any(
-            exchange.software_version in (None, other.entry.software_version)
+        has_other = any(
+            other is not server
+            and exchange.software_version in (None, other.entry.software_version)
             and self._router.accepts(other, now)
             for other in others
         )
+        # Only an attempt that can follow is a reason not to wait any longer.
+        exchange.retry_is_paid = has_other and self.spend_retry(exchange.service, now)
+        return exchange.retry_is_paid
 
     def _connection_cap(self, service: str) -> int:
         catalog = self._fleet_state.catalog
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -89,6 +89,7 @@
         self._retry_budget = RetryBudget(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        self._dispatcher.spend_retry = self._retry_budget.spend
 
     @property
     def leaving(self) -> bool:
@@ -141,6 +142,8 @@
             self._retry_budget.count_request(exchange.service, now)
             outcome = refused or self._try_servers(exchange)
         finally:
+            if exchange.retry_is_paid:
+                self._retry_budget.give_back(exchange.service)
             self._record_outcome(exchange, outcome, clock.now())
 
     def _find_origin(self, exchange: Exchange) -> str:
@@ -257,7 +260,8 @@
 
     def _may_spend_retry(self, exchange: Exchange, now: float) -> bool:
         """Take a retry from the joint budget; return False if it is used up."""
-        if self._retry_budget.spend(exchange.service, now):
+        if exchange.retry_is_paid or self._retry_budget.spend(exchange.service, now):
+            exchange.retry_is_paid = False
             return True
         _LOGGER.info(
             "Retry refused: this node's share of the budget is used up",
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -476,6 +476,55 @@
     assert not known.suspected
 
 
+# Guards against LOST: a silent server was given up for an attempt that could not
+# follow, so its stream ended without a whole answer.
+@pytest.mark.parametrize("reason", ["budget", "unnumbered"])
+def test_a_silent_server_is_only_given_up_if_another_attempt_can_follow(run, reason):
+    first = event(1) if reason == "budget" else b"data: x\n\n"
+    last = event(2) if reason == "budget" else b"data: y\n\n"
+
+    def pausing(request):
+        yield stream_head(request) + chunk(first)
+        gevent.sleep(1.6)
+        yield chunk(last) + b"0\r\n\r\n"
+
+    gateway, servers = run(
+        pausing,
+        whole_stream,
+        retry_policy=RetryPolicy.RESUME,
+        streaming=True,
+        timeout_s=5.0,
+    )
+    gateway.fleet_state.servers.get("s1").in_flight = 1
+    gateway.router.on_check = lambda server: setattr(server, "suspected", False)
+    if reason == "budget":
+        budget = gateway.relay._retry_budget
+        while budget.spend("svc", clock.now()):
+            pass
+    got = gateway.call(Deadline_Ms="5000")
+    assert got.complete
+    assert got.body == first + last
+    assert total(servers) == 1
+
+
+# A retry that was paid as its server was given up is not paid twice.
+def test_an_attempt_after_a_silent_server_costs_one_retry(run):
+    def mute(request):
+        yield None
+
+    gateway, _ = run(
+        mute,
+        whole_stream,
+        retry_policy=RetryPolicy.RESUME,
+        streaming=True,
+        timeout_s=5.0,
+    )
+    gateway.fleet_state.servers.get("s1").in_flight = 1
+    assert gateway.call(Deadline_Ms="5000").complete
+    usage = gateway.relay._retry_budget.usage("svc", clock.now())
+    assert usage["budget_retries"] == 1
+
+
 def test_a_non_resumable_stream_stays_with_an_unresponsive_server(run):
     def mute(request):
         yield None
