Refuse odd values of the store and of servers with one kind of error

Users would see: a node without heartbeats, a table that is not followed, changes that stay unknown (DRAIN, VERSION), or requests that fail at one server, after one odd value. Cause: numbers beyond 64 bits, deep nesting, rows that are no list, and ports out of range passed the decoders or raised errors that no caller expects. Change: one decoder with one kind of error; ranges for numbers that are used or sent on. Not shown to be what the users saw.

--- a/arbutusyard/platform/client.py
+++ b/arbutusyard/platform/client.py
@@ -14,6 +14,7 @@
 
 from arbutusyard import clock
 from arbutusyard.const import MS_PER_S
+from arbutusyard.platform.decode import COUNT_MAX, decode_json
 from arbutusyard.platform.exceptions import (
     CallOutcomeUnknown,
     ConnectFailed,
@@ -67,6 +68,7 @@
 
 # Header with the store's era: how often the store was restored from an older copy.
 HEADER_ERA: Final = "store-era"
+ERA_DIGITS_MAX: Final = 12
 
 
 class PlatformClient:
@@ -152,7 +154,7 @@
 
     def _record_clock(self, answer: dict[str, Any]) -> None:
         now_ms = answer.get("now_ms")
-        if isinstance(now_ms, int | float):
+        if isinstance(now_ms, int | float) and 0 <= now_ms <= COUNT_MAX:
             self._clock_offset_s = now_ms / MS_PER_S - clock.now()
 
     def vms(self) -> VmList:
@@ -278,34 +280,39 @@
 
 def _decode_object(data: bytes, path: str) -> Any:
     try:
-        answer = msgspec.json.decode(data)
-    except msgspec.DecodeError as exc:
+        answer = decode_json(data)
+    except ValueError as exc:
         raise PlatformOutcomeUnknown(f"{path}: answer is not JSON: {exc}") from exc
     if not isinstance(answer, dict):
         raise PlatformOutcomeUnknown(f"{path}: answer is not a JSON object")
     return answer
 
 
-def _list_field(answer: dict[str, Any], field: str) -> list[Any]:
-    value = answer.get(field)
-    return value if isinstance(value, list) else []
-
-
 def _store_version(answer: dict[str, Any]) -> int:
     version = answer.get("ver")
-    if not isinstance(version, int):
+    if not _is_count(version):
         raise PlatformOutcomeUnknown("answer has no version of the store")
     return version
 
 
+def _is_count(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= COUNT_MAX
+
+
 def _era(resp: HttpAnswer) -> int:
     """Return the era of the store in an answer's headers; 0 without the header."""
     text = resp.headers.get(HEADER_ERA, "0").strip()
-    return int(text) if text.isdecimal() else 0
+    if not text.isascii() or not text.isdecimal() or len(text) > ERA_DIGITS_MAX:
+        return 0
+    return int(text)
 
 
 def _decode_rows(answer: dict[str, Any], era: int) -> tuple[Row, ...]:
-    decoded = (_decode_row(item, era) for item in _list_field(answer, "rows"))
+    rows = answer.get("rows")
+    # Without its rows an answer's version would hide the changes that it stands for.
+    if not isinstance(rows, list):
+        raise PlatformOutcomeUnknown("answer has no list of rows")
+    decoded = (_decode_row(item, era) for item in rows)
     return tuple(row for row in decoded if row is not None)
 
 
@@ -315,7 +322,9 @@
         if item.get("removed"):
             return Row(str(item["key"]), b"", 0, era)
         value = base64.b64decode(item["value"], validate=True)
-        return Row(str(item["key"]), value, int(item["ver"]), era)
+        if not _is_count(item["ver"]):
+            raise ValueError(f"version {item['ver']!r} is no version of a row")
+        return Row(str(item["key"]), value, item["ver"], era)
     except (AttributeError, KeyError, TypeError, ValueError, binascii.Error) as exc:
         _LOGGER.warning("Ignored a malformed row of the store: %r", exc)
         return None
--- a/arbutusyard/platform/rows.py
+++ b/arbutusyard/platform/rows.py
@@ -3,6 +3,7 @@
 The Wire classes have the platform's field names; comments explain misleading ones.
 """
 
+import ipaddress
 from typing import Any, Final
 
 import msgspec
@@ -23,12 +24,14 @@
     ServiceShare,
     WeightsTarget,
 )
+from arbutusyard.platform.decode import Count, decode_json
 from arbutusyard.platform.exceptions import MalformedRow
 
 TABLE_OPERATOR: Final = "op"
 TABLE_SERVERS: Final = "servers"
 KEY_CONFIG: Final = "config"
 PREFIX_WEIGHTS: Final = "version/"
+PORT_MAX: Final = 65_535
 
 
 class WireShare(Struct):
@@ -113,7 +116,7 @@
 class WireConfig(Struct):
     """Decode the operators' configuration."""
 
-    version: int
+    version: Count
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -125,7 +128,7 @@
 
     name: str
     # The version of the model's weights.
-    version: int
+    version: Count
 
 
 class WireServer(Struct):
@@ -136,23 +139,23 @@
     # The failure domain.
     zone: str
     state: str
-    slots: int
+    slots: Count
     # The version of the software, not of the weights.
     version: str
     # Number of heartbeats, each of which writes the entry; in reports it is the number
     # of accepted orders.
-    sequence: int
+    sequence: Count
     cold_remaining_ms: float
     models: list[WireServerModel] = []
     # Start time of the incarnation, in milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
 class WireWeights(Struct):
     """Decode the target version of a model's weights."""
 
     model: str
-    version: int
+    version: Count
 
 
 def read_configuration(data: bytes) -> Configuration:
@@ -233,8 +236,7 @@
         state = ServerState(wire.state)
     except ValueError as exc:
         raise MalformedRow(f"state {wire.state!r} is unknown") from exc
-    host, _, port = wire.address.rpartition(":")
-    if not host or not port.isdigit():
+    if not _is_address(wire.address):
         raise MalformedRow(f"address {wire.address!r} is not IP:port")
     return ServerEntry(
         server_id=server_id,
@@ -250,6 +252,16 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port that can be connected to."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port[:6]) <= PORT_MAX
+
+
 def read_weights(data: bytes) -> WeightsTarget:
     """Decode a model's target weights; raise MalformedRow if they are malformed."""
     wire = _decode(data, WireWeights)
@@ -258,6 +270,6 @@
 
 def _decode(data: bytes, row_type: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(data, type=row_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decode_json(data, row_type)
+    except ValueError as exc:
         raise MalformedRow(f"value is not a {row_type.__name__}: {exc}") from exc
--- a/arbutusyard/platform/servers.py
+++ b/arbutusyard/platform/servers.py
@@ -7,6 +7,7 @@
 
 from arbutusyard.const import MS_PER_S
 from arbutusyard.fleet.messages import CacheEvent, CacheEventBatch
+from arbutusyard.platform.decode import Count, decode_json
 from arbutusyard.platform.exceptions import (
     AnswerInvalid,
     CallOutcomeUnknown,
@@ -56,7 +57,7 @@
     """Decode a model that a server has loaded."""
 
     name: str
-    version: int
+    version: Count
 
 
 class WireReport(Struct):
@@ -65,24 +66,24 @@
     # The server is loading weights.
     busy: bool
     # Number of accepted orders; in entries it is the number of heartbeats.
-    sequence: int
+    sequence: Count
     models: list[WireReportModel] = []
     # Number of waiting requests.
-    queue_depth: int = 0
+    queue_depth: Count = 0
     # Number of running requests.
-    in_flight: int = 0
-    kv_used: int = 0
+    in_flight: Count = 0
+    kv_used: Count = 0
     # Start time of the incarnation, in milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
 class WireEvents(Struct):
     """Decode the segments that a cache store has stored and dropped."""
 
     # The incarnation of the cache store.
-    boot_epoch: int
+    boot_epoch: Count
     # The position from which to read further events.
-    next: int
+    next: Count
     # Each is [number, "+" or "-", salt, segment ID, tokens, model]; "+" means stored.
     events: list[list[Any]] = []
 
@@ -123,8 +124,8 @@
         if resp.status != 200:
             raise PlatformAnswerInvalid(f"report: status {resp.status}")
         try:
-            wire = msgspec.json.decode(resp.data, type=WireReport)
-        except msgspec.DecodeError as exc:
+            wire = decode_json(resp.data, WireReport)
+        except ValueError as exc:
             raise PlatformAnswerInvalid(f"report is malformed: {exc}") from exc
         return ServerReport(
             loading=wire.busy,
@@ -153,8 +154,8 @@
                 f"cache events of {address}: status {resp.status}"
             )
         try:
-            wire = msgspec.json.decode(resp.data, type=WireEvents)
-        except msgspec.DecodeError as exc:
+            wire = decode_json(resp.data, WireEvents)
+        except ValueError as exc:
             raise PlatformAnswerInvalid(f"cache events are malformed: {exc}") from exc
         events = tuple(
             CacheEvent(item[1] == "+", str(item[2]), str(item[3]))
