Let other tasks run while an answer comes without end

Callers would see: late answers, and nodes without heartbeats, for as long as one server sends an endless answer to one request. Cause: a read of bytes that have arrived suspends no task. Change: a turn for others after each 64 KiB. Evidence: test_an_endless_answer_leaves_other_tasks_their_turns: no turn before.

--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -5,6 +5,9 @@
 
 # Maximum number of bytes read from a socket at once.
 READ_BYTES: Final = 65_536
+# Number of bytes of an answer after which other tasks get a turn, even if more bytes
+# have arrived already.
+YIELD_BYTES: Final = 65_536
 # SO_LINGER value, enabled with 0 s: closing resets the connection.
 NO_LINGER: Final = struct.pack("ii", 1, 0)
 # Timeout of a write to a client, in seconds; after it the connection is closed.
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -33,6 +33,7 @@
     READ_BYTES,
     TCP_USER_TIMEOUT_MS,
     UNRESPONSIVE_CHECK_INTERVAL_S,
+    YIELD_BYTES,
 )
 from arbutusyard.gateway.exceptions import (
     AnswerBroken,
@@ -64,6 +65,7 @@
         "_request",
         "_sent_at",
         "_server",
+        "_since_yield",
         "_sock",
         "_writer",
         "address",
@@ -88,6 +90,8 @@
         # Whether the kernel probes the link, and when the last byte was sent.
         self._probed = False
         self._sent_at = math.inf
+        # Bytes read since other tasks last got a turn.
+        self._since_yield = 0
         self.address = server.entry.address
         # The server ended or reset the connection.
         self.ended = False
@@ -337,6 +341,11 @@
             if self._head_started_at is None:
                 self._head_started_at = self._server.last_byte_at
             self._h11.receive_data(data)
+            self._since_yield += len(data)
+            if self._since_yield >= YIELD_BYTES:
+                # Reads of bytes that have arrived suspend no task.
+                self._since_yield = 0
+                gevent.sleep(0)
 
     def _check_head(self, now: float) -> None:
         """Raise AnswerBroken if the head exceeds its size or time limit."""
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -9,7 +9,7 @@
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.const import TCP_USER_TIMEOUT_MS
 from arbutusyard.gateway.models import ServerEntry, ServerState
-from arbutusyard.gateway.pool import ServerPool
+from arbutusyard.gateway.pool import ServerConnection, ServerPool
 from tests.gateway.support import answer
 
 
@@ -82,3 +82,45 @@
     sent = {f"s{n}": len(server.requests) for n, server in enumerate(servers)}
     assert sent[chosen[0].entry.server_id] == 0
     assert sum(sent.values()) == 1
+
+
+class EndlessSocket:
+    """Socket on which bytes of an endless answer have always arrived."""
+
+    def __init__(self):
+        self.reads = 0
+
+    def settimeout(self, timeout_s):
+        pass
+
+    def send(self, data):
+        return len(data)
+
+    def recv(self, size):
+        self.reads += 1
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n"
+        return head if self.reads == 1 else b"x" * size
+
+
+# Guards against late answers: while a server sent without end, no other request of the
+# node was served, for up to seconds.
+def test_an_endless_answer_leaves_other_tasks_their_turns(silent_server):
+    conn = ServerConnection(EndlessSocket(), silent_server)
+    turns = []
+
+    def read():
+        deadline = clock.now() + 5.0
+        conn.send("r1", b"GET", b"/", [(b"host", b"h")], b"")
+        conn.read_head("r1", deadline)
+        while conn._sock.reads < 200:
+            conn.read_data(deadline)
+
+    def serve():
+        while not reader.dead:
+            turns.append(conn._sock.reads)
+            gevent.sleep(0)
+
+    reader = gevent.spawn(read)
+    other = gevent.spawn(serve)
+    gevent.joinall([reader, other], timeout=5.0, raise_error=True)
+    assert len(turns) >= 15
