--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -49,11 +49,14 @@
         # Version of the software with which the next incarnation starts.
         self.next_software = "v1"
         self.fault = ""
+        # "copies" if it repeats rejections late, "report" if its report does not end.
+        self.abuse = ""
         self._ledger = ledger
         self._store = store
         self._rng = rng
         # Separate generator, so that framings leave a seed's other faults unchanged.
         self._framing_rng = random.Random(f"framing {name} {service}")
+        self._abuse_rng = random.Random(f"abuse {name} {service}")
         self._start_count = 0
         self._link = None
         self._tasks = []
@@ -172,7 +175,10 @@
         self._connection_tasks.add(task)
         try:
             reader = sock.makefile("rb")
+            # Rejections on this connection that are repeated late.
+            copies = []
             while request := read_message(reader):
+                request.copies = copies
                 self._ledger.record_arrival(self.server_id, request)
                 self._handle(sock, request)
                 if request.last:
@@ -191,6 +197,8 @@
                 )
             )
         elif request.first.startswith("GET /-/report"):
+            while self.abuse == "report":
+                sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b" " * 65_536)
             sock.sendall(self._report(request))
         elif request.first.startswith("POST /-/order"):
             self._handle_order(sock, request)
@@ -247,6 +255,12 @@
 
     def _execute(self, sock, request):
         fault = self.fault if self._rng.random() < FAULTY_FRACTION else ""
+        while request.copies:
+            sock.sendall(request.copies.pop())
+        if self.abuse == "copies" and self._abuse_rng.random() < FAULTY_FRACTION:
+            request.copies.append(not_run(request, headers=self.limit_header))
+            sock.sendall(request.copies[-1])
+            return
         if fault == "shed":
             headers = f"Retry-After: 0.7\r\n{self.limit_header}"
             sock.sendall(not_run(request, headers=headers))
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -74,7 +74,7 @@
 
     def _start(self):
         self.start_count += 1
-        self._settings_path.write_text(json.dumps(self._settings))
+        self._write_settings()
         env_vars = {
             **os.environ,
             "ARBUTUSYARD_CONFIG": str(self._settings_path),
@@ -90,6 +90,12 @@
             )
         gevent.spawn(self._watch_exit, self._process)
 
+    def _write_settings(self):
+        """Replace the settings file, which the node may be reading at the moment."""
+        path = self._settings_path.with_suffix(".new")
+        path.write_text(json.dumps(self._settings))
+        path.replace(self._settings_path)
+
     def _watch_exit(self, process):
         """Wait for a process to exit, and check that the soak caused the exit."""
         while process.poll() is None:
@@ -124,7 +130,7 @@
     def reload(self, retry_slack):
         """Change the settings file and send SIGHUP, so that the node reads it again."""
         self._settings["bounds"] = {**BOUNDS, "retry_slack": retry_slack}
-        self._settings_path.write_text(json.dumps(self._settings))
+        self._write_settings()
         # Until the interpreter has started the program, which takes some milliseconds,
         # SIGHUP would terminate the process.
         if self.running and _handles_sighup(self._process.pid):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -9,6 +9,9 @@
 from gevent.server import StreamServer
 
 READ_BYTES = 65_536
+# Size of a segment on a narrow link, in bytes, and interval between two, in seconds.
+NARROW_BYTES = 1400
+NARROW_INTERVAL_S = 0.01
 # SO_LINGER on with 0 s, so that closing sends a TCP reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Interval between checks whether a blocked connection may forward again, in seconds.
@@ -20,6 +23,7 @@
 
     OPEN = "open"  # forwards at once
     SLOW = "slow"  # delays every chunk
+    NARROW = "narrow"  # forwards little at a time, so that writers have to wait
     RESET = "reset"  # resets open and new connections
     SILENT = "silent"  # accepts connections and forwards nothing
     ONE_WAY = "one_way"  # forwards requests and holds back answers
@@ -85,6 +89,10 @@
                     gevent.sleep(POLL_INTERVAL_S)
                 if self.mode is LinkMode.SLOW:
                     gevent.sleep(self._slow_s)
+                while self.mode is LinkMode.NARROW and len(data) > NARROW_BYTES:
+                    sink.sendall(data[:NARROW_BYTES])
+                    data = data[NARROW_BYTES:]
+                    gevent.sleep(NARROW_INTERVAL_S)
                 sink.sendall(data)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,8 +19,9 @@
 # servers name limits on their requests, and in those from 3000 on a request crashes
 # servers and entries of servers vanish and return; in those from 4000 on servers leave
 # without a report while nodes are away; in those from 5000 on engines get newer
-# software, all nodes are killed now and then, and clients resume streams.
-@pytest.mark.parametrize("seed", [1, 1000, 2000, 3000, 3001, *REGRESSIONS])
+# software, all nodes are killed now and then, and clients resume streams; in those from
+# 6000 on servers repeat rejections late, send reports without end or have narrow links.
+@pytest.mark.parametrize("seed", [1, 1000, 2000, 3000, 3001, 6000, *REGRESSIONS])
 def test_faults_violate_no_guarantee(seed, tmp_path):
     duration_s = 20.0 if seed in REGRESSIONS else 8.0
     # The recovery bound is checked only in manual runs. The bounds on draining, removed
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -65,6 +65,11 @@
 RESUMING_CLIENTS = 6
 SOFTWARE_INTERVAL_S = 3.0
 KILL_ALL_FRACTION = 0.5
+# First seed in whose runs servers repeat rejections late, send reports without end or
+# are behind narrow links, the pause between two such faults, and how long they last.
+FIRST_ABUSE_SEED = 6000
+ABUSE_INTERVAL_S = 1.0
+ABUSE_S = 4.0
 # Pauses between two such requests and between two such entries, in seconds.
 DEADLY_INTERVAL_S = 0.4
 FORGET_INTERVAL_S = 1.5
@@ -86,7 +91,9 @@
         )
         self._has_deadly = FIRST_DEADLY_SEED <= seed < FIRST_SOFTWARE_SEED
         self._has_removals = FIRST_REMOVAL_SEED <= seed < FIRST_SOFTWARE_SEED
-        self._has_software = seed >= FIRST_SOFTWARE_SEED
+        self._has_software = FIRST_SOFTWARE_SEED <= seed < FIRST_ABUSE_SEED
+        self._has_abuse = seed >= FIRST_ABUSE_SEED
+        self._abuse_rng = random.Random(f"abuse {seed}")
         self._deadly_kind = "stream" if seed % 2 else "once"
         self.ledger = Ledger()
         self.store = Store()
@@ -234,6 +241,8 @@
                 for number in range(RESUMING_CLIENTS):
                     client = ResumingClient(self, number)
                     self._tasks.append(gevent.spawn(client.run))
+            if self._has_abuse:
+                disturbances.append(gevent.spawn(self._abuse_nodes))
             self._tasks += disturbances
             if faults is not None:
                 faults()
@@ -242,7 +251,7 @@
                     self, self.rng, self._rollback_rng, self._limit_rng
                 )
                 injector.run(duration_s, pause_s)
-            self._has_removals = self._has_software = False
+            self._has_removals = self._has_software = self._has_abuse = False
             gevent.joinall(disturbances, raise_error=True)
             self._check_recovery(timed)
         finally:
@@ -259,6 +268,23 @@
             self.store.stop()
         return self.ledger
 
+    def _abuse_nodes(self):
+        """Let servers repeat rejections or send without end, or narrow their links."""
+        rng = self._abuse_rng
+        while self._has_abuse:
+            gevent.sleep(ABUSE_INTERVAL_S)
+            backend = rng.choice(self.backends)
+            kind = rng.choice(["copies", "copies", "report", "narrow"])
+            self.ledger.log(f"{backend.server_id} abuses nodes: {kind}")
+            link = backend.link
+            if kind == "narrow":
+                link.set_mode(LinkMode.NARROW)
+            else:
+                backend.abuse = kind
+            gevent.sleep(rng.uniform(1.0, ABUSE_S))
+            backend.abuse = ""
+            link.set_mode(LinkMode.OPEN)
+
     def _check_recovery(self, timed):
         """Check that nodes, answers and target weights recover after the last fault."""
         since = self.ledger.now()
