--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -4,6 +4,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from hashlib import blake2b
+from itertools import accumulate
 
 from msgspec import Struct
 
@@ -79,6 +80,8 @@
     sent_depths: dict[str, int]
     engine_depths: dict[str, int]
     store_depths: dict[str, int]
+    # The places from which leading segments can be fetched, and their tokens.
+    sources: list[tuple[Source, int]] = []
 
 
 class Placement(Struct):
@@ -330,17 +333,24 @@
             objective_s,
             self._is_small(service, tokens),
         )
+        leading_tokens = _leading_tokens(req)
         prompts: dict[int, Prompt] = {}
+        max_depths: dict[int, int] = {}
         fetches: dict[str, Fetch | None] = {}
         views = []
         for server in servers:
             version = server.weights.get(req.model, 0)
             if version not in prompts:
-                prompts[version] = self._look_up_prompt(req, group, version, now)
+                prompts[version] = self._look_up_prompt(
+                    req, service, group, version, now
+                )
+                max_depths[version] = max(
+                    prompts[version].sent_depths.values(), default=0
+                )
             prompt = prompts[version]
             server_id = server.entry.server_id
-            cached = self._leading_tokens(req, prompt.sent_depths.get(server_id, 0))
-            fetch = self._find_fetch(req, service, server, prompt, cached)
+            cached = leading_tokens[prompt.sent_depths.get(server_id, 0)]
+            fetch = self._find_fetch(service, server, prompt, cached)
             fetches[server_id] = fetch
             views.append(
                 self._server_view(
@@ -348,9 +358,7 @@
                     now,
                     cached_tokens=cached,
                     fetch=fetch,
-                    max_sent_tokens=self._leading_tokens(
-                        req, max(prompt.sent_depths.values(), default=0)
-                    ),
+                    max_sent_tokens=leading_tokens[max_depths[version]],
                     affinity_target=server_id == affinity_target,
                     reserved=server_id in reserved,
                     outdated_weights=version < newest
@@ -365,7 +373,7 @@
         available_tokens = best.cached_tokens + (fetch.tokens if fetch else 0)
         if fetch is None:
             # The server may have evicted the segments that it is believed to cache.
-            fetch = self._find_fetch(req, service, server, prompt, 0)
+            fetch = self._find_fetch(service, server, prompt, 0)
         placement = Placement(
             server,
             expected_s(work, best),
@@ -391,42 +399,42 @@
         return tokens < mean
 
     def _look_up_prompt(
-        self, req: CallerRequest, group: str, version: int, now: float
+        self, req: CallerRequest, service: str, group: str, version: int, now: float
     ) -> Prompt:
         salt = cache_salt(group, req.model, version)
         keys = segment_keys(req, salt)
-        return Prompt(
+        prompt = Prompt(
             salt,
             keys,
             self.segments.sent_to_engines(keys, now),
             self.segments.cached_by_engines(keys, now),
             self.segments.cached_by_stores(keys, now),
         )
+        catalog = self._fleet_state.catalog
+        engine = self._engine_traits(service)
+        if engine is not None:
+            tokens = _leading_tokens(req)
+            prompt.sources = [
+                (source, tokens[depth])
+                for source, depth in self._find_sources(catalog, engine, prompt)
+            ]
+        return prompt
 
-    @staticmethod
-    def _leading_tokens(req: CallerRequest, count: int) -> int:
-        return sum(segment.tokens for segment in req.segments[:count])
+    def _engine_traits(self, service: str) -> EngineTraits | None:
+        catalog = self._fleet_state.catalog
+        known = catalog.cfg.services.get(service) if catalog else None
+        return known.engine if known is not None else None
 
     def _find_fetch(
-        self,
-        req: CallerRequest,
-        service: str,
-        server: Server,
-        prompt: Prompt,
-        cached: int,
+        self, service: str, server: Server, prompt: Prompt, cached: int
     ) -> Fetch | None:
         """Return the best source for segments that a server has not cached."""
-        catalog = self._fleet_state.catalog
-        known = catalog.cfg.services.get(service) if catalog else None
-        if known is None or known.engine is None:
+        if not prompt.sources:
             return None
-        sources = [
-            (source, self._leading_tokens(req, depth))
-            for source, depth in self._find_sources(catalog, known.engine, prompt)
-            if source.name != server.entry.server_id
-        ]
-        domain = server.entry.failure_domain
-        return best_fetch(sources, cached, known.engine.token_bytes, domain)
+        entry = server.entry
+        sources = [item for item in prompt.sources if item[0].name != entry.server_id]
+        token_bytes = self._engine_traits(service).token_bytes
+        return best_fetch(sources, cached, token_bytes, entry.failure_domain)
 
     def _broadcast_min_tokens(self) -> int:
         """Return the size from which shared segments are broadcast, in tokens.
@@ -438,11 +446,10 @@
 
     def _tracking_min_tokens(self, service: str) -> float:
         """Return the size from which shared segments are tracked, in tokens."""
-        catalog = self._fleet_state.catalog
-        known = catalog.cfg.services.get(service) if catalog else None
-        if known is None or known.engine is None:
+        engine = self._engine_traits(service)
+        if engine is None:
             return AFFINITY_SEGMENT_TOKENS
-        return min_fetch_tokens(known.engine.token_bytes, known.engine.link_mbps)
+        return min_fetch_tokens(engine.token_bytes, engine.link_mbps)
 
     def _find_sources(
         self, catalog: Catalog, engine: EngineTraits, prompt: Prompt
@@ -697,6 +704,11 @@
     return ServerLoad(server.entry.server_id, server.in_flight, server.prompt_tokens)
 
 
+def _leading_tokens(req: CallerRequest) -> list[int]:
+    """Return the tokens of the first 0, 1, 2 and more segments of a prompt."""
+    return [0, *accumulate(segment.tokens for segment in req.segments)]
+
+
 def _affinity_target(req: CallerRequest, group: str, server_ids: list[str]) -> str:
     """Return the server on which all nodes place this first segment by preference."""
     if len(req.segments) < 2 or req.segments[0].tokens < AFFINITY_SEGMENT_TOKENS:
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -1,5 +1,6 @@
 """Choose a backend server by the expected time to serve a request there."""
 
+from functools import lru_cache
 from typing import Final
 
 from msgspec import Struct
@@ -114,6 +115,13 @@
     """Return the engines reserved for small prompts, the same ones on every node."""
     if len(server_ids) < RESERVED_ENGINES_MIN:
         return frozenset()
+    return _first_reserved(tuple(server_ids))
+
+
+# Hashing all engines takes a tenth of the time of a placement among 70, and the same
+# few sets of engines recur.
+@lru_cache(maxsize=16)
+def _first_reserved(server_ids: tuple[str, ...]) -> frozenset[str]:
     count = max(1, len(server_ids) // RESERVED_RATIO)
     return frozenset(rank(b"express", server_ids)[:count])
 
--- a/arbutusyard/routing/segments.py
+++ b/arbutusyard/routing/segments.py
@@ -1,6 +1,7 @@
 """Track which servers hold which prompt segments, and choose where to fetch them."""
 
 import math
+from functools import lru_cache
 from hashlib import blake2b
 from typing import Final
 
@@ -132,6 +133,7 @@
         return self._stored.match(segment_keys, now)
 
 
+@lru_cache(maxsize=256)
 def min_fetch_tokens(token_bytes: int, link_mbps: float) -> float:
     """Return the minimum number of tokens worth a fetch; infinite if none is.
 
