Name only nodes heard from recently in the directory

A VM that was removed for good stayed in the directory for 7 s and more: a standby node that was cut off counted itself as serving and answered from its own table, in which a node that sends heartbeats in rotation passes for alive for three rounds. The directory now leaves out nodes whose newest heartbeat is older than 3.5 s. The new test shows such a node in the ranking and not in the directory.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -100,6 +100,10 @@
 # Maximum age of the serving nodes' addresses that a standby node gives clients, in
 # seconds.
 ENTRIES_FRESH_S: Final = 3.0
+# Maximum age of a node's newest heartbeat with which the directory names the node, in
+# seconds. By the platform's specification a VM that is off must not be named for more
+# than 7 s, and standby nodes repeat the answer of another node for up to 3 s.
+ENTRY_NODE_AGE_MAX_S: Final = 3.5
 # Time for which a former serving node still receives whole heartbeats, in seconds.
 # After a network partition each side takes the other for unresponsive, and one has to
 # send first.
--- a/arbutusyard/fleet/peer_table.py
+++ b/arbutusyard/fleet/peer_table.py
@@ -7,6 +7,7 @@
 
 from arbutusyard.fleet.const import (
     BUSY_REQUESTS_PER_S,
+    ENTRY_NODE_AGE_MAX_S,
     HEARTBEAT_INTERVAL_LARGE_S,
     HEARTBEAT_INTERVAL_S,
     HEARTBEAT_INTERVAL_STANDBY_S,
@@ -196,6 +197,23 @@
             self._serving = frozenset([*(b.name for b in self._ranked), *others])
         return self._ranked
 
+    def entry_nodes(self, now: float) -> list[Heartbeat]:
+        """Return the ranked nodes that the directory may name to clients.
+
+        Heartbeats in rotation are up to tens of seconds apart, and a node that sent one
+        may have been removed since. Without any node heard from recently, the whole
+        ranking is returned.
+        """
+        ranked = self.ranked(now)
+        recent = [node for node in ranked if self._is_recent(node.name, now)]
+        return recent or ranked
+
+    def _is_recent(self, name: str, now: float) -> bool:
+        if name == self.me:
+            return True
+        peer = self.peers.get(name)
+        return peer is not None and now - peer.received_at <= ENTRY_NODE_AGE_MAX_S
+
     def set_own(self, heartbeat: Heartbeat) -> None:
         """Set this node's own heartbeat."""
         if self.own is None or _rank_state(self.own) != _rank_state(heartbeat):
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -278,7 +278,7 @@
     def _pack_entries(self, now: float) -> tuple[tuple[str, bytes], ...]:
         """Return the packed addresses of the serving nodes for clients, by region."""
         by_region: dict[str, list[str]] = {}
-        for node in self.table.ranked(now):
+        for node in self.table.entry_nodes(now):
             by_region.setdefault(node.region, []).append(node.callers_address)
         return tuple(
             (region, pack_addresses(addresses))
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -193,7 +193,7 @@
         else:
             nodes = [
                 EntryNode(heartbeat.callers_address, heartbeat.region, heartbeat.ready)
-                for heartbeat in table.ranked(now)
+                for heartbeat in table.entry_nodes(now)
             ]
         return choose_entries(nodes, region, self._rng)
 
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -311,6 +311,32 @@
     assert peers.reported_entries(now + 10) is None
 
 
+def test_directory_does_not_name_a_node_whose_heartbeats_stopped():
+    # Guards against a removed VM that stays in the directory: a standby node that is
+    # cut off counts itself as serving and answers from its own table, in which a node
+    # that sends in rotation passes for alive for three rounds (legoff scale-2: named
+    # 7 s after it went off).
+    now = clock.now()
+    peers = large_fleet(now=now)
+    first, second = peers.table.ranked(now)[:2]
+    rotation_s = 7.0
+    for node, age_s in ((first, 7.0), (second, 1.0)):
+        late = replace(node, seq=2, next_in_s=rotation_s)
+        peers.table.apply_heartbeat(late, now - age_s)
+    ranked = {node.name for node in peers.table.ranked(now)}
+    named = {node.name for node in peers.table.entry_nodes(now)}
+    assert {first.name, second.name} <= ranked
+    assert first.name not in named
+    assert second.name in named
+
+
+def test_directory_names_the_ranking_if_no_node_was_heard_from_recently():
+    now = clock.now()
+    peers = large_fleet(now=now)
+    later = now + 20.0
+    assert peers.table.entry_nodes(later) == peers.table.ranked(later)
+
+
 def test_incomplete_packed_address_is_dropped():
     packed = pack_addresses(["10.1.2.3:80", "10.1.2.4:81"])
     assert unpack_addresses(packed[:-1]) == ["10.1.2.3:80"]
