Spare the nodes of a large fleet reads of the store that readers make for them

Readers of a large fleet now poll the servers for less long, a read that a confirmation asked for is dropped once its rows are known, and other nodes retry every 2 s, or sooner once a reader confirms that it reads again.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -28,6 +28,9 @@
 # snapshot may still be older than the dropped history.
 SNAPSHOT_DELAY_S: Final = 0.05
 READ_RETRY_MAX_S: Final = 1.0
+# Maximum delay before a failed read is retried by a node of a large fleet that is no
+# reader, in seconds. It retries sooner once a reader confirms that it reads again.
+READ_RETRY_LARGE_S: Final = 2.0
 
 # Gap between two reads up to which a node has read the store without interruption, in
 # seconds. An entry expires after three heartbeats of 1.2 s that the store did not get,
--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -18,10 +18,12 @@
     CONFIRMATION_FRESH_S,
     CONFIRMATION_MARGIN_S,
     CONFIRMATION_POLL_S,
+    LARGE_FLEET_NODES,
     OUTAGE_GAP_S,
     OWN_READ_FRESH_S,
     READ_INTERVAL_FRACTION,
     READ_INTERVAL_PER_NODE_S,
+    READ_RETRY_LARGE_S,
     READ_RETRY_MAX_S,
     READ_RETRY_S,
     READER_LONG_POLL_S,
@@ -89,6 +91,9 @@
         "read_version",
         "_read_sent_at",
         "_uninterrupted_since",
+        "_is_peer_read_known",
+        "_peer_read_at",
+        "retry_max_s",
         "wait_s",
     )
 
@@ -125,15 +130,25 @@
         self._read_sent_at = float("-inf")
         self._uninterrupted_since = float("inf")
         self.confirmation_fresh_s = CONFIRMATION_FRESH_S
+        # Maximum delay between retries while other nodes read the table, in seconds.
+        self.retry_max_s = READ_RETRY_MAX_S
         self._wake = Event()
+        # Whether this node knows what the newest confirmation that it lacked reported,
+        # and when the newest confirmation of any kind came.
+        self._is_peer_read_known: Callable[[], bool] = lambda: False
+        self._peer_read_at = float("-inf")
 
-    def apply_confirmation(self, matches: bool, known_at: float, now: float) -> None:
+    def apply_confirmation(
+        self, is_known: Callable[[], bool], known_at: float, now: float
+    ) -> None:
         """Apply a peer's confirmation of a read that is newer than `known_at`.
 
         Read at once unless this node already knows what the peer read.
         """
-        if not matches or not self.started:
+        self._peer_read_at = now
+        if not self.started or not is_known():
             self._confirmation_at = float("-inf")
+            self._is_peer_read_known = is_known
             self._wake.set()
             return
         # A peer's read does not show that this node can reach the store, so an outage
@@ -164,8 +179,9 @@
                 gevent.sleep(SNAPSHOT_DELAY_S)
                 continue
             except PlatformError:
-                gevent.sleep(retry_s)
-                retry_s = min(READ_RETRY_MAX_S, retry_s * 2)
+                self._wait_to_retry(retry_s)
+                longest_s = READ_RETRY_MAX_S if self.is_reader else self.retry_max_s
+                retry_s = min(longest_s, retry_s * 2)
                 continue
             except Exception as exc:
                 # A table that is not followed leads requests to servers that left.
@@ -181,6 +197,19 @@
             retry_s = READ_RETRY_S
             gevent.sleep(self.interval_s)
 
+    def _wait_to_retry(self, retry_s: float) -> None:
+        """Wait after a failed read, no longer than needed once a peer has read."""
+        failed_at = clock.now()
+        while not self.is_retry_due(failed_at, retry_s, clock.now()):
+            gevent.sleep(CONFIRMATION_POLL_S)
+
+    def is_retry_due(self, failed_at: float, retry_s: float, now: float) -> bool:
+        """Return whether a read that failed should be tried again."""
+        if now - failed_at >= retry_s:
+            return True
+        has_peer_read = self._peer_read_at > failed_at
+        return has_peer_read and now - failed_at >= READ_RETRY_MAX_S
+
     def read_once(self) -> None:
         """Read the table or its changes once.
 
@@ -206,6 +235,9 @@
             raise
         # This node's own read confirms as much as a peer's confirmation.
         self._confirmation_at = self.read_at = clock.now()
+        if self._wake.is_set() and self._is_peer_read_known():
+            # Other readers confirmed the same change while this read was on its way.
+            self._wake.clear()
         self.after_read(heartbeats)
 
     @property
@@ -392,15 +424,21 @@
     ) -> None:
         """Apply a peer's confirmation of a read of a table."""
         if table == TABLE_OPERATOR:
-            # A node that has a row of an era has all older rows of that era as well.
-            era, _, version = digest.partition(b".")
-            matches = era == b"%d" % (self._config_watcher.era or 0) and (
-                version.isdigit() and int(version) <= self._newest_version
+            self._config_watcher.apply_confirmation(
+                lambda: self._has_operator_rows(digest), known_at, now
             )
-            self._config_watcher.apply_confirmation(matches, known_at, now)
         elif table == TABLE_SERVERS:
-            matches = digest == self.servers.digest()
-            self._server_watcher.apply_confirmation(matches, known_at, now)
+            self._server_watcher.apply_confirmation(
+                lambda: digest == self.servers.digest(), known_at, now
+            )
+
+    def _has_operator_rows(self, digest: bytes) -> bool:
+        """Return whether this node has the rows up to those of a digest."""
+        # A node that has a row of an era has all older rows of that era as well.
+        era, _, version = digest.partition(b".")
+        return era == b"%d" % (self._config_watcher.era or 0) and (
+            version.isdigit() and int(version) <= self._newest_version
+        )
 
     def _config_digest(self) -> bytes:
         return b"%d.%d" % (self._config_watcher.era or 0, self._newest_version)
@@ -435,6 +473,18 @@
         self._server_watcher.confirmation_fresh_s = max(
             CONFIRMATION_FRESH_S, min(round_s, CONFIRMATION_FRACTION * drain_s)
         )
+        if nodes > LARGE_FLEET_NODES:
+            self._reduce_reads()
+
+    def _reduce_reads(self) -> None:
+        """Let the readers of a large fleet spare the other nodes their own reads."""
+        watcher = self._server_watcher
+        # Nodes that start together read in step. If the readers' cycle exceeds the
+        # validity of their confirmations, all nodes read for themselves each time.
+        longest_s = watcher.confirmation_fresh_s - watcher.interval_s
+        watcher.wait_s = min(READER_LONG_POLL_S, longest_s - CONFIRMATION_MARGIN_S)
+        self._config_watcher.retry_max_s = READ_RETRY_LARGE_S
+        watcher.retry_max_s = READ_RETRY_LARGE_S
 
     def has_recent_read(self, now: float) -> bool:
         """Return whether this node itself has recently read what operators wrote."""
--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -202,6 +202,58 @@
     assert store.platform.reads - before <= 3
 
 
+def test_confirmations_of_one_change_by_several_readers_cause_one_read(store):
+    # Guards against a second read of each change by each node of a large fleet: the
+    # other readers' confirmations arrive while the first read is on its way (legoff
+    # trouble-3: 657 reads by 111 nodes after three changes).
+    store.write("op", "config", CONFIG)
+    fleet_state = FleetState(PlatformClient(store.address))
+    watcher = fleet_state._config_watcher
+    watcher.read_once()
+    store.write("op", "config", {**CONFIG, "version": 8})
+    digest = b"0.%d" % store.platform.version
+    now = clock.now()
+    fleet_state.set_reader(False)
+    fleet_state.apply_confirmation("op", digest, now, now)
+    watcher.before_read = lambda: (
+        fleet_state.apply_confirmation("op", digest, now, now) or []
+    )
+    assert watcher.needs_read(now)
+    watcher.read_once()
+    assert not watcher.needs_read(clock.now())
+    newer = b"0.%d" % (store.platform.version + 1)
+    watcher.before_read = lambda: (
+        fleet_state.apply_confirmation("op", newer, now, now) or []
+    )
+    watcher.read_once()
+    assert watcher.needs_read(clock.now())
+
+
+def test_failed_read_is_retried_sooner_once_a_reader_reads_again(store):
+    # Guards against 111 nodes that each retry every second in a store outage, and
+    # against nodes that learn late of its end.
+    store.write("op", "config", CONFIG)
+    fleet_state = FleetState(PlatformClient(store.address))
+    watcher = fleet_state._config_watcher
+    watcher.read_once()
+    assert not watcher.is_retry_due(10.0, 2.0, 11.5)
+    assert watcher.is_retry_due(10.0, 2.0, 12.0)
+    fleet_state.apply_confirmation("op", b"0.9", 10.1, 10.2)
+    assert not watcher.is_retry_due(10.0, 2.0, 10.5)
+    assert watcher.is_retry_due(10.0, 2.0, 11.0)
+    assert not watcher.is_retry_due(10.3, 2.0, 11.5)
+
+
+@pytest.mark.parametrize(("nodes", "drain_s"), [(25, 2.0), (70, 3.0), (410, 3.0)])
+def test_confirmations_of_servers_outlast_the_cycle_of_readers(store, nodes, drain_s):
+    # Guards against nodes of a large fleet that each read the servers every 2.2 s
+    # although nothing changes, as readers that started together confirm in step.
+    fleet_state = FleetState(PlatformClient(store.address))
+    fleet_state.set_read_intervals(nodes, drain_s)
+    watcher = fleet_state._server_watcher
+    assert watcher.interval_s + watcher.wait_s + 0.1 < watcher.confirmation_fresh_s
+
+
 def test_node_without_confirmations_reads_the_store_itself(store, fleet_state):
     fleet_state.set_reader(False)
     wait_for(lambda: fleet_state.config_age_s(clock.now()) > 1.0)
