Add quotas of client accounts: decisions, datagrams and wiring

Cause: operators limit accounts over all nodes together, also while nodes cannot reach each other, and the node had no such limit. Change: each node lends its share of every quota to one leader at a time by votes that expire at the leader first; leaders grant requests and small credits from buckets.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -21,6 +21,8 @@
 from arbutusyard.origins.coordinator import OriginCoordinator
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.servers import ServerClient
+from arbutusyard.quotas.coordinator import QuotaCoordinator
+from arbutusyard.quotas.models import quota_rule
 from arbutusyard.weights.coordinator import WeightsCoordinator
 
 # Time subtracted from the period in which superseded weights may be used, in seconds:
@@ -57,8 +59,11 @@
     )
     origins = OriginCoordinator(cfg.name, fleet_state, store, peers)
     servers = ServerClient()
+    quotas = QuotaCoordinator(
+        cfg.name, incarnation, fleet_state, peers, quota_rule(cfg), metrics
+    )
     relay = Relay(
-        cfg, fleet_state, peers.table, router, pool, metrics, origins, servers
+        cfg, fleet_state, peers.table, router, pool, metrics, origins, servers, quotas
     )
     ingress = Ingress(cfg.callers_address, fleet_state, relay, cfg.max_fds)
     node = Node(cfg, incarnation, fleet_state, relay, router, pool, ingress, metrics)
@@ -77,6 +82,7 @@
         ingress,
         weights,
         origins,
+        quotas,
     ):
         app.add(component)
     try:
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -196,6 +196,55 @@
     batch: OriginBatch | None
 
 
+class QuotaAsk(Struct, frozen=True, array_like=True):
+    """Ask whether one request of an account may pass, whose cost is given."""
+
+    ask_id: int
+    account: str
+    cost: Finite
+
+
+class QuotaSync(Struct, frozen=True, array_like=True, tag="quota"):
+    """Lend the sender's share of all quotas to a leader, and ask it for grants.
+
+    The share is lent for `vote_s` seconds after the leader sent the answer with the
+    number `echo`, as its incarnation `leader_incarnation`; 0 seconds lend nothing.
+    `needs` names accounts and the credit that the sender lacks. `returns` names grants
+    of that incarnation which were not used, and when the leader made them.
+    """
+
+    name: str
+    incarnation: int
+    seq: int
+    vote_s: Finite = 0.0
+    leader_incarnation: int = 0
+    echo: int = 0
+    ask: QuotaAsk | None = None
+    needs: tuple[tuple[str, Finite], ...] = ()
+    returns: tuple[tuple[str, Finite, Finite], ...] = ()
+
+
+class QuotaAnswer(Struct, frozen=True, array_like=True, tag="quota_answer"):
+    """Answer the datagram `seq` of a node's incarnation.
+
+    `at` is the leader's time. `retry_after_s` answers the question `ask_id`: None
+    grants it, and a negative number tells that the leader has no votes. `credits` names
+    accounts and the credit granted.
+    """
+
+    name: str
+    incarnation: int
+    number: int
+    node_incarnation: int
+    seq: int
+    at: Finite
+    leads: bool
+    ask_id: int = 0
+    asked_at: Finite = 0.0
+    retry_after_s: Finite | None = None
+    credits: tuple[tuple[str, Finite], ...] = ()
+
+
 class Heartbeat(Struct, frozen=True, array_like=True, tag="beat"):
     """Report the state of a node to the other nodes."""
 
@@ -257,4 +306,6 @@
     | OriginUpdate
     | OriginQuery
     | OriginAnswer
+    | QuotaSync
+    | QuotaAnswer
 )
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -4,6 +4,7 @@
 import random
 import socket
 from collections.abc import Callable
+from functools import partial
 from typing import TypeVar
 
 import gevent
@@ -42,6 +43,8 @@
     OriginQuery,
     OriginUpdate,
     QuarantineUpdate,
+    QuotaAnswer,
+    QuotaSync,
     ReadConfirmation,
     RemovalUpdate,
     RemovedServer,
@@ -105,10 +108,13 @@
         "on_origins",
         "on_engines",
         "on_quarantine",
+        "on_quota",
         "on_removed",
         "on_segment_update",
         "on_servers",
         "on_tick",
+        "known_addresses",
+        "knows_all",
         "rejected",
         "table",
     )
@@ -126,6 +132,7 @@
         self.table = PeerTable(name)
         self._address = address
         self._addresses = {seed for seed in seeds if seed != address}
+        self.known_addresses = self._addresses
         self._client = client
         self._build_heartbeat = build_heartbeat
         self._failure_domain = failure_domain
@@ -181,7 +188,9 @@
         self.on_quarantine: Callable[[QuarantineUpdate, float], None] = (
             lambda update, now: None
         )
+        self.on_quota: Callable[..., None] = lambda datagram, now: None
         self.on_tick: Callable[[float], None] = lambda now: None
+        self.knows_all = False
         self.rejected = 0
 
     def setup(self, app: Application) -> None:
@@ -471,6 +480,8 @@
                 self.on_origin_answer(datagram, now)
             case QuarantineUpdate():
                 self.on_quarantine(datagram, now)
+            case QuotaSync() | QuotaAnswer():
+                self.on_quota(datagram, now)
             case EngineUpdate():
                 if self.table.apply_engine_update(datagram):
                     self.on_engines((datagram.status,), now)
@@ -547,15 +558,18 @@
 
     def _register(self) -> None:
         """Write this node's row and read the other nodes' addresses."""
+        read_own = partial(self._client.get, TABLE_NODES, self.table.me)
+        had_row = self._retry_until_success(read_own).version > 0
         self._write_row()
         self._read_rows()
-        self._registered = True
+        self._registered, self.knows_all = True, had_row
         _LOGGER.info(
             "Registered this node; %d other nodes are known", len(self._addresses)
         )
         self._introduce_to_all(clock.now())
         gevent.sleep(PEER_REREAD_S)
         self._registered_addresses = self._read_rows()
+        self.knows_all = True
 
     def _read_rows(self) -> set[str]:
         """Read the other nodes' rows; return their addresses."""
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -49,6 +49,7 @@
 from arbutusyard.quarantine.const import BEGIN_S, CRASH_CHECK_INTERVAL_S
 from arbutusyard.quarantine.coordinator import RequestQuarantine, request_key
 from arbutusyard.quarantine.models import Quarantined
+from arbutusyard.quotas.models import Grant
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -105,6 +106,8 @@
     placement: Placement | None = None
     # A server's error answer, relayed if no other server answers.
     fallback_answer: tuple[AnswerHead, bytes] | None = None
+    # What was charged to the account's quota; None if it has none.
+    grant: Grant | None = None
 
     def keys(self, with_request: bool) -> tuple[bytes, ...]:
         """Return the keys by which the quarantine judges this request."""
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -64,6 +64,22 @@
     engine: EngineTraits | None = None
 
 
+class AccountQuota(Struct, frozen=True):
+    """Limit what an account's requests cost, in tokens or in requests.
+
+    Without `valid` the operators' values cannot be used, and the account gets no
+    service.
+    """
+
+    # Cost per second over all nodes, and cost above it that may be used at once.
+    rate_s: float
+    burst: float
+    by_tokens: bool = False
+    # Cost of a request that states no tokens.
+    promptless_cost: float = 0.0
+    valid: bool = True
+
+
 class Account(Struct, frozen=True):
     """Describe a client account; without a priority the route's applies."""
 
@@ -71,6 +87,7 @@
     keys: tuple[str, ...]
     priority: int | None
     isolated: bool
+    quota: AccountQuota | None = None
 
 
 class IngressLimits(Struct, frozen=True):
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -39,6 +39,8 @@
     shared_keys,
 )
 from arbutusyard.quarantine.models import Quarantined, Suspect
+from arbutusyard.quotas.coordinator import QuotaCoordinator
+from arbutusyard.quotas.models import Grant, quota_rule
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -52,6 +54,7 @@
         "_dispatcher",
         "_fleet_state",
         "_metrics",
+        "_quotas",
         "_router",
         "origins",
         "quarantine",
@@ -68,7 +71,9 @@
         metrics: DeferredMetrics,
         origins: OriginCoordinator | None = None,
         servers: ServerClient | None = None,
+        quotas: QuotaCoordinator | None = None,
     ) -> None:
+        self._quotas = quotas
         self._admission = Admission(fleet_state, cfg.revoke_s)
         self.origins = origins or OriginCoordinator(peers.me, fleet_state)
         self.quarantine = RequestQuarantine(peers.me)
@@ -106,6 +111,8 @@
         self._retry_budget.reconfigure(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        if self._quotas is not None:
+            self._quotas.reload(quota_rule(cfg))
 
     def update_share(self, share: FleetShare) -> None:
         """Set what this node knows of the nodes that share the joint limits."""
@@ -120,10 +127,46 @@
             case Refusal() as refusal:
                 self._refuse(req, conn, refusal, now)
             case Admitted() as admitted:
-                self._serve_admitted(req, conn, admitted, now)
+                match self._charge_quota(req, admitted, now):
+                    case Refusal() as refusal:
+                        self._refuse(req, conn, refusal, clock.now())
+                    case grant:
+                        self._serve_admitted(req, conn, admitted, grant, clock.now())
+
+    def _charge_quota(
+        self, req: CallerRequest, admitted: Admitted, now: float
+    ) -> Grant | Refusal | None:
+        """Charge a request to its account's quota; return None if it has none."""
+        account = admitted.account
+        if self._quotas is None or account is None or account.quota is None:
+            return None
+        return self._quotas.acquire(account, req, admitted.time_limit_s, now)
+
+    def _charge_further_run(self, exchange: Exchange, now: float) -> bool:
+        """Charge a run that follows one which may have taken place."""
+        grant = exchange.grant
+        if grant is None or len(grant.charges) > exchange.executions:
+            return True
+        return self._quotas.charge_again(grant, now)
+
+    def _give_back_quota(self, exchange: Exchange, outcome: str) -> None:
+        """Take back the quota of a run for which no server was found, or that failed.
+
+        A server may have run the request of a client that disconnected.
+        """
+        runs = exchange.executions + (outcome == "answered")
+        if outcome == "caller_gone" and exchange.placement is not None:
+            return
+        if exchange.grant is not None and len(exchange.grant.charges) > runs:
+            self._quotas.give_back(exchange.grant)
 
     def _serve_admitted(
-        self, req: CallerRequest, conn: CallerConnection, admitted: Admitted, now: float
+        self,
+        req: CallerRequest,
+        conn: CallerConnection,
+        admitted: Admitted,
+        grant: Grant | None,
+        now: float,
     ) -> None:
         deadline = req.arrived_at + admitted.time_limit_s
         exchange = Exchange(
@@ -135,6 +178,7 @@
             deadline,
             shared_keys(req.model, req.segments) if req.model else (),
             sequence=EventSequence(req.resume_after),
+            grant=grant,
         )
         outcome = "caller_gone"
         try:
@@ -144,6 +188,7 @@
         finally:
             if exchange.retry_is_paid:
                 self._retry_budget.give_back(exchange.service)
+            self._give_back_quota(exchange, outcome)
             self._record_outcome(exchange, outcome, clock.now())
 
     def _find_origin(self, exchange: Exchange) -> str:
@@ -217,6 +262,9 @@
                     continue
                 case Suspect(key=key, begun=True):
                     suspect_key = key
+            if not self._charge_further_run(exchange, now):
+                return self._answer_failure(exchange, "quota")
+            now = clock.now()
             placement = self._router.place(
                 exchange.req,
                 exchange.account,
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -32,3 +32,8 @@
     capacity: float = 1.0
     # Time from the first statement of a server's limit until it is enforced.
     limit_grace_s: float = LIMIT_GRACE_S
+    # Window in which quotas are checked, in seconds, and what it may exceed them by: a
+    # ratio, and an amount in the account's unit.
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
--- a/arbutusyard/metrics/const.py
+++ b/arbutusyard/metrics/const.py
@@ -6,6 +6,7 @@
 ATTR_CLASS: Final = "work_class"
 ATTR_REASON: Final = "reason"
 ATTR_OUTCOME: Final = "outcome"
+ATTR_RESULT: Final = "result"
 
 # Label shared by the accounts beyond MAX_ACCOUNT_LABELS.
 OTHER_ACCOUNTS_LABEL: Final = "other"
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -62,6 +62,14 @@
         """Set how many sets of segments, and whole requests, are quarantined."""
         self._record("set_quarantined", segments, requests)
 
+    def count_quota(self, account: str, result: str, cost: float) -> None:
+        """Count the cost of requests by how their quota was decided."""
+        self._record("count_quota", account, result, cost)
+
+    def set_quota_votes(self, votes: int) -> None:
+        """Set how many nodes lend their shares of the quotas to this node."""
+        self._record("set_quota_votes", votes)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self._metrics is None:
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -11,6 +11,7 @@
     ATTR_CLASS,
     ATTR_OUTCOME,
     ATTR_REASON,
+    ATTR_RESULT,
     EXPORT_INTERVAL_MS,
     EXPORT_TIMEOUT_MS,
     LATENCY_BOUNDS_S,
@@ -47,6 +48,8 @@
         "_labels",
         "_provider",
         "_quarantined",
+        "_quota_cost",
+        "_quota_votes",
         "_recomputed_tokens",
         "_refusals",
         "_requests",
@@ -84,6 +87,8 @@
         self._retries = meter.create_counter("arbutusyard_retries")
         self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
         self._quarantined = meter.create_gauge("arbutusyard_quarantined")
+        self._quota_cost = meter.create_counter("arbutusyard_quota_cost")
+        self._quota_votes = meter.create_gauge("arbutusyard_quota_votes")
         self._recomputed_tokens = meter.create_counter("arbutusyard_recomputed_tokens")
 
     def count_request(self, account: str, work_class: str, outcome: str) -> None:
@@ -130,6 +135,15 @@
         self._quarantined.set(segments, {"kind": "segments"})
         self._quarantined.set(requests, {"kind": "request"})
 
+    def count_quota(self, account: str, result: str, cost: float) -> None:
+        """Count the cost of requests by how their quota was decided."""
+        attrs = {ATTR_ACCOUNT: self._labels.label(account), ATTR_RESULT: result}
+        self._quota_cost.add(cost, attrs)
+
+    def set_quota_votes(self, votes: int) -> None:
+        """Set how many nodes lend their shares of the quotas to this node."""
+        self._quota_votes.set(votes)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
--- a/arbutusyard/platform/rows.py
+++ b/arbutusyard/platform/rows.py
@@ -4,6 +4,9 @@
 """
 
 import ipaddress
+import json
+import logging
+import math
 from typing import Any, Final
 
 import msgspec
@@ -12,6 +15,7 @@
 from arbutusyard.const import MS_PER_S
 from arbutusyard.gateway.models import (
     Account,
+    AccountQuota,
     CacheStore,
     Configuration,
     EngineTraits,
@@ -32,6 +36,14 @@
 KEY_CONFIG: Final = "config"
 PREFIX_WEIGHTS: Final = "version/"
 PORT_MAX: Final = 65_535
+# Unit of quotas that count prompt and output tokens.
+UNIT_TOKENS: Final = "tokens"
+# Largest number of a quota; larger ones are mistakes, and no more can be counted.
+QUOTA_MAX: Final = 1e15
+# Maximum number of characters of a malformed value in the log.
+LOGGED_VALUE_CHARS: Final = 80
+
+_LOGGER = logging.getLogger(__name__)
 
 
 class WireShare(Struct):
@@ -102,6 +114,13 @@
     priority: int | None = None
     # Cached prompts are not shared with other client accounts.
     share_nothing: bool = False
+    # The quota: cost per second and at once, in "tokens" or, with any other unit, in
+    # requests. Any values are decoded, as a malformed one concerns one account only.
+    rate_per_s: Any = None
+    burst: Any = None
+    unit: Any = None
+    # Cost in tokens of a request that states none.
+    plain_tokens: Any = None
 
 
 class WireLimits(Struct):
@@ -160,7 +179,7 @@
 
 def read_configuration(data: bytes) -> Configuration:
     """Decode a configuration; raise MalformedRow if it is malformed."""
-    wire = _decode(data, WireConfig)
+    wire = _decode_configuration(data)
     services = [item for item in wire.services if item.kv_store_addr is None]
     stores = [item for item in wire.services if item.kv_store_addr is not None]
     return Configuration(
@@ -174,7 +193,13 @@
             for item in stores
         ),
         accounts=tuple(
-            Account(item.name, tuple(item.api_keys), item.priority, item.share_nothing)
+            Account(
+                item.name,
+                tuple(item.api_keys),
+                item.priority,
+                item.share_nothing,
+                _quota(item, wire.version),
+            )
             for item in wire.tenants
         ),
         limits=IngressLimits(
@@ -186,6 +211,69 @@
     )
 
 
+def _decode_configuration(data: bytes) -> WireConfig:
+    """Decode a configuration whose quotas may contain numbers that JSON has not."""
+    try:
+        return _decode(data, WireConfig)
+    except MalformedRow:
+        try:
+            value = json.loads(
+                data.decode(), parse_float=_finite, parse_constant=_NonFinite
+            )
+            return msgspec.convert(value, WireConfig)
+        except (ValueError, RecursionError):
+            pass
+        raise
+
+
+class _NonFinite:
+    """Stand for a number that is infinite or none, in a field that takes any value."""
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+
+    def __repr__(self) -> str:
+        return self._text
+
+
+def _finite(text: str) -> object:
+    number = float(text)
+    return number if math.isfinite(number) else _NonFinite(text)
+
+
+def _quota(wire: WireTenant, config_version: int) -> AccountQuota | None:
+    """Return an account's quota, None without one; log malformed values."""
+    if wire.rate_per_s is None or _quota_number(wire.rate_per_s) == 0:
+        return None
+    by_tokens = wire.unit == UNIT_TOKENS
+    rate_s = _quota_number(wire.rate_per_s)
+    burst = rate_s if wire.burst is None else _quota_number(wire.burst)
+    cost = 0.0
+    if by_tokens and wire.plain_tokens is not None:
+        cost = _quota_number(wire.plain_tokens)
+    if rate_s is not None and burst is not None and cost is not None:
+        return AccountQuota(rate_s, burst, by_tokens, cost)
+    _LOGGER.error(
+        "Account %s gets no service: its quota is malformed",
+        wire.name,
+        extra={
+            "account": wire.name,
+            "config": config_version,
+            "rate_per_s": repr(wire.rate_per_s)[:LOGGED_VALUE_CHARS],
+            "burst": repr(wire.burst)[:LOGGED_VALUE_CHARS],
+            "plain_tokens": repr(wire.plain_tokens)[:LOGGED_VALUE_CHARS],
+        },
+    )
+    return AccountQuota(0.0, 0.0, by_tokens, valid=False)
+
+
+def _quota_number(value: Any) -> float | None:
+    """Return a number of a quota; None if it is none that can be enforced."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return float(value) if 0 <= value <= QUOTA_MAX else None
+
+
 def _route(wire: WireRoute) -> Route:
     shares = tuple(
         ServiceShare(item.service, item.weight) for item in wire.traffic_split or ()
--- a/arbutusyard/platform/settings.py
+++ b/arbutusyard/platform/settings.py
@@ -1,9 +1,9 @@
 """Decode the platform's settings file of a VM."""
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from arbutusyard.const import MS_PER_S
 from arbutusyard.exceptions import SetupFailed
@@ -16,6 +16,11 @@
 LINK_MBPS_PER_CORE: Final = 50.0
 
 
+# Numbers with which limits can be computed; a number beyond them is a mistake.
+NonNegativeNumber = Annotated[float, Meta(ge=0, le=1e15)]
+PositiveNumber = Annotated[float, Meta(gt=0, le=1e15)]
+
+
 class Listen(Struct):
     """Hold the addresses, IP:port, at which a process listens."""
 
@@ -45,6 +50,11 @@
     ttl_max_s: float = 5
     # Time from the first statement of a server's limit until it is enforced.
     contact_ms: float = LIMIT_GRACE_S * MS_PER_S
+    # Sliding window in which accounts' quotas are checked, and what it may exceed them
+    # by: a ratio, and an amount in the account's unit.
+    quota_window_s: PositiveNumber = 8
+    quota_overshoot: NonNegativeNumber = 0
+    quota_slack: NonNegativeNumber = 0
 
 
 class Store(Struct):
@@ -158,6 +168,9 @@
         directory_keep_max_s=bounds.ttl_max_s,
         max_fds=file.limits.max_fds,
         limit_grace_s=bounds.contact_ms / MS_PER_S,
+        quota_window_s=bounds.quota_window_s,
+        quota_overshoot=bounds.quota_overshoot,
+        quota_slack=bounds.quota_slack,
         capacity=_capacity_cores(file.limits),
         metrics_address=f"{file.ip}:{metrics_port}",
     )
--- /dev/null
+++ b/arbutusyard/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Enforce the quotas of client accounts over all nodes together."""
