--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -227,9 +227,10 @@
 class QuotaAnswer(Struct, frozen=True, array_like=True, tag="quota_answer"):
     """Answer the datagram `seq` of a node's incarnation.
 
-    `at` is the leader's time. `retry_after_s` answers the question `ask_id`: None
-    grants it, and a negative number tells that the leader has no votes. `credits` names
-    accounts and the credit granted.
+    `number` is 0 if it answers a question, and cannot be echoed. `at` is the leader's
+    time. `retry_after_s` answers the question `ask_id`: None grants it, and a negative
+    number tells that the leader has no votes. `credits` names accounts and the credit
+    granted.
     """
 
     name: str
--- a/arbutusyard/quotas/const.py
+++ b/arbutusyard/quotas/const.py
@@ -28,7 +28,7 @@
 # Fractions of what a window may exceed the quota by: overdrafts of the leaders, and
 # credit that nodes hold in advance. The rest covers the time between grant and use.
 ALLOWANCE_FRACTION: Final = 0.4
-CREDIT_FRACTION: Final = 0.4
+CREDIT_FRACTION: Final = 0.2
 LATENESS_FRACTION: Final = 0.2
 # Maximum credit of all nodes, as a fraction of what a window may contain.
 CREDIT_WINDOW_FRACTION: Final = 0.25
@@ -37,7 +37,7 @@
 # Bounds of the time in which an answer may be used, in seconds, counted from the first
 # datagram that asked for it. Ten round trips between failure domains are 0.07 s.
 FRESH_MIN_S: Final = 0.07
-FRESH_MAX_S: Final = 0.5
+FRESH_MAX_S: Final = 0.15
 # Interval at which an unanswered question is repeated, in seconds.
 ASK_REPEAT_S: Final = 0.04
 # Fraction of a request's time limit for which it waits for the leader's answer.
@@ -48,8 +48,9 @@
 # Time for which a leader remembers the numbers of a silent node's datagrams, in
 # seconds; a datagram is not delayed for longer.
 RECORD_RETENTION_S: Final = 60.0
-# Number of own answers whose sending times a leader remembers for each node.
-ANSWER_TIMES_MAX: Final = 64
+# Number of own periodic answers whose sending times a leader remembers for each node;
+# more than a vote is valid for.
+ANSWER_TIMES_MAX: Final = 16
 # Maximum number of questions that a node remembers after it stopped waiting.
 ENDED_ASKS_MAX: Final = 256
 # Maximum number of accounts with refills or returns in one datagram.
--- a/arbutusyard/quotas/leader.py
+++ b/arbutusyard/quotas/leader.py
@@ -153,12 +153,15 @@
         decision = Decision(now, None)
         if sync.ask is not None:
             decision = self._decide_once(sync, voter, now)
-        self._answers += 1
-        voter.answers.append((self._answers, now))
+        number = 0
+        if sync.ask is None:
+            # Votes echo answers to periodic datagrams, of which few are remembered.
+            number = self._answers = self._answers + 1
+            voter.answers.append((number, now))
         return QuotaAnswer(
             name=self.name,
             incarnation=self.incarnation,
-            number=self._answers,
+            number=number,
             node_incarnation=sync.incarnation,
             seq=sync.seq,
             at=now,
--- a/arbutusyard/quotas/member.py
+++ b/arbutusyard/quotas/member.py
@@ -192,10 +192,11 @@
         needs: list[tuple[str, float]] = []
         if target == self.ask_target(now):
             needs = self._needs(now, ask)
-        if len(self._pending) > 2 * ACCOUNTS_PER_SYNC_MAX:
-            self._pending = {
-                s: at for s, at in self._pending.items() if now - at <= FRESH_MAX_S
-            }
+        while self._pending:
+            oldest = next(iter(self._pending))
+            if now - self._pending[oldest] <= self._silence_s():
+                break
+            del self._pending[oldest]
         self._pending[self._seq] = now
         return QuotaSync(
             name=self._me,
@@ -233,7 +234,7 @@
             asked_at = self._needed_at.get(name, float("-inf"))
             if (
                 missing > CREDIT_REFILL_FRACTION * credit.capacity
-                and now - asked_at > self._limits[name].fresh_s
+                and now - asked_at > self.interval_s
                 and len(needs) < ACCOUNTS_PER_SYNC_MAX
             ):
                 self._needed_at[name] = now
@@ -309,8 +310,8 @@
         sent_at = self._pending.pop(answer.seq, None)
         contact = self._contacts.get(answer.name)
         if contact is not None and answer.leads and sent_at is not None:
-            is_newer = answer.number > contact.number
-            if contact.incarnation != answer.incarnation or is_newer:
+            is_same = contact.incarnation == answer.incarnation
+            if answer.number > (contact.number if is_same else 0):
                 contact.incarnation = answer.incarnation
                 contact.number = answer.number
             contact.heard_at = max(contact.heard_at, sent_at)
--- a/arbutusyard/quotas/models.py
+++ b/arbutusyard/quotas/models.py
@@ -53,13 +53,18 @@
         rate_s = max(RATE_MIN_S, quota.rate_s)
         window = rate_s * rule.window_s + quota.burst
         leftover = rule.overshoot * window + rule.slack
+        allowance = ALLOWANCE_FRACTION * leftover
+        credit = min(CREDIT_FRACTION * leftover, CREDIT_WINDOW_FRACTION * window)
         lateness = LATENESS_FRACTION * leftover
         fresh_s = min(FRESH_MAX_S, max(FRESH_MIN_S, lateness / rate_s))
+        # What the rest of the tolerance is not used for enlarges the burst: requests
+        # that arrive together are then rejected less often.
+        rest = leftover - allowance - credit - rate_s * fresh_s
         return cls(
             rate_s=rate_s,
-            burst=max(0.0, quota.burst - max(0.0, rate_s * fresh_s - lateness)),
-            allowance=ALLOWANCE_FRACTION * leftover,
-            credit=min(CREDIT_FRACTION * leftover, CREDIT_WINDOW_FRACTION * window),
+            burst=max(0.0, quota.burst + rest),
+            allowance=allowance,
+            credit=credit,
             fresh_s=fresh_s,
             window_s=rule.window_s,
         )
--- a/tests/quotas/simulation.py
+++ b/tests/quotas/simulation.py
@@ -101,11 +101,11 @@
                     self.heard_at[other.name] = now
             alive = [n for n, at in self.heard_at.items() if now - at < PEER_TIMEOUT_S]
             alive.append(self.name)
-            ranked = sorted(set(alive), key=lambda n: world.nodes[n].rank)
+            ranked = sorted(set(alive), key=lambda n: world.rank_of(self, n))
         others = frozenset(alive) - {self.name}
         self.sharing.update(others, now, expected=self.known)
         nodes = len(self.sharing) + 1
-        standby = world.standby and self.rank >= 24
+        standby = world.standby is not None and self.rank >= world.standby
         self.member.set_nodes(nodes, self.knows_all, standby, now)
         self.leader.set_nodes(nodes, self.knows_all, now)
         self.member.choose_leader(ranked, now)
@@ -197,7 +197,9 @@
 class World:
     """The nodes, their network, the store's rows and the configuration."""
 
-    def __init__(self, nodes, quotas, seed=0, fresh=False, standby=False, rule=RULE):
+    def __init__(
+        self, nodes, quotas, seed=0, fresh=False, standby=None, rule=RULE, gap_s=0.0
+    ):
         self.rule = rule
         self.rng = random.Random(seed)
         self.now = 0.0
@@ -205,6 +207,7 @@
         self.quotas = quotas
         self.quota_history = [(0.0, dict(quotas))]
         self.rows = set()
+        # Rank from which on nodes are standby nodes, if any are.
         self.standby = standby
         # Delay of datagrams, and the fractions of them that are lost and doubled.
         self.delay_s, self.lost, self.doubled = (0.0014, 0.0034), 0.0, 0.0
@@ -217,8 +220,8 @@
         self.names = list(self.nodes)
         if not fresh:
             self.rows = set(self.nodes)
-        for node in self.nodes.values():
-            node.start(had_row=not fresh, registers_in_s=0.1)
+        for n, node in enumerate(self.nodes.values()):
+            node.start(had_row=not fresh, registers_in_s=0.1 + n * gap_s)
 
     def at(self, at, func, *args):
         heappush(self._events, (at, next(self._order), func, args))
@@ -233,6 +236,9 @@
             func(*args)
         self.now = until
 
+    def rank_of(self, viewer, name):
+        return self.nodes[name].rank
+
     def reach(self, sender, receiver):
         return self.part.get(sender.name, 0) == self.part.get(receiver.name, 0)
 
@@ -287,9 +293,10 @@
         while (at := at + self.rng.expovariate(per_s)) < self.now + seconds:
             self.at(at, send)
 
-    def burst(self, name, account, cost, requests):
+    def burst(self, name, account, cost, requests, refunded_in_s=None):
+        send = partial(self.nodes[name].request, account, cost, 1.0, refunded_in_s)
         for _ in range(requests):
-            self.after(0.0, partial(self.nodes[name].request, account, cost, 1.0))
+            self.after(0.0, send)
 
     def worst(self, account):
         """Return the most that a window exceeds what it may contain; below 0 if none.
