Refund quotas exactly and test decoding, charging and refunds

Cause: a charge that no server ran was not refunded if the bucket had been full within some seconds before, so requests that servers reject used up a quota. A malformed number in one account's quota could also invalidate a configuration. Change: a bucket keeps when it had how much room, so that a refund raises it to where it would be without the charge. The tests of rules load the nodes less.

--- a/arbutusyard/quotas/bucket.py
+++ b/arbutusyard/quotas/bucket.py
@@ -1,6 +1,8 @@
 """Account for what a leader may still grant, or a node may still spend."""
 
-from arbutusyard.quotas.const import HEADROOM_EPOCH_S
+from collections import deque
+
+from arbutusyard.quotas.const import HEADROOMS_MAX, REFUND_MAX_AGE_S
 
 
 class Bucket:
@@ -12,10 +14,7 @@
     """
 
     __slots__ = (
-        "_headroom",
-        "_headroom_before",
-        "_epoch_at",
-        "_epoch_before_at",
+        "_headrooms",
         "capacity",
         "full_since",
         "level",
@@ -31,10 +30,8 @@
         self.updated_at = now
         # Time since when the bucket has been full; None if it is not.
         self.full_since: float | None = None
-        # Minimum of capacity - level since the start of the epoch, and of the one
-        # before.
-        self._epoch_at = self._epoch_before_at = now
-        self._headroom = self._headroom_before = capacity
+        # Times and values of capacity - level, of which no later one is lower.
+        self._headrooms: deque[tuple[float, float]] = deque([(now, capacity)])
 
     def settle(self, now: float) -> None:
         """Raise the level by what the time since the last call has brought."""
@@ -75,25 +72,31 @@
     def refund(self, cost: float, charged_at: float, now: float) -> None:
         """Take back a charge, or as much of it as has not flowed over since."""
         self.settle(now)
-        if charged_at >= self._epoch_at:
-            headroom = self._headroom
-        elif charged_at >= self._epoch_before_at:
-            headroom = self._headroom_before
-        else:
+        if now - charged_at > REFUND_MAX_AGE_S:
             return
+        before = [item for item in self._headrooms if item[0] <= charged_at]
+        after = [item for item in self._headrooms if item[0] > charged_at]
+        headroom = after[0][1] if after else self.capacity - self.level
         amount = min(cost, headroom)
-        if amount > 0:
-            self.level += amount
-            self._headroom -= amount
-            self._headroom_before -= amount
+        if amount <= 0:
+            return
+        self.level += amount
+        self._headrooms = deque(before)
+        for at, headroom in after:
+            self._append_headroom(at, headroom - amount)
+        self._note_headroom(now)
 
     def _note_headroom(self, now: float) -> None:
-        headroom = self.capacity - self.level
-        if now - self._epoch_at >= HEADROOM_EPOCH_S:
-            self._epoch_before_at, self._headroom_before = (
-                self._epoch_at,
-                self._headroom,
-            )
-            self._epoch_at, self._headroom = now, headroom
-        self._headroom = min(self._headroom, headroom)
-        self._headroom_before = min(self._headroom_before, headroom)
+        self._append_headroom(now, self.capacity - self.level)
+        while now - self._headrooms[0][0] > REFUND_MAX_AGE_S:
+            self._headrooms.popleft()
+
+    def _append_headroom(self, at: float, headroom: float) -> None:
+        headrooms = self._headrooms
+        while headrooms and headrooms[-1][1] >= headroom:
+            headrooms.pop()
+        headrooms.append((at, headroom))
+        if len(headrooms) > HEADROOMS_MAX:
+            # The lower value stands for both, so less is refunded at the most.
+            _, lower = headrooms.popleft()
+            headrooms[0] = (headrooms[0][0], lower)
--- a/arbutusyard/quotas/const.py
+++ b/arbutusyard/quotas/const.py
@@ -56,9 +56,10 @@
 # Maximum number of accounts with refills or returns in one datagram.
 ACCOUNTS_PER_SYNC_MAX: Final = 64
 
-# Time after which a bucket forgets how full it has been, in seconds, twice that at the
-# most. Charges older than that are not refunded.
-HEADROOM_EPOCH_S: Final = 5.0
+# Maximum age of a charge that is refunded, in seconds; the longest time limit.
+REFUND_MAX_AGE_S: Final = 10.0
+# Maximum number of values that a bucket keeps to judge refunds.
+HEADROOMS_MAX: Final = 256
 
 # Time without a rejection after which the next one of an account is logged, in seconds.
 REJECTION_LOG_S: Final = 10.0
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from arbutusyard.gateway.models import RetryPolicy, ServerState
+from arbutusyard.gateway.models import AccountQuota, RetryPolicy, ServerState
 from arbutusyard.platform.exceptions import MalformedRow
 from arbutusyard.platform.rows import read_configuration, read_server, read_weights
 
@@ -112,3 +112,50 @@
     assert read_weights(b'{"model": "m", "version": 2}').version == 2
     with pytest.raises(MalformedRow):
         read_weights(b'{"model": "m", "version": "2"}')
+
+
+# Guards against a mistake in one account's quota that stops all accounts' changes.
+@pytest.mark.parametrize(
+    ("quota", "expected"),
+    [
+        ("{}", None),
+        ('{"rate_per_s": 0, "burst": "x"}', None),
+        ('{"rate_per_s": null}', None),
+        ('{"rate_per_s": 5}', AccountQuota(5.0, 5.0)),
+        (
+            '{"rate_per_s": 7, "burst": 9.5, "unit": "tokens", "plain_tokens": 200}',
+            AccountQuota(7.0, 9.5, True, 200.0),
+        ),
+        ('{"rate_per_s": 7, "burst": 0, "unit": 3}', AccountQuota(7.0, 0.0)),
+        *(
+            (text, AccountQuota(0.0, 0.0, valid=False))
+            for text in (
+                '{"rate_per_s": -1}',
+                '{"rate_per_s": "5"}',
+                '{"rate_per_s": true}',
+                '{"rate_per_s": [1]}',
+                '{"rate_per_s": NaN}',
+                '{"rate_per_s": 1e999}',
+                '{"rate_per_s": 5, "burst": -Infinity}',
+                '{"rate_per_s": 5, "burst": 1e300}',
+            )
+        ),
+        (
+            '{"rate_per_s": 5, "unit": "tokens", "plain_tokens": {}}',
+            AccountQuota(0.0, 0.0, True, valid=False),
+        ),
+    ],
+)
+def test_a_malformed_quota_concerns_its_account_only(quota, expected, caplog):
+    accounts = '[{"name": "a", "api_keys": []' + (", " + quota[1:-1] + "}]")
+    accounts = accounts.replace(", }", "}")
+    data = f'{{"version": 1, "routes": [], "services": [], "tenants": {accounts}}}'
+    (account,) = read_configuration(data.encode()).accounts
+    assert account.quota == expected
+    is_malformed = expected is not None and not expected.valid
+    assert ("its quota is malformed" in caplog.text) is is_malformed
+
+
+def test_numbers_that_json_has_not_are_malformed_elsewhere():
+    with pytest.raises(MalformedRow):
+        read_configuration(b'{"version": NaN, "routes": [], "services": []}')
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,6 +43,22 @@
     assert cfg.limit_grace_s == 1.5
 
 
+def test_the_tolerance_of_quotas_is_read_and_checked():
+    cfg = decode_settings(json.dumps(FILE).encode(), 1)
+    assert (cfg.quota_window_s, cfg.quota_overshoot, cfg.quota_slack) == (8, 0, 0)
+    stated = {"quota_window_s": 4, "quota_overshoot": 0.1, "quota_slack": 190_000}
+    file = {**FILE, "bounds": {**FILE["bounds"], **stated}}
+    cfg = decode_settings(json.dumps(file).encode(), 1)
+    assert (cfg.quota_window_s, cfg.quota_overshoot, cfg.quota_slack) == (
+        4,
+        0.1,
+        190_000,
+    )
+    file["bounds"] = {**FILE["bounds"], "quota_window_s": 0, "quota_slack": -1}
+    with pytest.raises(SetupFailed, match="quota_window_s.*quota_slack"):
+        decode_settings(json.dumps(file).encode(), 1)
+
+
 def test_without_a_control_address_the_peer_address_has_the_first_internal_port():
     listen = {key: FILE["listen"][key] for key in ("front", "ready", "directory")}
     cfg = decode_settings(json.dumps({**FILE, "listen": listen}).encode(), 1)
--- a/tests/quotas/test_rules.py
+++ b/tests/quotas/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 
 from arbutusyard.gateway.models import AccountQuota
-from arbutusyard.quotas import leader, member
+from arbutusyard.quotas import leader
 from arbutusyard.quotas.bucket import Bucket
 from arbutusyard.quotas.leader import QuotaLeader
 from arbutusyard.quotas.member import QuotaMember
@@ -69,13 +69,13 @@
 
 
 def restart_voters():
-    world = make_world(12, standby=0)
+    world = make_world(20, standby=0)
     overload(world, 4, ["n0"])
     world.part = {name: n for n, name in enumerate(world.names)}
     for name in world.names[1:]:
         world.crash(name, 0.01)
     world.load(["n0"], "a", 400, 100, 6)
-    overload(world, 6)
+    overload(world, 6, cost=100)
     return world
 
 
