Follow the first in the ranking while nodes register

Change: a node that is not registered yet follows the first in the ranking, and one that is waits 3 s for a leader that answers but does not lead yet.

--- a/arbutusyard/quotas/member.py
+++ b/arbutusyard/quotas/member.py
@@ -27,10 +27,15 @@
 
 
 class Contact(Struct):
-    """Hold what a node knows of a leader; `number` is that of its newest answer."""
+    """Hold what a node knows of a leader; `number` is that of its newest answer.
+
+    `heard_at` is when a datagram was sent that it answered as a leader, `answered_at`
+    when one that it answered at all.
+    """
 
     since: float
     heard_at: float = float("-inf")
+    answered_at: float = float("-inf")
     incarnation: int = 0
     number: int = 0
 
@@ -127,7 +132,18 @@
             return
         silence_s = self._silence_s()
         contact = self._contacts[self.leader]
-        if now - max(contact.heard_at, contact.since) > silence_s:
+        if not self.is_complete:
+            # The others may have started at the same time, and lead as soon as this
+            # node votes.
+            if ranked and ranked[0] != self.leader:
+                self._change_leader(ranked[0], now, "first choice")
+            else:
+                contact.since = now
+            return
+        # A node that answers but does not lead yet may have started just now.
+        starts = now - contact.answered_at <= silence_s
+        patience_s = max(silence_s, PREFERENCE_S) if starts else silence_s
+        if now - max(contact.heard_at, contact.since) > patience_s:
             self._avoided_until[self.leader] = now + AVOIDANCE_S
             others = [n for n in ranked if self._avoided_until.get(n, now) <= now]
             self._change_leader(others[0] if others else self._me, now, "no answer")
@@ -309,6 +325,8 @@
             return None
         sent_at = self._pending.pop(answer.seq, None)
         contact = self._contacts.get(answer.name)
+        if contact is not None and sent_at is not None:
+            contact.answered_at = max(contact.answered_at, sent_at)
         if contact is not None and answer.leads and sent_at is not None:
             is_same = contact.incarnation == answer.incarnation
             if answer.number > (contact.number if is_same else 0):
--- a/tests/quotas/test_rules.py
+++ b/tests/quotas/test_rules.py
@@ -142,7 +142,6 @@
         if capacity > 0 and rate_s > 0 and self.is_new:
             self.level, self.is_new = capacity, False
 
-    monkeypatch.setattr(Bucket, "__slots__", (), raising=False)
     full = type("Full", (Bucket,), {"__init__": start, "reshape": fill})
     monkeypatch.setattr(leader, "Bucket", full)
 
