Charge requests when they are sent, and lend shares at once after a common start

A request may wait for a server after its quota was charged; requests charged over seconds could then run together in one window. A charge older than 0.25 s is renewed before the request is sent, and the tolerance covers that time.

--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -39,6 +39,7 @@
     shared_keys,
 )
 from arbutusyard.quarantine.models import Quarantined, Suspect
+from arbutusyard.quotas.const import RENEW_AFTER_S
 from arbutusyard.quotas.coordinator import QuotaCoordinator
 from arbutusyard.quotas.models import Grant, quota_rule
 
@@ -149,6 +150,13 @@
             return True
         return self._quotas.charge_again(grant, now)
 
+    def _is_charge_outdated(self, exchange: Exchange, now: float) -> bool:
+        """Return whether a request has waited since its run was charged."""
+        grant = exchange.grant
+        if grant is None or not grant.charges:
+            return False
+        return now - grant.charged_at > RENEW_AFTER_S
+
     def _give_back_quota(self, exchange: Exchange, outcome: str) -> None:
         """Take back the quota of a run for which no server was found, or that failed.
 
@@ -287,6 +295,12 @@
                     exchange.excluded.clear()
                     continue
                 return self._answer_failure(exchange, "no_server")
+            if self._is_charge_outdated(exchange, now):
+                refusal = self._quotas.renew(exchange.grant, now)
+                if refusal is not None:
+                    return self._refuse_charged(exchange, refusal)
+                # The choice of a server is outdated after the wait for the charge.
+                continue
             is_retry = bool(exchange.attempts)
             if is_retry and not self._may_spend_retry(exchange, now):
                 return self._answer_failure(exchange, "retry_budget")
@@ -299,6 +313,13 @@
             if not self._may_retry(exchange, result):
                 return self._answer_failure(exchange, result.value)
 
+    def _refuse_charged(self, exchange: Exchange, refusal: Refusal) -> str:
+        """Refuse a request whose run could not be charged anew."""
+        if exchange.executions or exchange.conn.sent_head:
+            return self._answer_failure(exchange, refusal.reason)
+        self._refuse(exchange.req, exchange.conn, refusal, clock.now())
+        return f"{refusal.status}_{refusal.reason}"
+
     def _refuse_ended_version(self, exchange: Exchange) -> str:
         """Answer a stream whose software version has no server left."""
         reason = "software_version_ended"
--- a/arbutusyard/quotas/const.py
+++ b/arbutusyard/quotas/const.py
@@ -25,6 +25,12 @@
 PREFERENCE_S: Final = 3.0
 AVOIDANCE_S: Final = 3.0
 
+# Fraction of the nodes that a started node has to have heard from, and difference of
+# their times since the start, in seconds, to tell that all nodes started together. No
+# leader is left then that could still use votes from before.
+STARTED_FRACTION: Final = 0.75
+STARTED_TOGETHER_S: Final = 2.0
+
 # Fractions of what a window may exceed the quota by: overdrafts of the leaders, and
 # credit that nodes hold in advance. The rest covers the time between grant and use.
 ALLOWANCE_FRACTION: Final = 0.4
@@ -38,6 +44,10 @@
 # datagram that asked for it. Ten round trips between failure domains are 0.07 s.
 FRESH_MIN_S: Final = 0.07
 FRESH_MAX_S: Final = 0.15
+# Age from which the charge of a request that has not been sent yet is renewed, in
+# seconds. Requests that wait for a server would otherwise run together in a later
+# window than the one in which they were charged.
+RENEW_AFTER_S: Final = 0.25
 # Interval at which an unanswered question is repeated, in seconds.
 ASK_REPEAT_S: Final = 0.04
 # Fraction of a request's time limit for which it waits for the leader's answer.
--- a/arbutusyard/quotas/coordinator.py
+++ b/arbutusyard/quotas/coordinator.py
@@ -21,6 +21,8 @@
     ASK_WAIT_FRACTION,
     RETRY_AFTER_INVALID_S,
     RETRY_AFTER_UNKNOWN_S,
+    STARTED_FRACTION,
+    STARTED_TOGETHER_S,
     TICK_MAX_S,
 )
 from arbutusyard.quotas.leader import QuotaLeader
@@ -60,6 +62,7 @@
         "_rng",
         "_rule",
         "_sharing",
+        "_started_at",
         "_supervisor",
         "_votes",
         "_waiting",
@@ -79,7 +82,8 @@
         self._peers = peers
         self._rule = rule
         self._metrics = metrics
-        self._member = QuotaMember(me, incarnation, clock.now())
+        self._started_at = clock.now()
+        self._member = QuotaMember(me, incarnation, self._started_at)
         self._leader = QuotaLeader(me, incarnation)
         self._sharing = SharingNodes(BUDGET_RETENTION_S)
         self._rng = random.Random(me)
@@ -125,6 +129,14 @@
         """Charge a further run of a request; return False if it must not run."""
         return self._charge(grant, now) is None
 
+    def renew(self, grant: Grant, now: float) -> Refusal | None:
+        """Charge a run anew that was charged too long before it is sent.
+
+        Return a refusal if there is no quota left for it now.
+        """
+        self.give_back(grant)
+        return self._charge(grant, now)
+
     def give_back(self, grant: Grant) -> None:
         """Take back the newest charge of a request that did not run."""
         self._member.refund(grant, clock.now())
@@ -132,6 +144,7 @@
 
     def _charge(self, grant: Grant, now: float) -> Refusal | None:
         self._refresh(now)
+        grant.charged_at = now
         charge = self._member.spend_credit(grant.account, grant.cost, now)
         if charge is not None:
             grant.charges.append(charge)
@@ -234,6 +247,16 @@
         is_standby = table.large() and not table.serves(self._me, now)
         self._member.set_nodes(nodes, is_complete, is_standby, now)
         self._leader.set_nodes(nodes, is_complete, now)
+        if self._member.has_predecessor_votes:
+            self._member.has_predecessor_votes = not self._started_together(nodes, now)
+
+    def _started_together(self, nodes: int, now: float) -> bool:
+        """Return whether all nodes have started at about the time of this one."""
+        peers = self._peers.table.peers.values()
+        up_s = [peer.heartbeat.up_s + now - peer.received_at for peer in peers]
+        if len(up_s) + 1 < STARTED_FRACTION * nodes:
+            return False
+        return max(up_s, default=0.0) <= now - self._started_at + STARTED_TOGETHER_S
 
     def _refresh(self, now: float) -> None:
         """Apply a changed configuration."""
--- a/arbutusyard/quotas/member.py
+++ b/arbutusyard/quotas/member.py
@@ -62,6 +62,7 @@
         "_returns",
         "_seq",
         "_started_at",
+        "has_predecessor_votes",
         "interval_s",
         "is_complete",
         "leader",
@@ -72,6 +73,8 @@
         self._me = me
         self._incarnation = incarnation
         self.is_complete = False
+        # Whether a leader may still use a vote of an earlier process of this node.
+        self.has_predecessor_votes = True
         self.interval_s = SYNC_INTERVAL_S
         self.leader = ""
         self._started_at = now
@@ -232,7 +235,8 @@
             return 0.0
         # An earlier incarnation of this node may have lent its share just before.
         longest_s = max(SYNC_INTERVAL_STANDBY_S, self._nodes * SYNC_INTERVAL_PER_NODE_S)
-        if now - self._started_at <= VOTE_INTERVALS * longest_s + CHANGE_MARGIN_S:
+        wait_s = VOTE_INTERVALS * longest_s + CHANGE_MARGIN_S
+        if self.has_predecessor_votes and now - self._started_at <= wait_s:
             return 0.0
         if target != self._lent_to and now <= self.lent_until + CHANGE_MARGIN_S:
             return 0.0
--- a/arbutusyard/quotas/models.py
+++ b/arbutusyard/quotas/models.py
@@ -15,6 +15,7 @@
     FRESH_MIN_S,
     LATENESS_FRACTION,
     RATE_MIN_S,
+    RENEW_AFTER_S,
 )
 
 
@@ -60,6 +61,8 @@
         # What the rest of the tolerance is not used for enlarges the burst: requests
         # that arrive together are then rejected less often.
         rest = leftover - allowance - credit - rate_s * fresh_s
+        # Runs may begin this long after their charge, as far as the tolerance allows.
+        rest -= min(max(0.0, rest), rate_s * RENEW_AFTER_S)
         return cls(
             rate_s=rate_s,
             burst=max(0.0, quota.burst + rest),
@@ -105,6 +108,8 @@
     cost: float
     # Time for which a run waits for its charge, in seconds.
     wait_s: float = 0.0
+    # When the newest run was charged, by this node's clock.
+    charged_at: float = 0.0
     charges: list[Charge] = field(default_factory=list)
 
 
--- a/tests/quotas/test_coordinator.py
+++ b/tests/quotas/test_coordinator.py
@@ -3,6 +3,7 @@
 import gevent
 import msgspec
 import pytest
+from msgspec.structs import replace
 
 from arbutusyard import clock
 from arbutusyard.fleet.messages import Datagram, Heartbeat
@@ -134,6 +135,28 @@
     assert before - level(gateway) == pytest.approx(2.0, abs=0.9)
 
 
+def test_a_request_that_waited_for_a_server_is_charged_when_it_is_sent(
+    start, monkeypatch
+):
+    # Guards against requests that were charged over many seconds and, after a wait for
+    # capacity, run together in one window.
+    gateway, (server,) = start(answering, objective_s=5.0)
+    renew, renewed = QuotaCoordinator.renew, []
+    monkeypatch.setattr(
+        QuotaCoordinator,
+        "renew",
+        lambda self, grant, now: renewed.append(now) or renew(self, grant, now),
+    )
+    (known,) = gateway.fleet_state.servers.servers.values()
+    before = level(gateway)
+    known.loading_until = clock.now() + 0.4
+    assert gateway.call().status == 200
+    assert len(renewed) == 1
+    assert before - level(gateway) == pytest.approx(1.0, abs=0.9)
+    assert gateway.call().status == 200
+    assert len(renewed) == 1
+
+
 def test_a_malformed_quota_gives_no_service(start):
     gateway, (server,) = start(answering, quota=AccountQuota(0.0, 0.0, valid=False))
     answered = gateway.call()
@@ -157,6 +180,29 @@
         self.catalog = catalog
 
 
+@pytest.mark.parametrize(
+    ("heard", "up_s", "together"), [(9, 0.5, True), (9, 60.0, False), (4, 0.5, False)]
+)
+def test_nodes_that_start_together_wait_for_no_votes_from_before(
+    start, monkeypatch, heard, up_s, together
+):
+    # Guards against seconds without quotas after all nodes lost power at once, and
+    # against a share that is lent twice if a leader from before may be running.
+    gateway, _ = start(answering)
+    names = [f"n{n}" for n in range(10)]
+    peers = LinkedPeers("n0", names, {})
+    now = clock.now()
+    for name in names[1:]:
+        beat = peers.table.peers.pop(name).heartbeat
+        if int(name[1:]) <= heard:
+            peers.table.apply_heartbeat(replace(beat, seq=2, up_s=up_s), now)
+    coordinator = QuotaCoordinator(
+        "n0", 1, gateway.fleet_state, peers, QuotaRule(), DeferredMetrics()
+    )
+    coordinator.tick(now)
+    assert coordinator._member.has_predecessor_votes is not together
+
+
 def test_a_node_asks_its_leader_and_keeps_no_request_waiting_for_long(
     start, monkeypatch
 ):
