Admit requests by the free capacity of servers under load

Under overload nodes send requests to engines that are full, which costs a transfer and up to two retries for each refusal. With `pressure` in the settings' `contracts`, a node now sends a request only to a server that is estimated to have free slots, prefill time, KV memory and connections; others wait at the node in order of urgency or are rejected at once with Retry-After. Nodes report KV tokens and refusals of full servers with their loads.

--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -12,11 +12,17 @@
 
 
 class ServerLoad(Struct, frozen=True, array_like=True):
-    """Hold the number and prompt tokens of a node's requests in flight at a server."""
+    """Hold the number and prompt tokens of a node's requests in flight at a server.
+
+    `held_tokens` are the tokens that they hold in the server's KV memory. `refusals`
+    counts the requests that the server has just refused because it was full.
+    """
 
     server_id: str
     in_flight: int
     prompt_tokens: int
+    held_tokens: int = 0
+    refusals: int = 0
 
 
 class EngineStatus(Struct, frozen=True, array_like=True):
--- a/arbutusyard/fleet/peer_table.py
+++ b/arbutusyard/fleet/peer_table.py
@@ -234,12 +234,24 @@
         total = self._totals.get(server_id)
         return (total[0], total[1]) if total is not None else (0, 0)
 
+    def held_tokens(self, server_id: str) -> int:
+        """Return the tokens that requests of peers hold in a server's KV memory."""
+        total = self._totals.get(server_id)
+        return total[2] if total is not None else 0
+
+    def refusals(self, server_id: str) -> int:
+        """Return how many requests of peers a full server has just refused."""
+        total = self._totals.get(server_id)
+        return total[3] if total is not None else 0
+
     def _add_loads(self, loads: Iterable[ServerLoad], sign: int) -> None:
         for item in loads:
-            total = self._totals.setdefault(item.server_id, [0, 0])
+            total = self._totals.setdefault(item.server_id, [0, 0, 0, 0])
             total[0] += sign * item.in_flight
             total[1] += sign * item.prompt_tokens
-            if total == [0, 0]:
+            total[2] += sign * item.held_tokens
+            total[3] += sign * item.refusals
+            if total == [0, 0, 0, 0]:
                 del self._totals[item.server_id]
 
 
--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -22,7 +22,7 @@
     SUSPECT_BACKOFF_FIRST_S,
     SUSPECT_BACKOFF_MAX_S,
 )
-from arbutusyard.fleet.messages import RemovedServer
+from arbutusyard.fleet.messages import RemovedServer, ServerLoad
 from arbutusyard.gateway.models import ServerEntry, ServerState
 from arbutusyard.routing.speed import PrefillSpeed
 
@@ -55,6 +55,10 @@
     weights: dict[str, int] = field(default_factory=dict)
     in_flight: int = 0
     prompt_tokens: int = 0
+    # Tokens that this node's requests hold in the server's KV memory, and requests that
+    # the server has just refused because it was full; counted by admission under load.
+    held_tokens: int = 0
+    refusals: int = 0
     busy_since: float = 0.0
     last_byte_at: float = 0.0
     reached_at: float = float("-inf")
@@ -150,6 +154,16 @@
             return 0.0
         return now - max(self.busy_since, self.last_byte_at)
 
+    def load(self) -> ServerLoad:
+        """Return this node's load on the server, for the other nodes."""
+        return ServerLoad(
+            self.entry.server_id,
+            self.in_flight,
+            self.prompt_tokens,
+            self.held_tokens,
+            self.refusals,
+        )
+
     def suspect(self, now: float, first_hand: bool = True) -> None:
         """Stop using the server until it can be reached again.
 
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, field
 
 from arbutusyard import clock
+from arbutusyard.admission.models import URGENCY_MAX
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.admission import Admission
@@ -54,8 +55,6 @@
 
 # Size up to which an answer is buffered until it is complete, in bytes.
 BUFFERED_ANSWER_BYTES_MAX = 1_048_576
-# Level of the least urgent requests; 0 is the most urgent.
-URGENCY_MAX = 9
 
 
 class AttemptResult(enum.Enum):
@@ -103,6 +102,8 @@
     # Bytes after the last complete event of the newest stream.
     incomplete_bytes: int = 0
     placement: Placement | None = None
+    # The request can't be on time any more and goes behind all others.
+    late: bool = False
     # A server's error answer, relayed if no other server answers.
     fallback_answer: tuple[AnswerHead, bytes] | None = None
 
@@ -168,7 +169,7 @@
         """Send a request to one server; return None once its client has an answer."""
         server = placement.server
         now = clock.now()
-        cap = self._connection_cap(exchange.service)
+        cap = self.connection_cap(exchange.service)
         conn: ServerConnection | None = None
         complete_head: AnswerHead | None = None
         exchange.head = None
@@ -233,7 +234,7 @@
             cache_salt=placement.cache_salt,
             cache_source=placement.fetch.address if placement.fetch else "",
             cache_sink=placement.save_to,
-            urgency=_urgency(exchange.route, account),
+            urgency=URGENCY_MAX if exchange.late else urgency(exchange.route, account),
             resume_after=exchange.sequence.last_id,
         )
         headers = dispatch_headers(req, dispatch)
@@ -338,7 +339,8 @@
         exchange.retry_is_paid = has_other and self.spend_retry(exchange.service, now)
         return exchange.retry_is_paid
 
-    def _connection_cap(self, service: str) -> int:
+    def connection_cap(self, service: str) -> int:
+        """Return how many connections this node may open to a server of a service."""
         catalog = self._fleet_state.catalog
         known = catalog.cfg.services.get(service) if catalog else None
         return connection_cap(known.max_connections if known else 0, self.share.heard)
@@ -495,7 +497,7 @@
         """
         splitter = EventSplitter()
         caller = exchange.conn
-        gap_limit_s = _gap_limit_s(exchange.route)
+        gap_limit_s = client_gap_s(exchange.route) + GAP_MARGIN_S
         event_at = clock.now()
         while True:
             data = _read_event_data(conn, exchange.deadline, event_at + gap_limit_s)
@@ -633,7 +635,7 @@
         return result
 
 
-def _urgency(route: Route, account: Account | None) -> int | None:
+def urgency(route: Route, account: Account | None) -> int | None:
     """Return the urgency of a request for an engine; 0 is the most urgent."""
     if not route.streaming:
         return None
@@ -641,14 +643,14 @@
     return max(0, min(URGENCY_MAX, route.priority if override is None else override))
 
 
-def _gap_limit_s(route: Route) -> float:
+def client_gap_s(route: Route) -> float:
     """Return the longest gap between events, in seconds, that a client waits for."""
     gaps = (
         GAP_MIN_S,
         GAP_OBJECTIVE_FACTOR * route.objective_s,
         GAP_TARGET_FACTOR * route.gap_s,
     )
-    return max(gaps) + GAP_MARGIN_S
+    return max(gaps)
 
 
 def _read_event_data(
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -303,6 +303,7 @@
     def _tick(self, now: float) -> None:
         self._fleet_state.servers.sweep(now)
         self._router.tick(now)
+        self._relay.tick(now)
         self._relay.update_share(self._peers.fleet_share(self._cfg.retry_window_s, now))
         nodes = len(self._peers.table.peers) + 1
         reads = self._peers.reads_for_others(now) or self._weights.fencing_token > 0
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -3,8 +3,11 @@
 import logging
 
 import gevent
+from gevent.event import Event
 
 from arbutusyard import clock
+from arbutusyard.admission.coordinator import AdmissionControl
+from arbutusyard.admission.models import Reject, Ticket, Wait
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.serving import RateMeter
 from arbutusyard.fleet.state import FleetState
@@ -19,7 +22,13 @@
     SERVER_WAIT_INTERVAL_S,
 )
 from arbutusyard.gateway.events import EventSequence
-from arbutusyard.gateway.exchange import AttemptResult, Dispatcher, Exchange
+from arbutusyard.gateway.exchange import (
+    AttemptResult,
+    Dispatcher,
+    Exchange,
+    client_gap_s,
+    urgency,
+)
 from arbutusyard.gateway.incarnations import IncarnationCheck
 from arbutusyard.gateway.models import CallerRequest, Refusal, RetryPolicy
 from arbutusyard.gateway.pool import ServerPool
@@ -39,6 +48,7 @@
     shared_keys,
 )
 from arbutusyard.quarantine.models import Quarantined, Suspect
+from arbutusyard.routing.placement import choose
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -48,6 +58,7 @@
 
     __slots__ = (
         "_admission",
+        "_control",
         "_retry_budget",
         "_dispatcher",
         "_fleet_state",
@@ -81,6 +92,11 @@
             self.origins,
             IncarnationCheck(servers, router.limits),
         )
+        self._control = AdmissionControl(
+            fleet_state, peers, metrics, cfg.admission_control
+        )
+        self._control.capacity.connection_cap = self._dispatcher.connection_cap
+        self._control.capacity.is_unresponsive = router.is_unresponsive
         router.is_listed = self.origins.versions.is_listed
         self._fleet_state = fleet_state
         self._router = router
@@ -90,6 +106,7 @@
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
         self._dispatcher.spend_retry = self._retry_budget.spend
+        self._set_hooks()
 
     @property
     def leaving(self) -> bool:
@@ -103,10 +120,25 @@
     def reload(self, cfg: NodeSettings) -> None:
         """Apply changed settings."""
         self._admission.reload(cfg.revoke_s)
+        self._control.enabled = cfg.admission_control
+        self._set_hooks()
         self._retry_budget.reconfigure(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
 
+    def _set_hooks(self) -> None:
+        """Let admission under load choose servers if the settings enable it."""
+        if self._control.enabled:
+            self._router.has_room = self._control.has_room
+            self._router.choose = self._control.capacity.choose
+        else:
+            self._router.has_room = None
+            self._router.choose = choose
+
+    def tick(self, now: float) -> None:
+        """Forget what admission under load no longer needs."""
+        self._control.tick(now)
+
     def update_share(self, share: FleetShare) -> None:
         """Set what this node knows of the nodes that share the joint limits."""
         self._retry_budget.share = share
@@ -202,6 +234,19 @@
 
     def _try_servers(self, exchange: Exchange) -> str:
         """Try servers until one answers; return the name of the outcome."""
+        if not self._control.enabled:
+            return self._try_admitted(exchange, None, None)
+        turn = Event()
+        ticket = _ticket(exchange, turn)
+        try:
+            return self._try_admitted(exchange, ticket, turn)
+        finally:
+            self._control.finish(ticket, clock.now())
+
+    def _try_admitted(
+        self, exchange: Exchange, ticket: Ticket | None, turn: Event | None
+    ) -> str:
+        """Try servers as admission under load allows it, without a ticket at once."""
         wait_until = clock.now() + SERVER_WAIT_FRACTION * exchange.route.objective_s
         while True:
             now = clock.now()
@@ -217,6 +262,15 @@
                     continue
                 case Suspect(key=key, begun=True):
                     suspect_key = key
+            match self._control.enter(ticket, now) if ticket else None:
+                case Wait(wait_s=wait_s):
+                    turn.clear()
+                    turn.wait(min(wait_s, exchange.deadline - now))
+                    if not exchange.executions:
+                        exchange.excluded.clear()
+                    continue
+                case Reject(retry_after_s=retry_after_s):
+                    return self._answer_failure(exchange, "no_capacity", retry_after_s)
             placement = self._router.place(
                 exchange.req,
                 exchange.account,
@@ -229,6 +283,8 @@
                 exchange.route.retry_policy is RetryPolicy.RESUME,
             )
             if placement is None:
+                if ticket and self._control.found_none(ticket, now):
+                    continue
                 if not self._router.has_software(
                     exchange.service, exchange.software_version
                 ):
@@ -243,7 +299,12 @@
             if is_retry and not self._may_spend_retry(exchange, now):
                 return self._answer_failure(exchange, "retry_budget")
             exchange.placement = placement
+            if ticket:
+                self._control.start(ticket, placement.server, now)
+                exchange.late = ticket.late and exchange.route.streaming
             result = self._dispatcher.dispatch(exchange, placement)
+            if ticket:
+                self._end_admitted(exchange, ticket, result)
             if result is None:
                 return "answered"
             if is_retry and result is AttemptResult.NOT_SENT:
@@ -251,6 +312,16 @@
             if not self._may_retry(exchange, result):
                 return self._answer_failure(exchange, result.value)
 
+    def _end_admitted(
+        self, exchange: Exchange, ticket: Ticket, result: AttemptResult | None
+    ) -> None:
+        """Free the capacity of an attempt; tell the other nodes of a full server."""
+        server, head = ticket.server, exchange.head
+        refused = result is AttemptResult.NOT_RUN and head and head.status == 503
+        ticket.begun = exchange.conn.sent_head
+        if self._control.end_attempt(ticket, bool(refused), clock.now()):
+            self._router.on_load(server.load(), None)
+
     def _refuse_ended_version(self, exchange: Exchange) -> str:
         """Answer a stream whose software version has no server left."""
         reason = "software_version_ended"
@@ -442,3 +513,26 @@
         "fetch_from": fetch.address if fetch else "",
         "saved_to": placement.save_to,
     }
+
+
+def _ticket(exchange: Exchange, turn: Event) -> Ticket:
+    """Return what admission under load has to know of a request."""
+    req, route = exchange.req, exchange.route
+    gives_up_at = exchange.deadline
+    level = urgency(route, exchange.account)
+    if route.streaming:
+        gives_up_at = min(gives_up_at, req.arrived_at + client_gap_s(route))
+    return Ticket(
+        exchange.service,
+        route.name,
+        route.priority if level is None else level,
+        req.arrived_at,
+        route.objective_s,
+        gives_up_at,
+        route.timeout_s,
+        exchange.deadline - req.arrived_at,
+        req.prompt_tokens if req.model else 0,
+        req.prompt_tokens + req.output_tokens if req.model else 0,
+        exchange.conn.sent_head,
+        turn.set,
+    )
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -116,7 +116,9 @@
         "_superseded_max_s",
         "_rng",
         "_service_speeds",
+        "choose",
         "has_connection",
+        "has_room",
         "is_listed",
         "limits",
         "on_check",
@@ -149,6 +151,8 @@
         self._rng = random.Random(peers.me)
         self.is_listed: Callable[[str, str], bool] = lambda service, version: True
         self.has_connection: Callable[[Server, float], bool] = lambda server, now: True
+        self.choose: Callable[[Work, list[ServerView]], ServerView] = choose
+        self.has_room: Callable[[ServerView, Work, float], bool] | None = None
         self.on_load: Callable[[ServerLoad, SegmentUpdate | None], None] = (
             lambda load, segments: None
         )
@@ -296,10 +300,20 @@
         age_s = self._fleet_state.superseded_s(model, version, now)
         return age_s is None or age_s > OUTDATED_WEIGHTS_GRACE_S
 
-    def _place_plain(self, servers: list[Server], now: float) -> Placement:
+    def _choose(
+        self, work: Work, views: list[ServerView], now: float
+    ) -> ServerView | None:
+        """Choose a server that has room; return None if none has."""
+        if self.has_room is not None:
+            views = [view for view in views if self.has_room(view, work, now)]
+        return self.choose(work, views) if views else None
+
+    def _place_plain(self, servers: list[Server], now: float) -> Placement | None:
         work = Work(self._domain)
         views = {s.entry.server_id: self._server_view(s, now) for s in servers}
-        best = choose(work, list(views.values()))
+        best = self._choose(work, list(views.values()), now)
+        if best is None:
+            return None
         server = self._fleet_state.servers.servers[best.server_id]
         return Placement(server, expected_s(work, best))
 
@@ -311,7 +325,7 @@
         objective_s: float,
         servers: list[Server],
         now: float,
-    ) -> Placement:
+    ) -> Placement | None:
         group = account.name if account is not None and account.isolated else ""
         newest = max(server.weights.get(req.model, 0) for server in servers)
         newest_servers = [s for s in servers if s.weights.get(req.model, 0) == newest]
@@ -357,7 +371,9 @@
                     and self._is_outdated(req.model, version, now),
                 )
             )
-        best = choose(work, views)
+        best = self._choose(work, views, now)
+        if best is None:
+            return None
         server = self._fleet_state.servers.servers[best.server_id]
         version = server.weights.get(req.model, 0)
         prompt = prompts[version]
@@ -533,7 +549,7 @@
         if placement.shared_segment_keys:
             update = self._record_segments(placement, False, now)
         if placement.prefill_tokens > LARGE_TOKENS:
-            self.on_load(_server_load(server), update)
+            self.on_load(server.load(), update)
 
     def _record_segments(
         self, placement: Placement, prefilled: bool, now: float
@@ -591,7 +607,7 @@
         placement.server.prompt_tokens -= placement.prefill_tokens
         placement.prefill_tokens = 0
         if large or update is not None:
-            self.on_load(_server_load(placement.server), update)
+            self.on_load(placement.server.load(), update)
 
     def end_attempt(self, placement: Placement) -> None:
         """Stop counting an attempt as in flight."""
@@ -654,9 +670,9 @@
     def loads(self) -> tuple[ServerLoad, ...]:
         """Return this node's load on each server, for the other nodes."""
         return tuple(
-            _server_load(server)
+            server.load()
             for server in self._fleet_state.servers.servers.values()
-            if server.in_flight
+            if server.in_flight or server.refusals
         )
 
     def segment_updates(self) -> tuple[SegmentUpdate, ...]:
@@ -693,10 +709,6 @@
                     server.loading_until = 0.0
 
 
-def _server_load(server: Server) -> ServerLoad:
-    return ServerLoad(server.entry.server_id, server.in_flight, server.prompt_tokens)
-
-
 def _affinity_target(req: CallerRequest, group: str, server_ids: list[str]) -> str:
     """Return the server on which all nodes place this first segment by preference."""
     if len(req.segments) < 2 or req.segments[0].tokens < AFFINITY_SEGMENT_TOKENS:
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -32,3 +32,5 @@
     capacity: float = 1.0
     # Time from the first statement of a server's limit until it is enforced.
     limit_grace_s: float = LIMIT_GRACE_S
+    # Whether requests are admitted by the free capacity of servers under load.
+    admission_control: bool = False
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -37,6 +37,10 @@
         """Count a refusal by its reason."""
         self._record("count_refusal", reason)
 
+    def count_admission(self, event: str, work_class: str) -> None:
+        """Count what admission under load did with a request."""
+        self._record("count_admission", event, work_class)
+
     def count_retries(self, retries: int) -> None:
         """Count retries of a request."""
         self._record("count_retries", retries)
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -42,6 +42,7 @@
     """Hold the instruments of an entry."""
 
     __slots__ = (
+        "_admissions",
         "_expected_wait",
         "_hit_tokens",
         "_labels",
@@ -80,6 +81,7 @@
             "arbutusyard_whole_answer_seconds"
         )
         self._requests = meter.create_counter("arbutusyard_requests")
+        self._admissions = meter.create_counter("arbutusyard_admissions")
         self._refusals = meter.create_counter("arbutusyard_refusals")
         self._retries = meter.create_counter("arbutusyard_retries")
         self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
@@ -95,6 +97,10 @@
         """Count a refusal by its reason."""
         self._refusals.add(1, {ATTR_REASON: reason})
 
+    def count_admission(self, event: str, work_class: str) -> None:
+        """Count what admission under load did with a request."""
+        self._admissions.add(1, {"event": event, ATTR_CLASS: work_class})
+
     def record_answer(
         self,
         account: str,
--- a/arbutusyard/platform/settings.py
+++ b/arbutusyard/platform/settings.py
@@ -14,6 +14,8 @@
 # Link bandwidth that one core can use, in Mbit/s. On a slower link the bodies of long
 # prompts saturate the link long before a core is busy.
 LINK_MBPS_PER_CORE: Final = 50.0
+# Entry of `contracts` that enables admission under load.
+CONTRACT_PRESSURE: Final = "pressure"
 
 
 class Listen(Struct):
@@ -78,6 +80,8 @@
     platform: Store
     seeds: list[str] = []
     limits: VmLimits = msgspec.field(default_factory=VmLimits)
+    # Names of the guarantees that the operators ask of this deployment.
+    contracts: list[str] = []
 
 
 def read_settings(path: str, metrics_port: int) -> NodeSettings:
@@ -160,4 +164,5 @@
         limit_grace_s=bounds.contact_ms / MS_PER_S,
         capacity=_capacity_cores(file.limits),
         metrics_address=f"{file.ip}:{metrics_port}",
+        admission_control=CONTRACT_PRESSURE in file.contracts,
     )
