--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -80,3 +80,13 @@
 
     assert capacity(cpu_share=0.5, cores=2, link_mbps=1000) == 1.0
     assert capacity(cpu_share=1.0, cores=2, link_mbps=5) == 0.1
+
+
+def test_only_the_contract_on_pressure_enables_admission_control():
+    # All other deployments have to be served as before.
+    for contracts, expected in ((None, False), ([], False), (["x", "pressure"], True)):
+        file = FILE if contracts is None else {**FILE, "contracts": contracts}
+        cfg = decode_settings(json.dumps(file).encode(), 1)
+        assert cfg.admission_control is expected
+    with pytest.raises(SetupFailed, match="contracts"):
+        decode_settings(json.dumps({**FILE, "contracts": "pressure"}).encode(), 1)
