Test fairness, disconnects and timed-out peers under admission control

New tests cover a client that disconnects while it waits, counts of a peer that times out, and that no class, size or account starves.

--- a/tests/admission/simulation.py
+++ b/tests/admission/simulation.py
@@ -3,6 +3,8 @@
 import random
 from types import SimpleNamespace
 
+from msgspec.structs import astuple, replace
+
 from arbutusyard.admission.coordinator import AdmissionControl
 from arbutusyard.admission.models import Admit, Reject, Ticket, Wait
 from arbutusyard.fleet.servers import Server
@@ -20,29 +22,25 @@
     "long": (SHARED_TOKENS, 3720, 24, 1.56, 10.0, 2),
     "short": (0, 383, 9, 0.52, 5.0, 0),
 }
-VALUES = {("long", "on_time"): 2.6, ("long", "late"): 1.2}
-VALUES |= {("short", "on_time"): 2.3, ("short", "late"): 0.27}
 
 
 class Engine:
     """Engine that admits by urgency and prefills in the order of admission."""
 
-    def __init__(self, groups):
-        self.running, self.queue, self.cached = [], [], set(groups)
+    def __init__(self, rng):
+        self.cached = set(rng.sample(range(GROUPS), CACHED_GROUPS))
+        self.running, self.queue = [], []
         self.loading_until = 0.0
 
-    def submit(self, run, now):
-        if now < self.loading_until or len(self.running + self.queue) >= SLOTS + QUEUE:
-            return False
-        self.queue.append(run)
-        return True
+    def is_full(self, now):
+        full = len(self.running + self.queue) >= SLOTS + QUEUE
+        return full or now < self.loading_until
 
     def advance(self, now):
-        """Serve for one tick; return the runs that got their first event or ended."""
+        """Serve for a tick; return the runs that got their first event or ended."""
         self.queue.sort(key=lambda run: run.urgency)
         while self.queue and len(self.running) < SLOTS:
-            call = self.queue[0].call
-            held = sum(run.call.tokens for run in self.running)
+            call, held = self.queue[0].call, sum(r.call.tokens for r in self.running)
             if self.running and held + call.tokens > CACHE_TOKENS:
                 break
             hit = call.name == "long" and call.group in self.cached
@@ -51,8 +49,7 @@
         changed, budget = [], PREFILL_TOKENS_S * TICK_S
         for run in list(self.running):
             used = min(budget, run.left)
-            budget -= used
-            run.left -= used
+            budget, run.left = budget - used, run.left - used
             if run.left <= 0 and run.first_at is None:
                 run.first_at = now
                 self.cached.add(run.call.group)
@@ -63,8 +60,8 @@
         return changed
 
     def cancel(self, run):
-        self.running = [other for other in self.running if other is not run]
-        self.queue = [other for other in self.queue if other is not run]
+        for runs in (self.running, self.queue):
+            runs[:] = [other for other in runs if other is not run]
 
 
 class Fleet:
@@ -73,10 +70,7 @@
     def __init__(self, controlled, nodes=40, engines=70, seed=1):
         self.controlled, self.rng, self.now = controlled, random.Random(seed), 0.0
         self.ids = [f"e{n}" for n in range(engines)]
-        cached = [self.rng.sample(range(GROUPS), CACHED_GROUPS) for _ in self.ids]
-        self.engines = {
-            i: Engine(groups) for i, groups in zip(self.ids, cached, strict=True)
-        }
+        self.engines = {i: Engine(self.rng) for i in self.ids}
         self.totals = {i: [0, 0, 0, 0] for i in self.ids}
         self.reserved = reserved_engines(self.ids)
         self.nodes = [self._node(n) for n in range(nodes)]
@@ -84,20 +78,12 @@
         self.attempts = self.refused = 0
 
     def _node(self, n):
-        servers, sent = {}, {i: (0, 0, 0, 0) for i in self.ids}
-        for i in self.ids:
-            entry = ServerEntry(i, 1, "svc", i, "z", ServerState.READY, SLOTS, {})
-            servers[i] = Server(entry)
-        cfg = SimpleNamespace(
-            services={
-                "svc": Service(
-                    "svc", 100, EngineTraits(SLOTS, CACHE_TOKENS, 1, 1.0, ())
-                )
-            }
-        )
-        table = SimpleNamespace(
-            get=servers.get, of_service=lambda _: list(servers.values())
-        )
+        ready, sent = ServerState.READY, {i: (0, 0, 0, 0) for i in self.ids}
+        entries = [ServerEntry(i, 1, "svc", i, "z", ready, SLOTS, {}) for i in self.ids]
+        servers = {entry.server_id: Server(entry) for entry in entries}
+        traits = EngineTraits(SLOTS, CACHE_TOKENS, 1, 1.0, ())
+        cfg = SimpleNamespace(services={"svc": Service("svc", 100, traits)})
+        table = SimpleNamespace(get=servers.get, of_service=lambda _: servers.values())
         peers = SimpleNamespace(
             me=f"n{n}",
             load=lambda i: [self.totals[i][f] - sent[i][f] for f in (0, 1)],
@@ -107,21 +93,19 @@
         state = SimpleNamespace(servers=table, catalog=SimpleNamespace(cfg=cfg))
         control = AdmissionControl(state, peers, DeferredMetrics())
         control.capacity.connection_cap = lambda service: 6
-        report_at = REPORT_S * self.rng.random()
-        return SimpleNamespace(
-            servers=servers, sent=sent, peers=peers, control=control, at=report_at
-        )
+        node = SimpleNamespace(servers=servers, sent=sent, peers=peers, control=control)
+        node.at = REPORT_S * self.rng.random()
+        return node
 
     def report(self, node, server_ids):
         for i in server_ids:
-            load = node.servers[i].load()
-            new = (load.in_flight, load.prompt_tokens, load.held_tokens, load.refusals)
+            new = astuple(node.servers[i].load())[1:]
             for field in range(4):
                 self.totals[i][field] += new[field] - node.sent[i][field]
             node.sent[i] = new
 
     def arrive(self, name, account=0):
-        shared, own, out, objective_s, limit_s, urgency = CLASSES[name]
+        shared, own, out, *_ = CLASSES[name]
         call = SimpleNamespace(name=name, out=out, account=account, outcome="unserved")
         call.tokens = shared + int(min(20 * own, self.rng.expovariate(1 / own))) + 1
         call.group = self.rng.randrange(GROUPS) if shared else None
@@ -131,7 +115,7 @@
 
     def send(self, call):
         """Send a call to a random node."""
-        _, _, _, objective_s, limit_s, urgency = CLASSES[call.name]
+        objective_s, limit_s, urgency = CLASSES[call.name][3:]
         call.node, call.tries, call.excluded = self.rng.choice(self.nodes), 0, set()
         call.gives_up_at = self.now + max(2.0, 4 * objective_s)
         left_s = call.began_at + limit_s - self.now
@@ -150,19 +134,16 @@
             match control.enter(call.ticket, self.now) if self.controlled else Admit():
                 case Wait(wait_s=wait_s):
                     call.step_at = self.now + wait_s
-                    call.excluded.clear()
-                    return
+                    return call.excluded.clear()
                 case Reject(retry_after_s=retry_after_s):
-                    self.reject(call, retry_after_s)
-                    return
+                    return self.reject(call, retry_after_s)
             view = self.place(call)
-            if view is not None:
-                if self.dispatch(call, view):
-                    return
-                call.tries += 1
-            elif not (self.controlled and control.found_none(call.ticket, self.now)):
+            if view is not None and self.dispatch(call, view):
+                return None
+            call.tries += view is not None
+            if view is None and not control.found_none(call.ticket, self.now):
                 break
-        self.reject(call, 0.3)
+        return self.reject(call, 0.3)
 
     def place(self, call):
         node, ticket, views = call.node, call.ticket, []
@@ -171,22 +152,17 @@
         for i, server in node.servers.items():
             if self.now < self.engines[i].loading_until or i in call.excluded:
                 continue
-            in_flight, tokens = node.peers.load(i)
-            hit = shared and call.group in self.engines[i].cached
-            view = ServerView(
-                *(i, "z", SLOTS, server.in_flight + in_flight),
-                *(server.prompt_tokens + tokens, shared if hit else 0, False, 0.0),
-                reserved=i in self.reserved,
-                recompute_tokens=0 if hit else shared,
-                random_cost_s=self.rng.uniform(0.0, 0.02),
-                tokens_s=PREFILL_TOKENS_S,
-            )
-            views.append(view)
-        if self.controlled:
-            has_room = node.control.has_room
-            views = [view for view in views if has_room(view, work, self.now)]
-        pick = node.control.capacity.choose if self.controlled else choose
-        return pick(work, views) if views else None
+            hit = call.group in self.engines[i].cached
+            own = (server.in_flight, server.prompt_tokens)
+            counts = (a + b for a, b in zip(own, node.peers.load(i), strict=True))
+            traits = (False, 0.0, False, 0, 0.0, i in self.reserved)
+            costs = (0 if hit else shared, False, self.rng.uniform(0.0, 0.02))
+            view = ServerView(i, "z", SLOTS, *counts, hit * shared, *traits, *costs)
+            views.append(replace(view, tokens_s=PREFILL_TOKENS_S))
+        if not self.controlled:
+            return choose(work, views) if views else None
+        views = [v for v in views if node.control.has_room(v, work, self.now)]
+        return node.control.capacity.choose(work, views) if views else None
 
     def dispatch(self, call, view):
         """Send a call to an engine; return whether it was accepted."""
@@ -198,13 +174,14 @@
         run = SimpleNamespace(call=call, server=server, first_at=None, urgency=urgency)
         run.tokens = max(0, call.tokens - view.cached_tokens)
         self.attempts += 1
-        if not self.engines[i].submit(run, self.now):
+        if self.engines[i].is_full(self.now):
             self.refused += 1
             call.excluded.add(i)
             if node.control.end_attempt(call.ticket, True, self.now):
                 self.report(node, [i])
             return False
         call.run = run
+        self.engines[i].queue.append(run)
         server.count_sent(run.tokens, self.now)
         if run.tokens > LARGE_TOKENS:
             self.report(node, [i])
@@ -255,10 +232,10 @@
             for run in engine.advance(self.now):
                 if run.first_at < self.now:
                     self.end_call(run.call)
-                    continue
-                self.end_prefill(run)
-                on_time = self.now - run.call.began_at <= CLASSES[run.call.name][3]
-                run.call.outcome = "on_time" if on_time else "late"
+                else:
+                    self.end_prefill(run)
+                    late = self.now - run.call.began_at > CLASSES[run.call.name][3]
+                    run.call.outcome = "late" if late else "on_time"
 
     def play(self, *phases):
         """Play phases of a duration in seconds, engines that load, and rates."""
@@ -270,12 +247,3 @@
             while self.now < until:
                 self.tick(rates)
         return self
-
-    def value(self):
-        return sum(VALUES.get((call.name, call.outcome), 0.0) for call in self.calls)
-
-
-def fraction(calls, *outcomes):
-    """Return the fraction of calls with one of some outcomes."""
-    calls = list(calls)
-    return sum(call.outcome in outcomes for call in calls) / max(1, len(calls))
--- a/tests/admission/test_fairness.py
+++ b/tests/admission/test_fairness.py
@@ -4,11 +4,22 @@
 from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 
-from tests.admission.simulation import Fleet, fraction
+from tests.admission.simulation import Fleet
 
+VALUES = {("long", "on_time"): 2.6, ("long", "late"): 1.2}
+VALUES |= {("short", "on_time"): 2.3, ("short", "late"): 0.27}
 USUAL = {("long", 0): 66, ("short", 0): 347}
 
 
+def value(fleet):
+    return sum(VALUES.get((call.name, call.outcome), 0.0) for call in fleet.calls)
+
+
+def fraction(calls):
+    """Return the fraction of calls that got a response."""
+    return sum(call.outcome != "unserved" for call in calls) / max(1, len(calls))
+
+
 @pytest.mark.parametrize("long_s, short_s", [(300, 2000), (450, 1500)])
 def test_engines_refuse_little_and_more_is_served_on_time_than_without(long_s, short_s):
     # Nodes that act on late reports send to the same engines, which refuse half.
@@ -20,7 +31,7 @@
     without, controlled = fleets
     assert without.refused > 0.2 * without.attempts
     assert controlled.refused < 0.03 * controlled.attempts
-    assert controlled.value() > 1.05 * without.value()
+    assert value(controlled) > 1.05 * value(without)
 
 
 # Shrinking a failure would take minutes, as each example plays seconds of load.
@@ -46,13 +57,25 @@
         for field, values in (("name", ("long", "short")), ("account", (1, 2)))
         for value in values
     }
-    served = {key: fraction(group, "on_time", "late") for key, group in groups.items()}
-    everyone = fraction(calls, "on_time", "late")
+    served = {key: fraction(group) for key, group in groups.items()}
+    everyone = fraction(calls)
     assert served["name", "short"] >= served["name", "long"] - 0.05
     for key, group in groups.items():
         # Of a few calls, chance decides.
         assert len(group) < 20 or served[key] >= 0.25 * everyone
     longs = sorted(groups["name", "long"], key=lambda call: call.tokens)
     largest = longs[len(longs) * 9 // 10 :]
-    part = fraction(largest, "on_time", "late")
+    part = fraction(largest)
     assert len(largest) < 8 or part >= 0.5 * served["name", "long"]
+
+
+def test_small_prompts_far_above_the_capacity_are_served_as_often_as_large_ones():
+    # Large prompts wait longer, and are served when the load has passed.
+    rates = {("long", 1): 50, ("short", 1): 1350, ("long", 2): 50, ("short", 2): 450}
+    fleet = Fleet(True, nodes=8, engines=10, seed=3)
+    calls = fleet.play((2.0, 4, rates), (7.0, 0, {})).calls
+    long_part, short_part = (
+        fraction([call for call in calls if call.name == name])
+        for name in ("long", "short")
+    )
+    assert short_part >= long_part - 0.05
--- a/tests/admission/test_relay.py
+++ b/tests/admission/test_relay.py
@@ -5,7 +5,15 @@
 from msgspec.structs import replace
 
 from arbutusyard import clock
-from tests.gateway.support import SETTINGS, Gateway, ScriptedServer, answer, not_run
+from tests.gateway.support import (
+    SETTINGS,
+    Gateway,
+    ScriptedServer,
+    answer,
+    not_run,
+    request_bytes,
+    wait_for,
+)
 
 
 @pytest.fixture
@@ -27,13 +35,13 @@
         item.stop()
 
 
-def slow(held, most):
-    """Return a script that takes 50 ms and records how many requests it holds."""
+def slow(held, most, took_s=0.05):
+    """Return a script that takes a while and records how many requests it holds."""
 
     def script(request):
         held.append(request)
         most.append(len(held))
-        gevent.sleep(0.05)
+        gevent.sleep(took_s)
         held.remove(request)
         yield answer(request)
 
@@ -85,6 +93,22 @@
     assert gateway.router.loads() == ()
 
 
+def test_a_client_that_disconnects_while_it_waits_is_sent_to_no_server(start):
+    # Servers would work for clients that have gone.
+    gateway, server = start(slow([], [], 0.4), slots=1, objective_s=1.5)
+    calls = [gevent.spawn(gateway.call, Request_Id=f"r{n}") for n in range(2)]
+    wait_for(lambda: len(server.requests) == 2)
+    sock = gateway.connect()
+    sock.sendall(request_bytes(Request_Id="gone"))
+    (line,) = gateway.relay._control._lines.values()
+    wait_for(lambda: line.tickets)
+    sock.close()
+    wait_for(lambda: not line.tickets)
+    gevent.joinall(calls)
+    gevent.sleep(0.1)
+    assert "gone" not in [got.headers["request-id"] for got in server.requests]
+
+
 def test_without_the_setting_requests_are_sent_as_before(start):
     gateway, server = start(slow([], most := []), slots=2)
     gateway.relay.reload(SETTINGS)
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -71,11 +71,15 @@
 
 def test_unresponsive_peer_is_not_alive_and_its_load_is_not_counted():
     table = PeerTable("me")
-    table.apply_heartbeat(heartbeat(1, ServerLoad("s", 2, 0)), 0.0)
+    table.apply_heartbeat(heartbeat(1, ServerLoad("s", 2, 0, 17_000, 1)), 0.0)
     late = PEER_TIMEOUT_S + 0.1
+    # Until then its requests may still hold the server's capacity.
+    table.sweep(PEER_TIMEOUT_S - 0.1)
+    assert (table.held_tokens("s"), table.refusals("s")) == (17_000, 1)
     table.sweep(late)
     assert table.live_heartbeats(late) == []
     assert table.load("s") == (0, 0)
+    assert (table.held_tokens("s"), table.refusals("s")) == (0, 0)
     table.sweep(PEER_FORGET_S + 1)
     assert not table.peers
 
