--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -37,3 +37,5 @@
     quota_window_s: float = 8.0
     quota_overshoot: float = 0.0
     quota_slack: float = 0.0
+    # Whether requests are admitted by the free capacity of servers under load.
+    admission_control: bool = False
