Share one budget of bytes among all client connections

Bodies, pipelined bytes and unread answers were bounded for each connection but not for all together, and idle connections kept the last body in three places. MemoryBudget charges each connection for what it holds. When it runs short, the oldest and largest unfinished bodies and blocked readers end, with 503 or 408 before any server has the request; a new connection takes the place of the one that has waited longest. Bodies are kept in pieces of 64 KiB and released at once, sent without a copy, and tiny chunks leave other tasks their turns. Buffers of the kernel on client sockets are limited to 64 KiB.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -60,7 +60,7 @@
     relay = Relay(
         cfg, fleet_state, peers.table, router, pool, metrics, origins, servers
     )
-    ingress = Ingress(cfg.callers_address, fleet_state, relay, cfg.max_fds)
+    ingress = Ingress(cfg.callers_address, fleet_state, relay, cfg.client_limits)
     node = Node(cfg, incarnation, fleet_state, relay, router, pool, ingress, metrics)
     weights = WeightsCoordinator(
         cfg.name, fleet_state, peers, store, servers, cfg.lease_s, cfg.weights_s
--- a/arbutusyard/gateway/caller.py
+++ b/arbutusyard/gateway/caller.py
@@ -11,12 +11,19 @@
 
 from arbutusyard import clock
 from arbutusyard.gateway.const import (
+    BODY_PIECE_BYTES,
     CALLER_WRITE_TIMEOUT_S,
     NO_LINGER,
     PIPELINED_BYTES,
+    PIPELINED_PRESSED_BYTES,
     READ_BYTES,
+    RETRY_AFTER_S,
+    TINY_CHUNK_BYTES,
+    TINY_CHUNKS_PAUSE_S,
+    TINY_CHUNKS_PER_TURN,
 )
-from arbutusyard.gateway.exceptions import BadRequest, CallerGone
+from arbutusyard.gateway.exceptions import BadRequest, CallerGone, Overloaded
+from arbutusyard.gateway.memory import EndReason, Holding, MemoryBudget, Phase
 from arbutusyard.gateway.models import CallerRequest, IngressLimits
 
 _LOGGER = logging.getLogger(__name__)
@@ -31,19 +38,33 @@
         "_eof",
         "_h11",
         "_has_length",
+        "_holding",
         "_limits",
+        "_memory",
+        "_pieces",
         "_pipelined_bytes",
         "_sock",
         "sent_head",
     )
 
-    def __init__(self, sock: socket.socket, limits: IngressLimits) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        limits: IngressLimits,
+        memory: MemoryBudget,
+        holding: Holding,
+    ) -> None:
         self._sock = sock
+        self._memory = memory
+        self._holding = holding
+        holding.end = self._end_early
         self._limits = limits
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._pipelined_bytes = 0
+        # The part of an unfinished body that has been read.
+        self._pieces: list[bytearray] = []
         self._eof = False
         self._has_length = False
         self.sent_head = False
@@ -51,12 +72,16 @@
     def read_request(self) -> CallerRequest | None:
         """Read a request; return None if the client disconnected or stayed idle.
 
-        Raise BadRequest if the received bytes are not an acceptable request.
+        Raise BadRequest if the received bytes are not an acceptable request, Overloaded
+        if its client holds too much memory or too many descriptors.
         """
+        pipelined = len(self._h11.trailing_data[0])
+        self._memory.wait_for_request(self._holding, pipelined, clock.now())
         head = self._read_head()
         if head is None:
             return None
         body = self._read_body()
+        self._memory.begin_serving(self._holding)
         target = head.target
         return CallerRequest(
             request_id="",
@@ -75,9 +100,9 @@
 
     def _watch_for_eof(self, on_disconnect: Callable[[], None]) -> None:
         self._sock.settimeout(None)
-        while self._pipelined_bytes <= PIPELINED_BYTES:
+        while (allowed := self._allowed_pipelined_bytes()) > 0:
             try:
-                data = self._sock.recv(READ_BYTES)
+                data = self._sock.recv(allowed)
             except TimeoutError:
                 # A concurrent write on this socket has set its own timeout.
                 self._sock.settimeout(None)
@@ -89,8 +114,15 @@
                 on_disconnect()
                 return
             self._pipelined_bytes += len(data)
+            self._memory.add_pipelined(self._holding, len(data))
             self._h11.receive_data(data)
 
+    def _allowed_pipelined_bytes(self) -> int:
+        """Return how many bytes of the next requests may be read now."""
+        pressed = self._memory.is_pressed
+        limit = PIPELINED_PRESSED_BYTES if pressed else PIPELINED_BYTES
+        return limit + 1 - self._pipelined_bytes
+
     def send_head(self, status: int, headers: Headers) -> None:
         """Write the head of an answer."""
         self.sent_head = True
@@ -113,11 +145,33 @@
             headers=[*headers, (b"content-length", b"%d" % len(body))],
         )
         data = self._h11.send(head)
-        if body:
+        if len(body) > READ_BYTES:
+            # Joining them would hold a copy of the body until it is written.
+            self._write(data)
+            data = self._h11.send(h11.Data(data=body))
+        elif body:
             data += self._h11.send(h11.Data(data=body))
         data += self._h11.send(h11.EndOfMessage())
         self._write(data)
 
+    def hold_answer(self, size: int) -> bool:
+        """Charge buffered bytes of an answer; return False if memory is short."""
+        return self._memory.set_answer(self._holding, size, clock.now())
+
+    def _end_early(self, reason: EndReason) -> None:
+        """Wake up the task that waits for this client, which then ends the connection.
+
+        The end of input is seen only after the received bytes, whose request is refused
+        as long as no server has it.
+        """
+        # Released here, as the task may run only after others have filled the memory.
+        self._pieces.clear()
+        how = socket.SHUT_RD
+        if self._holding.phase is Phase.SERVING:
+            how = socket.SHUT_RDWR
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(how)
+
     def is_idle(self) -> bool:
         """Return whether no byte of the next request has been received."""
         if self._h11.their_state is not h11.IDLE or self._h11.trailing_data[0]:
@@ -165,8 +219,11 @@
 
     def close(self) -> None:
         """Close the connection; reset it if its end would complete a broken answer."""
+        self._memory.close(self._holding)
         with contextlib.suppress(OSError):
-            if self._end_completes_answer():
+            # The kernel would keep the unsent bytes of a slow reader for minutes.
+            is_slow_reader = self._holding.ended is EndReason.SLOW_READER
+            if is_slow_reader or self._end_completes_answer():
                 self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
             else:
                 self._sock.shutdown(socket.SHUT_RDWR)
@@ -185,12 +242,17 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.Request):
+                self._memory.begin_request(self._holding, clock.now())
+                self._check_ended()
                 self._check_head(event)
                 return event
             if event is not h11.NEED_DATA:
                 return None
             if started_at is None and self._h11.trailing_data[0]:
                 started_at = clock.now()
+                self._memory.begin_request(self._holding, started_at)
+            if started_at is not None:
+                self._check_ended()
             if started_at is not None:
                 elapsed_s = clock.now() - started_at
                 timeout_s = self._limits.header_timeout_s - elapsed_s
@@ -198,6 +260,8 @@
                 if started_at is None:
                     return None
                 raise BadRequest(408, "timed out while reading the request's head")
+            if started_at is not None:
+                self._check_ended()
 
     def _check_head(self, head: h11.Request) -> None:
         size = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
@@ -210,10 +274,13 @@
             )
         if names.count(b"host") != 1:
             raise BadRequest(400, "the request does not have exactly one Host header")
+        length = dict(head.headers).get(b"content-length", b"0")
+        if int(length) > self._limits.body_bytes:
+            raise BadRequest(413, "the request's body is too large")
 
     def _read_body(self) -> bytes:
-        chunks: list[bytes] = []
-        size = 0
+        pieces = self._pieces
+        size = charged = tiny_chunks = 0
         while True:
             if self._h11.they_are_waiting_for_100_continue:
                 self._send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -222,14 +289,49 @@
                 size += len(event.data)
                 if size > self._limits.body_bytes:
                     raise BadRequest(413, "the request's body is too large")
-                chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                if pieces and len(pieces[-1]) + len(event.data) <= BODY_PIECE_BYTES:
+                    pieces[-1] += event.data
+                else:
+                    pieces.append(bytearray(event.data))
+                tiny_chunks += len(event.data) < TINY_CHUNK_BYTES
+                if tiny_chunks < TINY_CHUNKS_PER_TURN:
+                    continue
+                tiny_chunks = 0
+                self._pause_tiny_chunks()
             elif event is h11.NEED_DATA:
                 if not self._receive(self._limits.idle_timeout_s):
                     raise BadRequest(408, "timed out while reading the request's body")
-            else:
+            elif not isinstance(event, h11.EndOfMessage):
                 raise CallerGone("the client disconnected while sending its request")
+            self._charge_body(size - charged)
+            charged = size
+            if isinstance(event, h11.EndOfMessage):
+                body = b"".join(pieces)
+                pieces.clear()
+                return body
+
+    def _charge_body(self, size: int) -> None:
+        reason = self._memory.add_body(self._holding, size, clock.now())
+        if reason is not None:
+            self._refuse(reason)
+
+    def _check_ended(self) -> None:
+        """Raise Overloaded if this connection has been told to end."""
+        if self._holding.ended is not None:
+            self._refuse(self._holding.ended)
+
+    def _refuse(self, reason: EndReason) -> None:
+        if reason is EndReason.SLOW_BODY:
+            raise Overloaded(408, reason.value, None)
+        raise Overloaded(503, reason.value, RETRY_AFTER_S)
+
+    def _pause_tiny_chunks(self) -> None:
+        """Let other tasks run, so that all tiny chunks get a part of a core only."""
+        self._memory.parsing_tiny += 1
+        try:
+            gevent.sleep(TINY_CHUNKS_PAUSE_S * self._memory.parsing_tiny)
+        finally:
+            self._memory.parsing_tiny -= 1
 
     def _next_event(self) -> object:
         try:
@@ -260,7 +362,25 @@
 
     def _write(self, data: bytes) -> None:
         try:
-            self._sock.settimeout(CALLER_WRITE_TIMEOUT_S)
-            self._sock.sendall(data)
+            self._sock.settimeout(0.0)
+            try:
+                sent = self._sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            finally:
+                self._sock.settimeout(CALLER_WRITE_TIMEOUT_S)
+            if sent < len(data):
+                self._write_rest(memoryview(data)[sent:])
         except OSError as exc:
             raise CallerGone(f"connection to the client failed: {exc}") from exc
+
+    def _write_rest(self, data: memoryview) -> None:
+        """Write what the kernel's buffer did not take at once."""
+        held = self._holding.answer
+        self._memory.set_answer(self._holding, max(held, len(data)), clock.now())
+        self._memory.set_blocked(self._holding, True, clock.now())
+        try:
+            self._sock.sendall(data)
+        finally:
+            self._memory.set_blocked(self._holding, False, clock.now())
+            self._memory.set_answer(self._holding, held, clock.now())
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -15,6 +15,40 @@
 # Number of bytes that a client may pipeline while its request is served. Above it, no
 # more is read, and so no disconnect is noticed, until that request is answered.
 PIPELINED_BYTES: Final = 65_536
+# The same while the memory for clients' bytes is under pressure.
+PIPELINED_PRESSED_BYTES: Final = 4096
+
+# Size of the kernel's buffers of a client's connection, in bytes; the kernel doubles
+# it for its own overhead. 64 KiB are 5 ms on a link of 100 Mbit/s and 100 ms on one of
+# 5 Mbit/s, more than the round trip between failure domains in both cases.
+CLIENT_BUFFER_BYTES: Final = 65_536
+# Size of the receive buffer of a connection to a server, in bytes. Without a limit it
+# grows to megabytes as long as a client does not take its answer.
+SERVER_RECEIVE_BUFFER_BYTES: Final = 131_072
+# Memory charged for an open client connection and for the kernel's buffer of one whose
+# client does not take its answer, in bytes.
+CONNECTION_BYTES: Final = 32_768
+WRITE_BUFFER_BYTES: Final = 2 * CLIENT_BUFFER_BYTES
+# Part of the budget for clients' bytes above which it is under pressure.
+PRESSURE_FRACTION: Final = 0.5
+# Size up to which a body counts as ordinary, in bytes. Ordinary clients send 100 KB at
+# most. Larger bodies may use only a fraction of the budget.
+SMALL_BODY_BYTES: Final = 262_144
+SMALL_BODY_FRACTION: Final = 0.75
+# Age from which an unfinished body is judged by its rate, and time after which a client
+# that takes nothing of its answer counts as slow, in seconds.
+SLOW_AFTER_S: Final = 3.0
+# Interval between searches for slow bodies under pressure, in seconds.
+SWEEP_INTERVAL_S: Final = 0.25
+# Size of the pieces in which a body is kept until it is complete, in bytes. One object
+# for each chunk would cost 8 bytes and more for a chunk of one byte.
+BODY_PIECE_BYTES: Final = 65_536
+# Size below which a chunk counts as tiny, the number of tiny chunks that a connection
+# parses in one turn, and the pause after such a turn for each connection that sends
+# them, in seconds. A chunk costs about 15 us, so tiny chunks get a third of a core.
+TINY_CHUNK_BYTES: Final = 512
+TINY_CHUNKS_PER_TURN: Final = 64
+TINY_CHUNKS_PAUSE_S: Final = 0.002
 
 # Timeout of connecting to a backend server and of the first write to it, in seconds. A
 # healthy server accepts in milliseconds, and a lost packet costs a second anyway.
--- a/arbutusyard/gateway/exceptions.py
+++ b/arbutusyard/gateway/exceptions.py
@@ -19,6 +19,15 @@
         self.status = status
 
 
+class Overloaded(BadRequest):
+    """Report that a request is refused because of what its client makes it hold."""
+
+    def __init__(self, status: int, reason: str, retry_after_s: float | None) -> None:
+        super().__init__(status, reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
 class NotSent(GatewayError):
     """Report that no byte of a request reached a backend server."""
 
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -18,6 +18,7 @@
     GAP_TARGET_FACTOR,
     MISMATCH_PAUSE_S,
     REACHABILITY_RECHECK_S,
+    READ_BYTES,
     REFUSAL_BYTES_MAX,
     REFUSAL_PAUSE_S,
     REFUSAL_READ_TIMEOUT_S,
@@ -460,8 +461,9 @@
         while (data := conn.read_data(exchange.deadline)) is not None:
             size += len(data)
             chunks.append(data)
-            if size > BUFFERED_ANSWER_BYTES_MAX:
-                self._relay_large_body(exchange, conn, head, b"".join(chunks))
+            is_short = not exchange.conn.hold_answer(size) and size > READ_BYTES
+            if is_short or size > BUFFERED_ANSWER_BYTES_MAX:
+                self._relay_large_body(exchange, conn, head, chunks)
                 return None
         return b"".join(chunks)
 
@@ -470,14 +472,16 @@
         exchange: Exchange,
         conn: ServerConnection,
         head: AnswerHead,
-        buffered: bytes,
+        buffered: list[bytes],
     ) -> None:
         caller = exchange.conn
         headers = self.with_connection_header(head.headers)
         if head.length is not None:
             headers = [*headers, (b"content-length", b"%d" % head.length)]
         caller.send_head(head.status, headers)
-        caller.send_data(buffered)
+        while buffered:
+            caller.send_data(buffered.pop(0))
+        caller.hold_answer(0)
         while (data := conn.read_data(exchange.deadline)) is not None:
             caller.send_data(data)
         caller.end()
--- a/arbutusyard/gateway/ingress.py
+++ b/arbutusyard/gateway/ingress.py
@@ -12,7 +12,14 @@
 from arbutusyard.app import Application
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.caller import CallerConnection
-from arbutusyard.gateway.exceptions import BadRequest, CallerGone, GatewayError
+from arbutusyard.gateway.const import CLIENT_BUFFER_BYTES
+from arbutusyard.gateway.exceptions import (
+    BadRequest,
+    CallerGone,
+    GatewayError,
+    Overloaded,
+)
+from arbutusyard.gateway.memory import EndReason, MemoryBudget, MemoryLimits
 from arbutusyard.gateway.models import CallerRequest, IngressLimits, Refusal
 from arbutusyard.gateway.relay import Relay
 from arbutusyard.platform.headers import read_request, refusal_headers
@@ -21,9 +28,8 @@
 
 # Number of connections that the kernel queues until they are accepted.
 BACKLOG_CONNECTIONS: Final = 512
-# Number of file descriptors not available to client connections: the platform keeps
-# some for files, and connections to backend servers use the others.
-RESERVED_DESCRIPTORS: Final = 600
+# Interval between log lines about connections that are not accepted, in seconds.
+REFUSED_LOG_INTERVAL_S: Final = 1.0
 # Interval between checks for remaining work while draining, in seconds.
 DRAIN_POLL_S: Final = 0.02
 
@@ -37,20 +43,31 @@
         "_address",
         "_reading",
         "_fleet_state",
+        "_refused_at",
         "_relay",
         "_server",
         "_stop_at",
         "_tasks",
         "in_flight",
+        "memory",
     )
 
     def __init__(
-        self, address: str, fleet_state: FleetState, relay: Relay, max_fds: int
+        self,
+        address: str,
+        fleet_state: FleetState,
+        relay: Relay,
+        limits: MemoryLimits,
     ) -> None:
         self._address = address
         self._fleet_state = fleet_state
         self._relay = relay
-        self._tasks = Pool(max(64, max_fds - RESERVED_DESCRIPTORS))
+        # The budget limits the connections: a full pool would keep new clients out.
+        self._tasks = Pool()
+        self.memory = MemoryBudget(limits)
+        self.memory.on_end = self._count_ended
+        # Time of the last log line about a connection that was not accepted.
+        self._refused_at = float("-inf")
         self._server: StreamServer | None = None
         self._reading: dict[gevent.Greenlet, CallerConnection] = {}
         self._stop_at = float("inf")
@@ -59,10 +76,15 @@
     def setup(self, app: Application) -> None:
         """Start accepting connections."""
         host, port = self._address.rsplit(":", 1)
+        listener = StreamServer.get_listener(
+            (host, int(port)), backlog=BACKLOG_CONNECTIONS, family=socket.AF_INET
+        )
+        # Accepted connections inherit them; they cannot shrink once bytes have come.
+        for name in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            listener.setsockopt(socket.SOL_SOCKET, name, CLIENT_BUFFER_BYTES)
         self._server = StreamServer(
-            (host, int(port)),
+            listener,
             self._serve_connection,
-            backlog=BACKLOG_CONNECTIONS,
             spawn=self._tasks,
         )
         self._server.start()
@@ -103,13 +125,20 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         catalog = self._fleet_state.catalog
         limits = catalog.cfg.limits if catalog else IngressLimits()
-        conn = CallerConnection(sock, limits)
+        now = clock.now()
+        holding = self.memory.open(lambda reason: None, now)
+        if holding is None:
+            self._turn_away(sock, now)
+            return
+        conn = CallerConnection(sock, limits, self.memory, holding)
         try:
             while True:
                 req = self._read_next(conn)
                 if req is None:
                     return
                 self._handle_request(req, conn)
+                # An idle connection must not keep the body of its last request.
+                req = None
                 if self._relay.leaving and not conn.has_received_more():
                     return
                 if not conn.prepare_for_reuse():
@@ -119,6 +148,20 @@
         finally:
             conn.close()
 
+    def _turn_away(self, sock: socket.socket, now: float) -> None:
+        """Close a new connection that nothing can be released for."""
+        sock.close()
+        self._count_ended(EndReason.CONNECTIONS)
+        if now - self._refused_at >= REFUSED_LOG_INTERVAL_S:
+            self._refused_at = now
+            _LOGGER.warning(
+                "New connections are closed: all clients' connections are in use",
+                extra=self.memory.usage(),
+            )
+
+    def _count_ended(self, reason: EndReason) -> None:
+        self._relay.count_refusal(reason.value)
+
     def _read_next(self, conn: CallerConnection) -> CallerRequest | None:
         task = gevent.getcurrent()
         self._reading[task] = conn
@@ -126,6 +169,8 @@
             return conn.read_request()
         except BadRequest as exc:
             refusal = Refusal(exc.status, "bad_request")
+            if isinstance(exc, Overloaded):
+                refusal = Refusal(exc.status, exc.reason, exc.retry_after_s)
             headers = [*refusal_headers(None, refusal), (b"connection", b"close")]
             conn.answer(exc.status, headers, b"")
             _LOGGER.info(
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -293,6 +293,7 @@
         """Apply changed settings; changed addresses need a restart."""
         self._cfg = cfg
         self._relay.reload(cfg)
+        self._ingress.memory.limits = cfg.client_limits
 
     def _probe(self, server: Server) -> None:
         """Probe a server; send a heartbeat soon if it is unreachable."""
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -31,6 +31,7 @@
     PROBE_PAUSE_S,
     PROBES_OFF_S,
     READ_BYTES,
+    SERVER_RECEIVE_BUFFER_BYTES,
     TCP_USER_TIMEOUT_MS,
     UNRESPONSIVE_CHECK_INTERVAL_S,
     YIELD_BYTES,
@@ -127,35 +128,43 @@
         try:
             self._request = h11.Request(method=method, target=target, headers=headers)
             self._body = body
-            data = self._encode()
+            parts = self._encode()
         except h11.LocalProtocolError as exc:
             raise NotSent(f"request cannot be forwarded: {exc}") from exc
+        size = sum(map(len, parts))
         self._sock.settimeout(CONNECT_TIMEOUT_S)
         self._sent_at = math.inf
         try:
-            sent = self._sock.send(data)
+            # The parts are not joined: a copy of the body would stay until it is sent.
+            sent = self._sock.sendmsg(parts)
         except OSError as exc:
             raise NotSent(
                 f"connection to {self.address} failed before a byte was sent: {exc}"
             ) from exc
         self._carried.add(request_id)
-        if sent < len(data):
+        if sent < size:
             # The server may answer before it has read the whole request.
-            self._writer = gevent.spawn(self._send_remaining, data[sent:])
+            self._writer = gevent.spawn(self._send_remaining, parts, sent)
         else:
             self._sent_at = clock.now()
 
-    def _encode(self) -> bytes:
-        data = self._h11.send(self._request)
+    def _encode(self) -> list[bytes]:
+        parts = [self._h11.send(self._request)]
         if self._body:
-            data += self._h11.send(h11.Data(data=self._body))
-        return data + self._h11.send(h11.EndOfMessage())
-
-    def _send_remaining(self, data: bytes) -> None:
-        remaining = memoryview(data)
+            parts.append(self._h11.send(h11.Data(data=self._body)))
+        self._h11.send(h11.EndOfMessage())
+        return parts
+
+    def _send_remaining(self, parts: list[bytes], sent: int) -> None:
+        head, *body = parts
+        remaining = memoryview(head)[sent:]
+        if body and not remaining:
+            remaining = memoryview(body.pop())[sent - len(head) :]
         while remaining:
             try:
                 remaining = remaining[self._sock.send(remaining) :]
+                if body and not remaining:
+                    remaining = memoryview(body.pop())
             except TimeoutError:
                 # The concurrent reader of this socket has set its own timeout.
                 continue
@@ -258,6 +267,9 @@
         if self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
+        # An idle connection must not keep the body of its last request.
+        self._body = b""
+        self.should_abandon = lambda: False
         self._set_probed(False)
         keep_s = IDLE_KEEP_S if head.keep_s is None else head.keep_s
         self.idle_until = now + keep_s - IDLE_MARGIN_S
@@ -517,6 +529,9 @@
         host, port = address.rsplit(":", 1)
         try:
             sock.settimeout(CONNECT_TIMEOUT_S)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SERVER_RECEIVE_BUFFER_BYTES
+            )
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.connect((host, int(port)))
             set_timeouts(sock)
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -112,6 +112,10 @@
         self._retry_budget.share = share
         self._dispatcher.share = share
 
+    def count_refusal(self, reason: str) -> None:
+        """Count a request or connection that was refused before it was complete."""
+        self._metrics.count_refusal(reason)
+
     def serve(self, req: CallerRequest, conn: CallerConnection) -> None:
         """Answer a request; raise CallerGone when its client disconnected."""
         now = clock.now()
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from arbutusyard.gateway.memory import MAX_FDS, MEMORY_MB, MemoryLimits, make_limits
 from arbutusyard.limits.const import LIMIT_GRACE_S
 
 
@@ -26,9 +27,10 @@
     lease_s: float
     weights_s: float
     directory_keep_max_s: float
-    max_fds: int
     metrics_address: str = ""
     # Number of processor cores, or less if the network link is the bottleneck.
     capacity: float = 1.0
     # Time from the first statement of a server's limit until it is enforced.
     limit_grace_s: float = LIMIT_GRACE_S
+    # Limits of all client connections together.
+    client_limits: MemoryLimits = make_limits(MEMORY_MB, MAX_FDS)
--- a/arbutusyard/platform/settings.py
+++ b/arbutusyard/platform/settings.py
@@ -1,12 +1,13 @@
 """Decode the platform's settings file of a VM."""
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from arbutusyard.const import MS_PER_S
 from arbutusyard.exceptions import SetupFailed
+from arbutusyard.gateway.memory import BODY_BYTES_S, MAX_FDS, MEMORY_MB, make_limits
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.limits.const import LIMIT_GRACE_S
 
@@ -56,8 +57,14 @@
 class VmLimits(Struct):
     """Hold the resource limits of a process on this VM."""
 
-    memory_mb: float = 128
-    max_fds: int = 1024
+    memory_mb: Annotated[float, Meta(gt=0)] = MEMORY_MB
+    max_fds: Annotated[int, Meta(gt=0)] = MAX_FDS
+    # Memory for all clients' bytes, in MiB; without it a part of `memory_mb`.
+    client_memory_mb: Annotated[float, Meta(ge=8)] | None = None
+    # Maximum number of client connections; without it a part of `max_fds`.
+    client_connections: Annotated[int, Meta(ge=1)] | None = None
+    # Minimum rate of an unfinished body under memory pressure, in bytes/s.
+    body_bytes_s: Annotated[float, Meta(ge=0)] = BODY_BYTES_S
     # Fraction of one core; `cores` is that core's speed relative to others.
     cpu_share: float = 1.0
     cores: float = 1.0
@@ -156,8 +163,14 @@
         lease_s=bounds.lease_ms / MS_PER_S,
         weights_s=bounds.version_ms / MS_PER_S,
         directory_keep_max_s=bounds.ttl_max_s,
-        max_fds=file.limits.max_fds,
         limit_grace_s=bounds.contact_ms / MS_PER_S,
+        client_limits=make_limits(
+            file.limits.memory_mb,
+            file.limits.max_fds,
+            file.limits.client_memory_mb,
+            file.limits.client_connections,
+            file.limits.body_bytes_s,
+        ),
         capacity=_capacity_cores(file.limits),
         metrics_address=f"{file.ip}:{metrics_port}",
     )
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -54,7 +54,6 @@
     lease_s=3.0,
     weights_s=8.0,
     directory_keep_max_s=5.0,
-    max_fds=1024,
 )
 METRICS = DeferredMetrics()
 
@@ -225,7 +224,9 @@
             servers=ServerClient(),
         )
         self.relay.update_share(FleetShare(recent=0, settled=True))
-        self.ingress = Ingress("127.0.0.1:0", self.fleet_state, self.relay, 1024)
+        self.ingress = Ingress(
+            "127.0.0.1:0", self.fleet_state, self.relay, SETTINGS.client_limits
+        )
         self.ingress.setup(Application("test"))
 
     def configure(self, *routes, version=1, accounts=None, limits=None):
--- a/tests/gateway/test_client_disconnects.py
+++ b/tests/gateway/test_client_disconnects.py
@@ -7,9 +7,10 @@
 from arbutusyard import clock
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.caller import CallerConnection
+from arbutusyard.gateway.memory import MemoryBudget
 from arbutusyard.gateway.models import IngressLimits, ServerEntry, ServerState
 from arbutusyard.gateway.pool import ServerPool
-from tests.gateway.support import answer, request_bytes
+from tests.gateway.support import SETTINGS, answer, request_bytes
 
 BODY = b"x" * 8_000_000
 PAUSE_S = 0.1
@@ -54,7 +55,9 @@
 
 def test_a_disconnect_is_detected_before_it_is_read():
     ours, theirs = socket.socketpair()
-    conn = CallerConnection(ours, IngressLimits())
+    memory = MemoryBudget(SETTINGS.client_limits)
+    holding = memory.open(lambda reason: None, 0.0)
+    conn = CallerConnection(ours, IngressLimits(), memory, holding)
     assert not conn.has_disconnected()
     theirs.close()
     assert conn.has_disconnected()
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -93,8 +93,8 @@
     def settimeout(self, timeout_s):
         pass
 
-    def send(self, data):
-        return len(data)
+    def sendmsg(self, parts):
+        return sum(map(len, parts))
 
     def recv(self, size):
         self.reads += 1
