--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -147,7 +147,7 @@
 
 def test_young_ordinary_bodies_do_not_end_each_other():
     budget = MemoryBudget(MemoryLimits(8 * MIB, 100))
-    ordinary = fill(budget, 40, ORDINARY_BYTES, 0.0)
+    ordinary = fill(budget, 42, ORDINARY_BYTES, 0.0)
     late = budget.open(lambda reason: None, 1.0)
     budget.begin_request(late, 1.0)
     refused = None
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutusyard.exceptions import SetupFailed
+from arbutusyard.gateway.memory import MemoryLimits
 from arbutusyard.platform.settings import decode_settings, read_settings
 
 FILE = {
@@ -80,3 +81,29 @@
 
     assert capacity(cpu_share=0.5, cores=2, link_mbps=1000) == 1.0
     assert capacity(cpu_share=1.0, cores=2, link_mbps=5) == 0.1
+
+
+def test_the_limits_of_clients_are_derived_from_the_vm_or_given():
+    def limits(**fields):
+        file_text = json.dumps({**FILE, "limits": fields})
+        return decode_settings(file_text.encode(), 9464).client_limits
+
+    assert limits(memory_mb=152, max_fds=1535) == MemoryLimits(44 << 20, 935)
+    given = limits(client_memory_mb=20, client_connections=7, body_bytes_s=9)
+    assert given == MemoryLimits(20 << 20, 7, 9)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("memory_mb", 0),
+        ("max_fds", -1),
+        ("client_memory_mb", 7),
+        ("client_connections", 0),
+        ("body_bytes_s", -1),
+    ],
+)
+def test_a_limit_that_keeps_all_clients_out_is_rejected(name, value):
+    file_text = json.dumps({**FILE, "limits": {name: value}})
+    with pytest.raises(SetupFailed, match=name):
+        decode_settings(file_text.encode(), 9464)
