Count a reader as slow only while it takes nothing

A blocked answer was judged by the time since its write began, so under pressure a client on a slow link could lose an answer of 1 MB that it was reading. The time now begins again whenever the kernel takes a part; the limit of 10 s for a whole write stays.

--- a/arbutusyard/gateway/caller.py
+++ b/arbutusyard/gateway/caller.py
@@ -378,9 +378,14 @@
         """Write what the kernel's buffer did not take at once."""
         held = self._holding.answer
         self._memory.set_answer(self._holding, max(held, len(data)), clock.now())
-        self._memory.set_blocked(self._holding, True, clock.now())
+        until = clock.now() + CALLER_WRITE_TIMEOUT_S
         try:
-            self._sock.sendall(data)
+            while data:
+                now = clock.now()
+                # Set again after each part: a client that goes on reading is not slow.
+                self._memory.set_blocked(self._holding, True, now)
+                self._sock.settimeout(max(0.001, until - now))
+                data = data[self._sock.send(data) :]
         finally:
             self._memory.set_blocked(self._holding, False, clock.now())
             self._memory.set_answer(self._holding, held, clock.now())
--- a/tests/gateway/test_memory.py
+++ b/tests/gateway/test_memory.py
@@ -180,6 +180,19 @@
     assert (slow.ended and slow.ended.value) == ended
 
 
+@pytest.mark.parametrize(("goes_on", "ended"), [(True, None), (False, "slow_reader")])
+def test_a_reader_that_takes_nothing_ends_under_pressure(goes_on, ended):
+    budget = MemoryBudget(MemoryLimits(16 * MIB, 100))
+    (reader,) = fill(budget, 1, 1000, 0.0)
+    budget.begin_serving(reader)
+    budget.set_blocked(reader, True, 1.0)
+    if goes_on:
+        budget.set_blocked(reader, True, 3.0)
+    fill(budget, 2, BODY_BYTES, 4.5)
+    fill(budget, 1, ORDINARY_BYTES, 5.0)
+    assert (reader.ended and reader.ended.value) == ended
+
+
 def test_the_longest_waiting_connection_makes_room_for_a_new_one():
     budget = MemoryBudget(MemoryLimits(16 * MIB, 3))
     serving, idle, later = (budget.open(lambda reason: None, n) for n in range(3))
