--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from arbutusyard.gateway.memory import MAX_FDS, MEMORY_MB, MemoryLimits, make_limits
 from arbutusyard.limits.const import LIMIT_GRACE_S
 
 
@@ -26,7 +27,6 @@
     lease_s: float
     weights_s: float
     directory_keep_max_s: float
-    max_fds: int
     metrics_address: str = ""
     # Number of processor cores, or less if the network link is the bottleneck.
     capacity: float = 1.0
@@ -39,3 +39,5 @@
     quota_slack: float = 0.0
     # Whether requests are admitted by the free capacity of servers under load.
     admission_control: bool = False
+    # Limits of all client connections together.
+    client_limits: MemoryLimits = make_limits(MEMORY_MB, MAX_FDS)
