--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -127,6 +127,7 @@
         "on_replaced",
         "on_unreachable",
         "segments",
+        "slow_s",
     )
 
     def __init__(
@@ -149,6 +150,8 @@
         self._rng = random.Random(peers.me)
         self.is_listed: Callable[[str, str], bool] = lambda service, version: True
         self.has_connection: Callable[[Server, float], bool] = lambda server, now: True
+        # How many seconds later a server responds to such a number of tokens.
+        self.slow_s: Callable[[Server, int, float], float] = lambda server, n, now: 0.0
         self.on_load: Callable[[ServerLoad, SegmentUpdate | None], None] = (
             lambda load, segments: None
         )
@@ -346,6 +349,7 @@
                 self._server_view(
                     server,
                     now,
+                    tokens=tokens,
                     cached_tokens=cached,
                     fetch=fetch,
                     max_sent_tokens=self._leading_tokens(
@@ -484,6 +488,7 @@
         self,
         server: Server,
         now: float,
+        tokens: int = 0,
         cached_tokens: int = 0,
         fetch: Fetch | None = None,
         affinity_target: bool = False,
@@ -492,6 +497,10 @@
         outdated_weights: bool = False,
     ) -> ServerView:
         in_flight, prompt_tokens = self._peers.load(server.entry.server_id)
+        work_tokens = 0
+        if tokens:
+            missing = max(0, tokens - cached_tokens - (fetch.tokens if fetch else 0))
+            work_tokens = missing + prompt_tokens + server.prompt_tokens
         return ServerView(
             server.entry.server_id,
             server.entry.failure_domain,
@@ -510,6 +519,7 @@
             self._random_cost_s(),
             self._prefill_tokens_s(server),
             self._is_limited(server),
+            self.slow_s(server, work_tokens, now),
         )
 
     def _prefill_tokens_s(self, server: Server) -> float:
--- a/arbutusyard/routing/placement.py
+++ b/arbutusyard/routing/placement.py
@@ -81,11 +81,13 @@
     random_cost_s: float = 0.0
     tokens_s: float = PREFILL_TOKENS_PER_S
     limited: bool = False
+    # Time by which the server responds later than others of its service, in seconds.
+    slow_s: float = 0.0
 
 
 def expected_s(work: Work, view: ServerView) -> float:
     """Return the expected cost of serving a request on a server, in seconds."""
-    cost = FAILURE_COST_S * view.failures
+    cost = FAILURE_COST_S * view.failures + view.slow_s
     if view.failure_domain != work.failure_domain:
         cost += CROSS_DOMAIN_COST_S
     if view.outdated_weights:
