Send slow requests that may be repeated to a second server

Cause: a request at a slow engine waited for it although others were idle. The extra attempt counts as a retry and towards max_attempts, and none starts while half of the slots are in use or just after a rejection. The same setting enables the learned slow periods of servers.

--- a/arbutusyard/cli/node.py
+++ b/arbutusyard/cli/node.py
@@ -23,6 +23,14 @@
             help="Port for metrics, the one that the deploy file names.",
         ),
     ] = METRICS_PORT,
+    hedge_fraction: Annotated[
+        float,
+        typer.Option(
+            envvar=ENV_PREFIX + "HEDGE_FRACTION",
+            help="Fraction of a service's requests, 0 to 0.2, that may get an extra "
+            "attempt at another server when the first is slow; 0 is off.",
+        ),
+    ] = 0.0,
 ) -> None:
     """Run a node on the platform with the settings in its file."""
-    start_node(config, metrics_port)
+    start_node(config, metrics_port, hedge_fraction)
--- a/arbutusyard/cli/node_start.py
+++ b/arbutusyard/cli/node_start.py
@@ -21,7 +21,7 @@
 
 import os
 import sys
-from typing import Final
+from typing import Final, NoReturn
 
 from arbutusyard.const import ENV_PREFIX
 from arbutusyard.exceptions import SetupFailed
@@ -32,28 +32,49 @@
 PORT_MAX: Final = 65_535
 
 
-def start_node(config: str, metrics_port: int) -> None:
+def start_node(config: str, metrics_port: int, hedge_fraction: float = 0.0) -> None:
     """Run a node on the platform with the settings in its file."""
+    from msgspec.structs import replace
+
     from arbutusyard.cli.node_daemon import run_node
+    from arbutusyard.gateway.hedging import HEDGE_FRACTION_MAX
+    from arbutusyard.gateway.settings import NodeSettings
     from arbutusyard.platform.settings import read_settings
 
-    try:
+    # NaN is in no range.
+    if not 0 <= hedge_fraction <= HEDGE_FRACTION_MAX:
+        _exit_with_usage_error(
+            f"--hedge-fraction (or {ENV_PREFIX}HEDGE_FRACTION) is {hedge_fraction}; 0 "
+            f"to {HEDGE_FRACTION_MAX} is allowed"
+        )
+
+    def read() -> NodeSettings:
         cfg = read_settings(config, metrics_port)
+        return replace(cfg, hedge_fraction=hedge_fraction)
+
+    try:
+        cfg = read()
     except SetupFailed as exc:
         _exit_with_usage_error(str(exc))
-    run_node(cfg, lambda: read_settings(config, metrics_port))
+    run_node(cfg, read)
 
 
 def start_from_environment(environment: dict[str, str]) -> None:
-    """Run a node with the settings file and metrics port set in the environment."""
+    """Run a node with the settings that the environment holds."""
     name = ENV_PREFIX + "METRICS_PORT"
     text = environment.get(name, str(METRICS_PORT))
     if not text.isdigit() or int(text) > PORT_MAX:
         _exit_with_usage_error(f"{name} is {text!r}; 0 to {PORT_MAX} is allowed")
-    start_node(environment.get(ENV_PREFIX + "CONFIG", ""), int(text))
+    name = ENV_PREFIX + "HEDGE_FRACTION"
+    fraction_text = environment.get(name) or "0"
+    try:
+        hedge_fraction = float(fraction_text)
+    except ValueError:
+        _exit_with_usage_error(f"{name} is {fraction_text!r}, which is no number")
+    start_node(environment.get(ENV_PREFIX + "CONFIG", ""), int(text), hedge_fraction)
 
 
-def _exit_with_usage_error(message: str) -> None:
+def _exit_with_usage_error(message: str) -> NoReturn:
     print(f"error: {message}", file=sys.stderr)
     sys.exit(EXIT_USAGE)
 
--- a/arbutusyard/gateway/exceptions.py
+++ b/arbutusyard/gateway/exceptions.py
@@ -33,3 +33,7 @@
 
 class AnswerLate(GatewayError):
     """Report that a request's deadline passed before its answer was complete."""
+
+
+class AttemptLost(GatewayError):
+    """Report that another attempt at the same request has begun its answer."""
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -20,6 +20,7 @@
 )
 from arbutusyard.gateway.events import EventSequence
 from arbutusyard.gateway.exchange import AttemptResult, Dispatcher, Exchange
+from arbutusyard.gateway.hedged_dispatch import HedgedDispatch
 from arbutusyard.gateway.incarnations import IncarnationCheck
 from arbutusyard.gateway.models import CallerRequest, Refusal, RetryPolicy
 from arbutusyard.gateway.pool import ServerPool
@@ -51,6 +52,7 @@
         "_retry_budget",
         "_dispatcher",
         "_fleet_state",
+        "_hedged",
         "_metrics",
         "_router",
         "origins",
@@ -90,6 +92,16 @@
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
         self._dispatcher.spend_retry = self._retry_budget.spend
+        self._hedged = HedgedDispatch(
+            self._dispatcher,
+            fleet_state,
+            peers,
+            router,
+            self.quarantine,
+            self._retry_budget,
+            metrics,
+        )
+        self._hedged.reload(cfg.hedge_fraction)
 
     @property
     def leaving(self) -> bool:
@@ -106,6 +118,7 @@
         self._retry_budget.reconfigure(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        self._hedged.reload(cfg.hedge_fraction)
 
     def update_share(self, share: FleetShare) -> None:
         """Set what this node knows of the nodes that share the joint limits."""
@@ -243,7 +256,7 @@
             if is_retry and not self._may_spend_retry(exchange, now):
                 return self._answer_failure(exchange, "retry_budget")
             exchange.placement = placement
-            result = self._dispatcher.dispatch(exchange, placement)
+            result = self._hedged.dispatch(exchange, placement)
             if result is None:
                 return "answered"
             if is_retry and result is AttemptResult.NOT_SENT:
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -32,3 +32,5 @@
     capacity: float = 1.0
     # Time from the first statement of a server's limit until it is enforced.
     limit_grace_s: float = LIMIT_GRACE_S
+    # Fraction of a service's requests that may get an extra attempt; 0 is off.
+    hedge_fraction: float = 0.0
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -62,6 +62,14 @@
         """Set how many sets of segments, and whole requests, are quarantined."""
         self._record("set_quarantined", segments, requests)
 
+    def count_hedge(self, outcome: str) -> None:
+        """Count an extra attempt that started, or that ended by its outcome."""
+        self._record("count_hedge", outcome)
+
+    def count_hedge_refusal(self, reason: str) -> None:
+        """Count an extra attempt that was not started, by the reason."""
+        self._record("count_hedge_refusal", reason)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self._metrics is None:
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -43,6 +43,8 @@
 
     __slots__ = (
         "_expected_wait",
+        "_hedge_refusals",
+        "_hedges",
         "_hit_tokens",
         "_labels",
         "_provider",
@@ -83,6 +85,8 @@
         self._refusals = meter.create_counter("arbutusyard_refusals")
         self._retries = meter.create_counter("arbutusyard_retries")
         self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
+        self._hedges = meter.create_counter("arbutusyard_hedges")
+        self._hedge_refusals = meter.create_counter("arbutusyard_hedge_refusals")
         self._quarantined = meter.create_gauge("arbutusyard_quarantined")
         self._recomputed_tokens = meter.create_counter("arbutusyard_recomputed_tokens")
 
@@ -130,6 +134,14 @@
         self._quarantined.set(segments, {"kind": "segments"})
         self._quarantined.set(requests, {"kind": "request"})
 
+    def count_hedge(self, outcome: str) -> None:
+        """Count an extra attempt that started, or that ended by its outcome."""
+        self._hedges.add(1, {ATTR_OUTCOME: outcome})
+
+    def count_hedge_refusal(self, reason: str) -> None:
+        """Count an extra attempt that was not started, by the reason."""
+        self._hedge_refusals.add(1, {ATTR_REASON: reason})
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
--- a/tests/cli/test_node.py
+++ b/tests/cli/test_node.py
@@ -10,7 +10,10 @@
 import gevent
 import pytest
 import urllib3
+from typer.testing import CliRunner
 
+from arbutusyard.cli.main import app
+from arbutusyard.cli.node_start import start_from_environment
 from standins.cluster import ROOT
 from tests.fleet.support import CONFIG, Store, entry
 from tests.gateway.support import (
@@ -180,6 +183,32 @@
         assert "ARBUTUSYARD_METRICS_PORT" in result.stderr
 
 
+@pytest.mark.parametrize("fraction", ["0.21", "-0.1", "nan", "many"])
+def test_invalid_hedge_fraction_exits_with_code_2(fraction):
+    environment = {"ARBUTUSYARD_HEDGE_FRACTION": fraction}
+    for arguments in (("arbutusyard.cli.node_start",), ("arbutusyard", "node")):
+        result = run_module(arguments, environment)
+        assert result.returncode == 2
+        assert "HEDGE_FRACTION" in result.stderr
+
+
+def test_the_hedge_fraction_reaches_the_node_and_stays_after_a_reload(
+    tmp_path, monkeypatch
+):
+    file = tmp_path / "boot.json"
+    file.write_text(json.dumps(FILE))
+    started = []
+    monkeypatch.setattr(
+        "arbutusyard.cli.node_daemon.run_node",
+        lambda cfg, reread: started.extend([cfg, reread()]),
+    )
+    environment = {"ARBUTUSYARD_CONFIG": str(file)}
+    start_from_environment({**environment, "ARBUTUSYARD_HEDGE_FRACTION": "0.05"})
+    start_from_environment(environment)
+    CliRunner().invoke(app, ["node", "--config", str(file), "--hedge-fraction", "0.1"])
+    assert [cfg.hedge_fraction for cfg in started] == [0.05, 0.05, 0, 0, 0.1, 0.1]
+
+
 def test_node_start_imports_neither_typer_nor_opentelemetry():
     # All nodes of a large fleet may start at once while clients wait for them.
     code = (
--- /dev/null
+++ b/tests/gateway/test_hedged_dispatch.py
@@ -0,0 +1,226 @@
+"""Extra attempts at scripted servers: who answers, who is cancelled, what is sent."""
+
+import gevent
+import pytest
+from msgspec.structs import replace
+
+from arbutusyard import clock
+from arbutusyard.fleet.messages import Heartbeat, ServerLoad
+from arbutusyard.gateway.hedging import HedgeRefusal
+from arbutusyard.gateway.models import RetryPolicy
+from tests.gateway.support import (
+    SETTINGS,
+    answer,
+    chunk,
+    event,
+    not_run,
+    request_bytes,
+    stream_head,
+    wait_for,
+)
+
+SLOW_S = 0.6
+RESUME = {"retry_policy": RetryPolicy.RESUME, "streaming": True}
+
+
+def hang(request):
+    yield None
+
+
+def good(request):
+    yield answer(request, body=b"fast")
+
+
+def slow(request):
+    gevent.sleep(SLOW_S)
+    yield answer(request, body=b"slow")
+
+
+def stream(*texts, wait_s=0.0, last=True):
+    """Send each text as an event; leave the stream open if it is not the last."""
+
+    def script(request):
+        gevent.sleep(wait_s)
+        yield stream_head(request)
+        for n, text in enumerate(texts):
+            yield chunk(event(n, text))
+            gevent.sleep(0.05)
+        yield chunk(b"") if last else None
+
+    return script
+
+
+@pytest.fixture
+def hedged(run):
+    """Start servers and a gateway that sends extra attempts after about 20 ms."""
+
+    def start(*scripts, fraction=0.2, **route):
+        gateway, servers = run(*scripts, **route)
+        turn_on(gateway, fraction)
+        return gateway, servers
+
+    return start
+
+
+def turn_on(gateway, fraction=0.2):
+    gateway.relay.reload(replace(SETTINGS, hedge_fraction=fraction))
+    policy = gateway.relay._hedged.policy
+    for n in range(50):
+        policy.count_request("svc")
+        time_s = 1.0 if n % 10 == 0 else 0.02
+        policy.record_answer("r", "svc", time_s, clock.now())
+
+
+def counts(gateway):
+    return dict(gateway.relay._hedged.policy.counts)
+
+
+def in_flight(gateway):
+    return sum(s.in_flight for s in gateway.fleet_state.servers.servers.values())
+
+
+@pytest.mark.parametrize("streaming", [False, True])
+def test_the_faster_answer_wins_and_the_loser_is_reset_at_once(hedged, streaming):
+    fast = stream("fast") if streaming else good
+    gateway, (first, second) = hedged(hang, fast, **(RESUME if streaming else {}))
+    got = gateway.call()
+    assert got.status == 200 and got.complete and b"fast" in got.body
+    wait_for(lambda: first.closed, 0.5)
+    assert len(first.requests) == len(second.requests) == 1
+    assert counts(gateway) == {"started": 1, "won": 1}
+    assert (
+        in_flight(gateway)
+        == 0
+        == gateway.pool.open_count(gateway.fleet_state.servers.get("s0"))
+    )
+
+
+def test_the_first_attempt_may_still_win_and_the_extra_one_is_cancelled(hedged):
+    gateway, (_, second) = hedged(slow, hang)
+    assert gateway.call().body == b"slow"
+    wait_for(lambda: second.closed, 0.5)
+    assert counts(gateway) == {"started": 1, "cancelled": 1}
+
+
+def test_events_of_two_attempts_are_never_mixed(hedged):
+    """Both streams have begun when the first event of one is relayed."""
+    for wait_s in (0.04, 0.06, 0.08, 0.1):
+        gateway, _ = hedged(
+            stream(*"AAAAAA", wait_s=wait_s), stream(*"BBBBBB", wait_s=0.04), **RESUME
+        )
+        got = gateway.call()
+        texts = "A" if b"A" in got.body else "B"
+        assert got.body == b"".join(event(n, texts) for n in range(6))
+        assert got.complete
+
+
+def test_a_stream_is_not_hedged_after_its_first_event(hedged):
+    def stalls(request):
+        yield stream_head(request)
+        yield chunk(event(0))
+        gevent.sleep(0.3)
+        yield chunk(event(1)) + chunk(b"")
+
+    gateway, (_, second) = hedged(stalls, stream("x"), **RESUME)
+    assert gateway.call().body == event(0) + event(1)
+    assert not second.requests and not counts(gateway)
+
+
+def test_a_request_that_may_run_once_is_never_hedged(hedged):
+    gateway, (_, second) = hedged(slow, good, retry_policy=RetryPolicy.ONCE)
+    assert gateway.call().body == b"slow"
+    assert not second.requests and not counts(gateway)
+
+
+@pytest.mark.parametrize("streaming", [False, True])
+def test_a_client_that_disconnects_ends_both_attempts(hedged, streaming):
+    gateway, servers = hedged(hang, hang, **(RESUME if streaming else {}))
+    sock = gateway.connect()
+    sock.sendall(request_bytes())
+    wait_for(lambda: servers[1].requests)
+    sock.close()
+    wait_for(lambda: all(server.closed for server in servers), 0.5)
+    wait_for(lambda: in_flight(gateway) == gateway.ingress.in_flight == 0)
+
+
+def test_max_attempts_and_the_retry_budget_hold(hedged):
+    gateway, (_, second) = hedged(slow, good, max_attempts=1)
+    assert gateway.call().body == b"slow"
+    assert not second.requests and counts(gateway) == {"attempts": 1}
+    gateway, (_, second) = hedged(slow, good)
+    gateway.relay._retry_budget.reconfigure(0.0, 0.0, 10.0)
+    assert gateway.call().body == b"slow"
+    assert not second.requests and counts(gateway) == {"budget": 1}
+
+
+def test_an_extra_attempt_uses_the_budget_and_the_attempts_of_a_request(hedged):
+    """Two servers have run it, so a third must not."""
+
+    def breaks(request):
+        gevent.sleep(0.1)
+        yield b"HTTP/1.1 200 OK\r\n"
+        request.last = True
+
+    gateway, servers = hedged(breaks, breaks, good)
+    assert gateway.call().status == 502
+    assert [len(server.requests) for server in servers] == [1, 1, 0]
+    assert gateway.relay._retry_budget.usage("svc", clock.now())["budget_retries"] == 1
+
+
+def test_the_fraction_of_requests_holds(hedged):
+    gateway, _ = hedged(slow, good, fraction=0.2)
+    gateway.relay._hedged.policy._allowances["svc"] = 0.75
+    assert [gateway.call().body for _ in range(2)] == [b"slow", b"fast"]
+    assert counts(gateway) == {"fraction": 1, "started": 1, "won": 1}
+
+
+def test_nothing_is_sent_when_servers_are_short_of_capacity(hedged):
+    gateway, (_, second) = hedged(slow, good)
+    loads = (ServerLoad("s0", 4, 0), ServerLoad("s1", 4, 0))
+    reported = Heartbeat("b", 1, 1, "a:1", "a:2", "z", "r", True, False, 1, 0, loads)
+    gateway.peers.apply_heartbeat(reported, clock.now())
+    assert gateway.call().body == b"slow"
+    assert not second.requests and counts(gateway) == {"capacity": 1}
+
+
+def test_a_rejection_stops_extra_attempts_and_is_retried_elsewhere(hedged):
+    def rejects(request):
+        yield not_run(request)
+
+    gateway, (_, second, third) = hedged(rejects, slow, good)
+    assert gateway.call().body == b"slow"
+    assert not third.requests and not counts(gateway)
+    refusal = gateway.relay._hedged.policy.refusal("svc", 1, 2, clock.now())
+    assert refusal is HedgeRefusal.CAPACITY
+
+
+def test_an_extra_attempt_that_is_rejected_leaves_the_first_one_running(hedged):
+    def rejects(request):
+        yield not_run(request)
+
+    gateway, (first, second) = hedged(slow, rejects)
+    assert gateway.call().body == b"slow"
+    assert len(first.requests) == len(second.requests) == 1
+    assert counts(gateway) == {"started": 1, "failed": 1}
+
+
+def test_hedging_is_off_by_default_and_placement_is_as_before(hedged):
+    gateway, (_, second) = hedged(slow, good, fraction=0.0)
+    assert gateway.call().body == b"slow"
+    assert not second.requests and not counts(gateway)
+    assert not gateway.relay._hedged._slow_servers._typical
+    server = gateway.fleet_state.servers.get("s0")
+    assert gateway.router.slow_s(server, 0, clock.now()) == 0.0
+
+
+def test_a_slow_server_is_avoided_only_while_hedging_is_on(hedged):
+    gateway, _ = hedged(good, good)
+    slow_servers = gateway.relay._hedged._slow_servers
+    for _ in range(20):
+        slow_servers.observe("s1", "svc", 0, 0.02, clock.now())
+    for _ in range(3):
+        slow_servers.observe("s0", "svc", 0, 0.08, clock.now())
+    server = gateway.fleet_state.servers.get("s0")
+    assert gateway.router.slow_s(server, 0, clock.now()) > 0.01
+    gateway.relay.reload(SETTINGS)
+    assert gateway.router.slow_s(server, 0, clock.now()) == 0.0
