Test races of attempts in one turn of the loop and by random servers

Cause: scripted servers seldom respond in the same turn of the event loop, so a write of a cancelled attempt was not covered, and a retry after a race could go to the cancelled attempt's slow server again. Every write now checks that its attempt has won, and that server is left out of the next attempt.

--- a/arbutusyard/gateway/race.py
+++ b/arbutusyard/gateway/race.py
@@ -49,11 +49,13 @@
         self._conn.send_head(status, headers)
 
     def send_data(self, data: bytes) -> None:
-        """Write a chunk of an answer's body."""
+        """Write a chunk of an answer's body; raise AttemptLost if it is not relayed."""
+        self._attempt.check_won()
         self._conn.send_data(data)
 
     def end(self) -> None:
-        """Write the end of an answer."""
+        """Write the end of an answer; raise AttemptLost if it is not relayed."""
+        self._attempt.check_won()
         self._conn.end()
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
@@ -125,7 +127,11 @@
             self.status = status
             self.responded_at = clock.now()
             self._race.cancel_others(self)
-        elif not self.has_won:
+        self.check_won()
+
+    def check_won(self) -> None:
+        """Raise AttemptLost if this attempt is not the one that is relayed."""
+        if not self.has_won:
             raise AttemptLost("another attempt has begun its answer")
 
     def run(self, dispatch: Dispatch) -> None:
@@ -208,6 +214,8 @@
             if branch.fallback_answer is not None:
                 exchange.fallback_answer = branch.fallback_answer
             if attempt is not deciding:
+                # It was slow, so a retry goes elsewhere.
+                exchange.excluded.add(attempt.placement.server.entry.server_id)
                 _count_failure(exchange, attempt)
         branch = deciding.exchange
         exchange.placement = deciding.placement
--- a/tests/gateway/test_hedged_dispatch.py
+++ b/tests/gateway/test_hedged_dispatch.py
@@ -1,7 +1,12 @@
 """Extra attempts at scripted servers: who answers, who is cancelled, what is sent."""
 
+import re
+from collections import Counter
+
 import gevent
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from msgspec.structs import replace
 
 from arbutusyard import clock
@@ -10,10 +15,13 @@
 from arbutusyard.gateway.models import RetryPolicy
 from tests.gateway.support import (
     SETTINGS,
+    Gateway,
+    ScriptedServer,
     answer,
     chunk,
     event,
     not_run,
+    read_answer,
     request_bytes,
     stream_head,
     wait_for,
@@ -50,6 +58,18 @@
     return script
 
 
+def breaks(name):
+    """End the connection inside the second event, just after an extra attempt."""
+
+    def script(request):
+        gevent.sleep(0.04)
+        yield stream_head(request)
+        yield chunk(event(0, name)) + chunk(b"id: 1")
+        request.last = True
+
+    return script
+
+
 @pytest.fixture
 def hedged(run):
     """Start servers and a gateway that sends extra attempts after about 20 ms."""
@@ -83,7 +103,10 @@
 def test_the_faster_answer_wins_and_the_loser_is_reset_at_once(hedged, streaming):
     fast = stream("fast") if streaming else good
     gateway, (first, second) = hedged(hang, fast, **(RESUME if streaming else {}))
-    got = gateway.call()
+    # The client stays connected, as its end would end both attempts.
+    sock = gateway.connect()
+    sock.sendall(request_bytes())
+    got = read_answer(sock)
     assert got.status == 200 and got.complete and b"fast" in got.body
     wait_for(lambda: first.closed, 0.5)
     assert len(first.requests) == len(second.requests) == 1
@@ -97,7 +120,9 @@
 
 def test_the_first_attempt_may_still_win_and_the_extra_one_is_cancelled(hedged):
     gateway, (_, second) = hedged(slow, hang)
-    assert gateway.call().body == b"slow"
+    sock = gateway.connect()
+    sock.sendall(request_bytes())
+    assert read_answer(sock).body == b"slow"
     wait_for(lambda: second.closed, 0.5)
     assert counts(gateway) == {"started": 1, "cancelled": 1}
 
@@ -126,6 +151,14 @@
     assert not second.requests and not counts(gateway)
 
 
+def test_a_stream_goes_on_elsewhere_where_its_extra_attempt_ended(hedged):
+    gateway, (_, _, third) = hedged(
+        hang, breaks("B"), stream("C"), max_attempts=3, **RESUME
+    )
+    gateway.call()
+    assert third.requests[0].headers["last-event-id"] == "0"
+
+
 def test_a_request_that_may_run_once_is_never_hedged(hedged):
     gateway, (_, second) = hedged(slow, good, retry_policy=RetryPolicy.ONCE)
     assert gateway.call().body == b"slow"
@@ -156,12 +189,12 @@
 def test_an_extra_attempt_uses_the_budget_and_the_attempts_of_a_request(hedged):
     """Two servers have run it, so a third must not."""
 
-    def breaks(request):
+    def ends(request):
         gevent.sleep(0.1)
         yield b"HTTP/1.1 200 OK\r\n"
         request.last = True
 
-    gateway, servers = hedged(breaks, breaks, good)
+    gateway, servers = hedged(ends, ends, good)
     assert gateway.call().status == 502
     assert [len(server.requests) for server in servers] == [1, 1, 0]
     assert gateway.relay._retry_budget.usage("svc", clock.now())["budget_retries"] == 1
@@ -224,3 +257,60 @@
     assert gateway.router.slow_s(server, 0, clock.now()) > 0.01
     gateway.relay.reload(SETTINGS)
     assert gateway.router.slow_s(server, 0, clock.now()) == 0.0
+
+
+SCRIPTS = {
+    "good": lambda name: stream(*name * 3),
+    "slow": lambda name: stream(*name * 3, wait_s=0.1),
+    "hangs": lambda name: hang,
+    "rejects": lambda name: lambda request: iter([not_run(request)]),
+    "stalls": lambda name: stream(name, wait_s=0.05, last=False),
+    "breaks": breaks,
+    "fails": lambda name: lambda request: iter([answer(request, "500 No")]),
+}
+
+
+@given(
+    st.lists(st.sampled_from(sorted(SCRIPTS)), min_size=3, max_size=3),
+    st.sampled_from(list(RetryPolicy)),
+    st.integers(1, 3),
+)
+@settings(max_examples=40)
+def test_each_request_ends_with_events_in_order_and_no_run_too_many(
+    kinds, retry_policy, max_attempts
+):
+    """Guard against answers that are mixed, runs that are not counted and leaks."""
+    servers = [
+        ScriptedServer(SCRIPTS[kind](name))
+        for kind, name in zip(kinds, "ABC", strict=True)
+    ]
+    gateway = Gateway(
+        *servers, retry_policy=retry_policy, streaming=True, max_attempts=max_attempts
+    )
+    turn_on(gateway)
+    try:
+        calls = [
+            gevent.spawn(gateway.call, Request_Id=f"r{n}", Deadline_Ms="400")
+            for n in range(3)
+        ]
+        for got in (call.get(timeout=3) for call in calls):
+            ids = re.findall(rb"id: (\d+)", got.body)
+            assert ids == [b"%d" % n for n in range(len(ids))]
+            resumed = retry_policy is RetryPolicy.RESUME
+            assert resumed or len(set(re.findall(rb"data: (\w)", got.body))) <= 1
+        ran = Counter(
+            request.headers["request-id"]
+            for server, kind in zip(servers, kinds, strict=True)
+            for request in server.requests
+            if kind != "rejects"
+        )
+        limit = 1 if retry_policy is RetryPolicy.ONCE else max_attempts
+        assert max(ran.values(), default=0) <= limit
+        wait_for(lambda: in_flight(gateway) == gateway.ingress.in_flight == 0)
+        assert not any(
+            server.prompt_tokens
+            for server in gateway.fleet_state.servers.servers.values()
+        )
+    finally:
+        for item in (gateway, *servers):
+            item.stop()
