Start no extra attempt that saves less than a connection costs

Cause: against servers that answer within a millisecond, extra attempts saved microseconds and each reset a connection that a later request had to open again.

--- a/arbutusyard/gateway/hedging.py
+++ b/arbutusyard/gateway/hedging.py
@@ -10,6 +10,8 @@
 
 from msgspec import Struct, field
 
+from arbutusyard.routing.placement import CONNECT_COST_S
+
 _LOGGER = logging.getLogger(__name__)
 
 # Largest fraction of a service's requests that may get an extra attempt. Above it the
@@ -31,6 +33,9 @@
 OLDER_FACTOR: Final = 2.0
 # Probability of being the first to respond from which an extra attempt may start.
 SOONER_MIN: Final = 0.5
+# Mean time that an extra attempt has to save, in seconds. It ends with the reset of one
+# connection, which a later request has to open again.
+SAVED_MIN_S: Final = CONNECT_COST_S
 # Interval between new estimates for one route and service, in seconds.
 ESTIMATE_INTERVAL_S: Final = 0.5
 # Number of extra attempts that may be saved up while none is needed, so that a slow
@@ -213,8 +218,8 @@
     """Return the age at which the permitted extra attempts save the most time.
 
     Compares the remaining times of the attempts that are older with the times of new
-    ones, at ages that few attempts reach. Return None if a new one is probably later at
-    every age, or if too few response times are known.
+    ones, at ages that few attempts reach. Return None if at every age a new one is
+    probably later or saves next to nothing, or if too few response times are known.
     """
     count = len(times)
     if count < SAMPLES_MIN:
@@ -235,7 +240,7 @@
             sooner += position
             saved_s += position * remaining_s - sums[position]
         pairs = len(older) * count
-        if sooner < SOONER_MIN * pairs:
+        if sooner < SOONER_MIN * pairs or saved_s < SAVED_MIN_S * pairs:
             continue
         saved = min(fraction, len(older) / count) * saved_s / pairs
         if saved > most_saved:
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -38,6 +38,11 @@
     assert best_delay_s(UNEVEN[-SAMPLES_MIN + 1 :], fraction) is None
 
 
+def test_responses_within_milliseconds_start_no_extra_attempt():
+    """Each one costs a connection, which takes longer than what it saves."""
+    assert best_delay_s([time_s / 100 for time_s in UNEVEN], 0.1) is None
+
+
 def test_hedging_is_off_by_default_and_old_responses_do_not_count():
     assert policy_with(UNEVEN, fraction=0.0).delay_s("r", "s", 0.0) is None
     policy = policy_with(UNEVEN)
