Test learned slow periods through answers of scripted servers

Cause: the test put times into the estimate itself, so nothing covered that answers reach it. It now lets a server slow down and expects the next requests at another one, and none there without the setting.

--- a/tests/gateway/test_hedged_dispatch.py
+++ b/tests/gateway/test_hedged_dispatch.py
@@ -237,25 +237,31 @@
     assert counts(gateway) == {"started": 1, "failed": 1}
 
 
-def test_hedging_is_off_by_default_and_placement_is_as_before(hedged):
-    gateway, (_, second) = hedged(slow, good, fraction=0.0)
+def test_hedging_is_off_by_default(run):
+    gateway, (_, second) = run(slow, good)
+    assert gateway.relay._hedged.policy.fraction == 0
+    turn_on(gateway, fraction=0.0)
     assert gateway.call().body == b"slow"
     assert not second.requests and not counts(gateway)
-    assert not gateway.relay._hedged._slow_servers._typical
-    server = gateway.fleet_state.servers.get("s0")
-    assert gateway.router.slow_s(server, 0, clock.now()) == 0.0
 
 
-def test_a_slow_server_is_avoided_only_while_hedging_is_on(hedged):
-    gateway, _ = hedged(good, good)
-    slow_servers = gateway.relay._hedged._slow_servers
-    for _ in range(20):
-        slow_servers.observe("s1", "svc", 0, 0.02, clock.now())
-    for _ in range(3):
-        slow_servers.observe("s0", "svc", 0, 0.08, clock.now())
-    server = gateway.fleet_state.servers.get("s0")
-    assert gateway.router.slow_s(server, 0, clock.now()) > 0.01
+@pytest.mark.parametrize("fraction", [0.0, 0.2])
+def test_a_server_that_slows_down_is_avoided_only_while_hedging_is_on(hedged, fraction):
+    """Requests that run once are not hedged, so the second server is chosen first."""
+    waits = [0.01] * 10 + [0.06] * 3
+
+    def slows_down(request):
+        gevent.sleep(waits.pop(0))
+        yield answer(request)
+
+    gateway, (_, second) = hedged(
+        slows_down, good, fraction=fraction, retry_policy=RetryPolicy.ONCE
+    )
+    for _ in range(13):
+        assert gateway.call().status == 200
+    assert bool(second.requests) is (fraction > 0)
     gateway.relay.reload(SETTINGS)
+    server = gateway.fleet_state.servers.get("s0")
     assert gateway.router.slow_s(server, 0, clock.now()) == 0.0
 
 
