--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -29,6 +29,7 @@
     client_gap_s,
     urgency,
 )
+from arbutusyard.gateway.hedged_dispatch import HedgedDispatch
 from arbutusyard.gateway.incarnations import IncarnationCheck
 from arbutusyard.gateway.models import CallerRequest, Refusal, RetryPolicy
 from arbutusyard.gateway.pool import ServerPool
@@ -65,6 +66,7 @@
         "_retry_budget",
         "_dispatcher",
         "_fleet_state",
+        "_hedged",
         "_metrics",
         "_quotas",
         "_router",
@@ -113,6 +115,17 @@
         )
         self._dispatcher.spend_retry = self._retry_budget.spend
         self._set_hooks()
+        self._hedged = HedgedDispatch(
+            self._dispatcher,
+            fleet_state,
+            peers,
+            router,
+            self.quarantine,
+            self._retry_budget,
+            metrics,
+        )
+        self._hedged.charge_again = self._charge_extra_run
+        self._hedged.reload(cfg.hedge_fraction)
 
     @property
     def leaving(self) -> bool:
@@ -131,6 +144,7 @@
         self._retry_budget.reconfigure(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
+        self._hedged.reload(cfg.hedge_fraction)
         if self._quotas is not None:
             self._quotas.reload(quota_rule(cfg))
 
@@ -186,6 +200,10 @@
             return True
         return self._quotas.charge_again(grant, now)
 
+    def _charge_extra_run(self, exchange: Exchange, now: float) -> bool:
+        """Charge an attempt that runs beside another one."""
+        return exchange.grant is None or self._quotas.charge_again(exchange.grant, now)
+
     def _is_charge_outdated(self, exchange: Exchange, now: float) -> bool:
         """Return whether a request has waited since its run was charged."""
         grant = exchange.grant
@@ -368,7 +386,7 @@
             if ticket:
                 self._control.start(ticket, placement.server, now)
                 exchange.late = ticket.late and exchange.route.streaming
-            result = self._dispatcher.dispatch(exchange, placement)
+            result = self._hedged.dispatch(exchange, placement)
             if ticket:
                 self._end_admitted(exchange, ticket, result)
             if result is None:
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -132,6 +132,7 @@
         "on_replaced",
         "on_unreachable",
         "segments",
+        "slow_s",
     )
 
     def __init__(
@@ -156,6 +157,8 @@
         self.has_connection: Callable[[Server, float], bool] = lambda server, now: True
         self.choose: Callable[[Work, list[ServerView]], ServerView] = choose
         self.has_room: Callable[[ServerView, Work, float], bool] | None = None
+        # How many seconds later a server responds to such a number of tokens.
+        self.slow_s: Callable[[Server, int, float], float] = lambda server, n, now: 0.0
         self.on_load: Callable[[ServerLoad, SegmentUpdate | None], None] = (
             lambda load, segments: None
         )
@@ -370,6 +373,7 @@
                 self._server_view(
                     server,
                     now,
+                    tokens=tokens,
                     cached_tokens=cached,
                     fetch=fetch,
                     max_sent_tokens=leading_tokens[max_depths[version]],
@@ -507,6 +511,7 @@
         self,
         server: Server,
         now: float,
+        tokens: int = 0,
         cached_tokens: int = 0,
         fetch: Fetch | None = None,
         affinity_target: bool = False,
@@ -515,6 +520,10 @@
         outdated_weights: bool = False,
     ) -> ServerView:
         in_flight, prompt_tokens = self._peers.load(server.entry.server_id)
+        work_tokens = 0
+        if tokens:
+            missing = max(0, tokens - cached_tokens - (fetch.tokens if fetch else 0))
+            work_tokens = missing + prompt_tokens + server.prompt_tokens
         return ServerView(
             server.entry.server_id,
             server.entry.failure_domain,
@@ -533,6 +542,7 @@
             self._random_cost_s(),
             self._prefill_tokens_s(server),
             self._is_limited(server),
+            self.slow_s(server, work_tokens, now),
         )
 
     def _prefill_tokens_s(self, server: Server) -> float:
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -41,3 +41,5 @@
     admission_control: bool = False
     # Limits of all client connections together.
     client_limits: MemoryLimits = make_limits(MEMORY_MB, MAX_FDS)
+    # Fraction of a service's requests that may get an extra attempt; 0 is off.
+    hedge_fraction: float = 0.0
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -74,6 +74,14 @@
         """Set how many nodes lend their shares of the quotas to this node."""
         self._record("set_quota_votes", votes)
 
+    def count_hedge(self, outcome: str) -> None:
+        """Count an extra attempt that started, or that ended by its outcome."""
+        self._record("count_hedge", outcome)
+
+    def count_hedge_refusal(self, reason: str) -> None:
+        """Count an extra attempt that was not started, by the reason."""
+        self._record("count_hedge_refusal", reason)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self._metrics is None:
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -45,6 +45,8 @@
     __slots__ = (
         "_admissions",
         "_expected_wait",
+        "_hedge_refusals",
+        "_hedges",
         "_hit_tokens",
         "_labels",
         "_provider",
@@ -88,6 +90,8 @@
         self._refusals = meter.create_counter("arbutusyard_refusals")
         self._retries = meter.create_counter("arbutusyard_retries")
         self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
+        self._hedges = meter.create_counter("arbutusyard_hedges")
+        self._hedge_refusals = meter.create_counter("arbutusyard_hedge_refusals")
         self._quarantined = meter.create_gauge("arbutusyard_quarantined")
         self._quota_cost = meter.create_counter("arbutusyard_quota_cost")
         self._quota_votes = meter.create_gauge("arbutusyard_quota_votes")
@@ -150,6 +154,14 @@
         """Set how many nodes lend their shares of the quotas to this node."""
         self._quota_votes.set(votes)
 
+    def count_hedge(self, outcome: str) -> None:
+        """Count an extra attempt that started, or that ended by its outcome."""
+        self._hedges.add(1, {ATTR_OUTCOME: outcome})
+
+    def count_hedge_refusal(self, reason: str) -> None:
+        """Count an extra attempt that was not started, by the reason."""
+        self._hedge_refusals.add(1, {ATTR_REASON: reason})
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
