Charge the buffered answers of all attempts at a request to its client

An extra attempt and the memory limits were built side by side: buffering an answer failed with AttributeError where an extra attempt was permitted. The sizes of the attempts' buffered answers are now added up. tests/gateway/test_hedged_dispatch.py failed before.

--- a/arbutusyard/gateway/race.py
+++ b/arbutusyard/gateway/race.py
@@ -43,6 +43,10 @@
         """Return whether the client has disconnected."""
         return self._conn.has_disconnected()
 
+    def hold_answer(self, size: int) -> bool:
+        """Charge buffered bytes of an answer, beside those of the other attempts."""
+        return self._conn.hold_answer(self._attempt.hold_answer(size))
+
     def send_head(self, status: int, headers: Headers) -> None:
         """Write the head of an answer; raise AttemptLost if another one has begun."""
         self._attempt.win(status)
@@ -68,6 +72,7 @@
     """Hold one attempt, its own copy of the request's progress, and how it ended."""
 
     __slots__ = (
+        "_held_bytes",
         "_race",
         "ended_at",
         "error",
@@ -83,6 +88,8 @@
     def __init__(self, race: "Race", placement: Placement, executions: int) -> None:
         origin = race.exchange
         self._race = race
+        # Buffered bytes of this attempt's answer.
+        self._held_bytes = 0
         self.placement = placement
         # Tokens to prefill, which the placement does not count any more afterwards.
         self.tokens = placement.prefill_tokens
@@ -117,6 +124,11 @@
         """Return whether the attempt was ended before it responded or failed."""
         return self.result is None and self.error is None and not self.has_won
 
+    def hold_answer(self, size: int) -> int:
+        """Record buffered bytes; return those of all attempts of the race."""
+        self._held_bytes = size
+        return sum(attempt._held_bytes for attempt in self._race.attempts)
+
     def win(self, status: int) -> None:
         """Become the attempt that is relayed, and cancel the others.
 
