Fix what the reviews of the new parts found

Reviewers who had not written them found by scripts: a client that pipelines could fill the memory budget, as bytes that stay in the HTTP library were not counted from one request to the next; a request that renewed its charge kept the others in the line waiting, and could be rejected by a search that another one had made; extra attempts ignored the capacity and KV memory that admission counts; only one of several unused charges was taken back; a request was rejected while under half of the slots were in use if something else than slots was short; attempts that servers refused counted as service times; a cached long prompt was not announced.

--- a/arbutusyard/admission/capacity.py
+++ b/arbutusyard/admission/capacity.py
@@ -79,12 +79,16 @@
                 return False
             if work.prompt_tokens and not _is_prefilled_soon(view, work, ticket, now):
                 return False
-        return (
-            not server.refusals
-            and not self._peers.refusals(view.server_id)
-            and server.in_flight < self.connection_cap(ticket.service)
-            and self._fits_memory(server, ticket)
-            and not self.is_unresponsive(server, now)
+        if server.in_flight >= self.connection_cap(ticket.service):
+            return False
+        return self.is_accepting(server, ticket, now)
+
+    def is_accepting(self, server: Server, ticket: Ticket, now: float) -> bool:
+        """Return whether a server refuses nobody, responds and has enough memory."""
+        if server.refusals or self._peers.refusals(server.entry.server_id):
+            return False
+        return self._fits_memory(server, ticket) and not self.is_unresponsive(
+            server, now
         )
 
     def _fits_memory(self, server: Server, ticket: Ticket) -> bool:
--- a/arbutusyard/admission/coordinator.py
+++ b/arbutusyard/admission/coordinator.py
@@ -78,7 +78,9 @@
             ticket.no_room = False
             return self._decide(ticket, line, now)
         if ticket.waiting_since is None:
-            line.count_arrival(now)
+            if not ticket.counted:
+                ticket.counted = True
+                line.count_arrival(now)
             is_next = not line.count_ahead(ticket)
         else:
             is_next = line.head() is ticket
@@ -100,6 +102,18 @@
         ticket.no_room = True
         return False
 
+    def allows_extra(self, ticket: Ticket, server: Server, now: float) -> bool:
+        """Return whether a server may get an attempt beside another one."""
+        return self.capacity.is_accepting(server, ticket, now)
+
+    def pause(self, ticket: Ticket, paused: bool) -> None:
+        """Let other requests go first while one waits for something else."""
+        if self._ticket is ticket:
+            self._ticket = None
+        ticket.no_room = False
+        ticket.paused = paused
+        _wake_head(self._line(ticket))
+
     def found_none(self, ticket: Ticket, now: float) -> bool:
         """Record that no server was chosen; return whether capacity is the reason."""
         self._ticket = None
@@ -121,16 +135,20 @@
         if ticket.late:
             self._metrics.count_admission("late", ticket.class_name)
 
-    def end_attempt(self, ticket: Ticket, refused: bool, now: float) -> bool:
+    def end_attempt(
+        self, ticket: Ticket, refused: bool, now: float, served: bool = True
+    ) -> bool:
         """Free the capacity of an attempt; return whether a refusal is news.
 
-        `refused` says that the server was full.
+        `refused` says that the server was full; only the time of one that `served` the
+        request counts as its service time.
         """
         server = ticket.server
         if server is None:
             return False
         ticket.server = None
-        self._line(ticket).count_end(now - ticket.started_at)
+        took_s = now - ticket.started_at
+        self._line(ticket).count_end(took_s if served else None)
         server.held_tokens -= ticket.held_tokens
         for large in (False, True):
             line = self._lines.get((ticket.service, large))
@@ -147,7 +165,7 @@
         """Forget a request that has ended, however it did."""
         if self._ticket is ticket:
             self._ticket = None
-        self.end_attempt(ticket, False, now)
+        self.end_attempt(ticket, False, now, served=False)
         self._remove(ticket, self._line(ticket))
 
     def tick(self, now: float) -> None:
@@ -197,6 +215,15 @@
             ticket.forced = True
             self._ticket = ticket
             return Admit()
+        is_room_in_line = len(line.tickets) < WAITING_MAX
+        if (
+            is_room_in_line
+            and now < ticket.waits_until
+            and not self.capacity.may_reject(ticket.service, now)
+        ):
+            # Something else than slots is short for the moment.
+            self._add(ticket, line, now)
+            return Wait(RECHECK_S)
         self._remove(ticket, line)
         self._overload(ticket.service, now).rejected += 1
         self._metrics.count_admission("rejected", ticket.class_name)
--- a/arbutusyard/admission/models.py
+++ b/arbutusyard/admission/models.py
@@ -44,6 +44,10 @@
     forced: bool = False
     late: bool = False
     no_room: bool = False
+    # Its arrival was counted.
+    counted: bool = False
+    # The request waits for something else than capacity; others go first.
+    paused: bool = False
     waiting_since: float | None = None
     # The server that serves the request now.
     server: Server | None = None
--- a/arbutusyard/admission/waiting.py
+++ b/arbutusyard/admission/waiting.py
@@ -44,17 +44,19 @@
 
     def head(self) -> Ticket | None:
         """Return the request whose turn it is."""
+        ready = [ticket for ticket in self.tickets if not ticket.paused]
         if self._turns % FAIR_TURN == FAIR_TURN - 1:
-            on_time = [ticket for ticket in self.tickets if not ticket.late]
+            on_time = [ticket for ticket in ready if not ticket.late]
             if on_time:
                 return min(on_time, key=lambda ticket: ticket.waiting_since)
-        return min(self.tickets, key=lambda ticket: ticket.order, default=None)
+        return min(ready, key=lambda ticket: ticket.order, default=None)
 
     def count_ahead(self, ticket: Ticket) -> int:
         """Return the number of other requests that go before one."""
         order = ticket.order
         return sum(
-            other is not ticket and other.order <= order for other in self.tickets
+            other is not ticket and not other.paused and other.order <= order
+            for other in self.tickets
         )
 
     def count_arrival(self, now: float) -> None:
@@ -71,9 +73,14 @@
         if ticket.waiting_since is not None:
             self._turns += 1
 
-    def count_end(self, took_s: float) -> None:
-        """Count a request that a server no longer has, and its time there."""
+    def count_end(self, took_s: float | None) -> None:
+        """Count a request that a server no longer has, and its time there.
+
+        None if the server did not serve it, which tells nothing about that time.
+        """
         self._in_flight -= 1
+        if took_s is None:
+            return
         weight = SERVICE_WEIGHT if self._is_measured else 1.0
         self._is_measured = True
         self._mean_s += weight * (took_s - self._mean_s)
--- a/arbutusyard/fleet/peers.py
+++ b/arbutusyard/fleet/peers.py
@@ -4,7 +4,6 @@
 import random
 import socket
 from collections.abc import Callable
-from functools import partial
 from typing import TypeVar
 
 import gevent
@@ -558,11 +557,12 @@
 
     def _register(self) -> None:
         """Write this node's row and read the other nodes' addresses."""
-        read_own = partial(self._client.get, TABLE_NODES, self.table.me)
-        had_row = self._retry_until_success(read_own).version > 0
-        self._write_row()
         self._read_rows()
-        self._registered, self.knows_all = True, had_row
+        self._write_row()
+        if not self.knows_all:
+            # Nodes that start for the first time together find each other's new rows.
+            self._read_rows()
+        self._registered = True
         _LOGGER.info(
             "Registered this node; %d other nodes are known", len(self._addresses)
         )
@@ -582,6 +582,10 @@
                 continue
             if node.peer_address != self._address:
                 addresses.add(node.peer_address)
+            is_own = item.key == self.table.me and not self._registered
+            if is_own and node.incarnation != self._incarnation:
+                # This node ran before, so the rows are complete.
+                self.knows_all = True
         self._addresses |= addresses
         return addresses
 
--- a/arbutusyard/gateway/caller.py
+++ b/arbutusyard/gateway/caller.py
@@ -81,7 +81,9 @@
         if head is None:
             return None
         body = self._read_body()
-        self._memory.begin_serving(self._holding)
+        # Bytes of the next requests that came with this one stay in the HTTP library.
+        self._pipelined_bytes = len(self._h11.trailing_data[0])
+        self._memory.begin_serving(self._holding, self._pipelined_bytes)
         target = head.target
         return CallerRequest(
             request_id="",
@@ -213,7 +215,6 @@
         if self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
-        self._pipelined_bytes = 0
         self.sent_head = False
         return True
 
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -110,6 +110,8 @@
     fallback_answer: tuple[AnswerHead, bytes] | None = None
     # What was charged to the account's quota; None if it has none.
     grant: Grant | None = None
+    # An attempt is under way, so that a server may run the request.
+    may_run: bool = False
 
     def keys(self, with_request: bool) -> tuple[bytes, ...]:
         """Return the keys by which the quarantine judges this request."""
--- a/arbutusyard/gateway/hedged_dispatch.py
+++ b/arbutusyard/gateway/hedged_dispatch.py
@@ -38,6 +38,7 @@
         "_slow_servers",
         "charge_again",
         "has_room",
+        "held_tokens",
         "policy",
     )
 
@@ -64,8 +65,12 @@
         self.charge_again: Callable[[Exchange, float], bool] = lambda exchange, now: (
             True
         )
-        # Whether a placement's server has capacity by other rules than the policy's.
-        self.has_room: Callable[[Placement, float], bool] = lambda placement, now: True
+        # Whether a placement's server has capacity by admission under load, and the KV
+        # memory, in tokens, that an extra attempt is counted with.
+        self.has_room: Callable[[Exchange, Placement, float], bool] = (
+            lambda exchange, placement, now: True
+        )
+        self.held_tokens: Callable[[Exchange], int] = lambda exchange: 0
 
     def reload(self, fraction: float) -> None:
         """Set which fraction of requests may get an extra attempt; 0 is off."""
@@ -98,6 +103,8 @@
             race.join()
         finally:
             race.end()
+            for attempt in race.attempts:
+                attempt.placement.server.held_tokens -= attempt.held_tokens
             race.merge()
             self._settle_budget(race)
             self._record(race, clock.now())
@@ -171,7 +178,7 @@
         placement = self._place(exchange, first.placement.server, now)
         if placement is None:
             return HedgeRefusal.SERVER
-        if not self._has_capacity(service, placement, now):
+        if not self._has_capacity(exchange, placement, now):
             return HedgeRefusal.CAPACITY
         age_s = now - first.placement.sent_at
         if not self.policy.is_sooner(
@@ -202,17 +209,19 @@
             is_resumable=exchange.route.retry_policy is RetryPolicy.RESUME,
         )
 
-    def _has_capacity(self, service: str, placement: Placement, now: float) -> bool:
+    def _has_capacity(
+        self, exchange: Exchange, placement: Placement, now: float
+    ) -> bool:
         usable = [
             server
-            for server in self._fleet_state.servers.of_service(service)
+            for server in self._fleet_state.servers.of_service(exchange.service)
             if self._router.accepts(server, now)
         ]
         loads = [(self._in_flight(server), server.entry.slots) for server in usable]
         server = placement.server
         return has_spare_capacity(
             self._in_flight(server), server.entry.slots, loads
-        ) and self.has_room(placement, now)
+        ) and self.has_room(exchange, placement, now)
 
     def _in_flight(self, server: Server) -> int:
         return server.in_flight + self._peers.load(server.entry.server_id)[0]
@@ -238,7 +247,9 @@
                 "left_s": round(exchange.deadline - now, 3),
             },
         )
-        race.start(placement)
+        extra = race.start(placement)
+        extra.held_tokens = self.held_tokens(exchange)
+        placement.server.held_tokens += extra.held_tokens
 
     def _settle_budget(self, race: Race) -> None:
         """Return to the budget what no attempt has used."""
--- a/arbutusyard/gateway/ingress.py
+++ b/arbutusyard/gateway/ingress.py
@@ -128,7 +128,7 @@
         now = clock.now()
         holding = self.memory.open(lambda reason: None, now)
         if holding is None:
-            self._turn_away(sock, now)
+            self._reject_connection(sock, now)
             return
         conn = CallerConnection(sock, limits, self.memory, holding)
         try:
@@ -148,7 +148,7 @@
         finally:
             conn.close()
 
-    def _turn_away(self, sock: socket.socket, now: float) -> None:
+    def _reject_connection(self, sock: socket.socket, now: float) -> None:
         """Close a new connection that nothing can be released for."""
         sock.close()
         self._count_ended(EndReason.CONNECTIONS)
--- a/arbutusyard/gateway/memory.py
+++ b/arbutusyard/gateway/memory.py
@@ -182,9 +182,12 @@
             self._update(holding, phase=Phase.READING)
             holding.since = now
 
-    def begin_serving(self, holding: Holding) -> None:
-        """Record that a request is complete; from now on its body is kept."""
-        self._update(holding, phase=Phase.SERVING)
+    def begin_serving(self, holding: Holding, pipelined: int = 0) -> None:
+        """Record that a request is complete; from now on its body is kept.
+
+        `pipelined` bytes of the next requests have been read with it.
+        """
+        self._update(holding, phase=Phase.SERVING, pipelined=pipelined)
 
     def add_body(self, holding: Holding, size: int, now: float) -> EndReason | None:
         """Charge bytes of a body; return why they must be refused if they must be."""
--- a/arbutusyard/gateway/race.py
+++ b/arbutusyard/gateway/race.py
@@ -77,6 +77,7 @@
         "ended_at",
         "error",
         "exchange",
+        "held_tokens",
         "placement",
         "responded_at",
         "result",
@@ -90,6 +91,8 @@
         self._race = race
         # Buffered bytes of this attempt's answer.
         self._held_bytes = 0
+        # KV memory counted at the server for this attempt alone, in tokens.
+        self.held_tokens = 0
         self.placement = placement
         # Tokens to prefill, which the placement does not count any more afterwards.
         self.tokens = placement.prefill_tokens
@@ -126,7 +129,7 @@
 
     def hold_answer(self, size: int) -> int:
         """Record buffered bytes; return those of all attempts of the race."""
-        self._held_bytes = size
+        self._held_bytes = size if self._race.winner in (None, self) else 0
         return sum(attempt._held_bytes for attempt in self._race.attempts)
 
     def win(self, status: int) -> None:
@@ -190,6 +193,7 @@
         """Cancel the other attempts, which resets their connections."""
         for other in self.attempts:
             if other is not attempt:
+                other._held_bytes = 0
                 other.task.kill(block=False)
 
     def join(self) -> None:
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -125,6 +125,8 @@
             metrics,
         )
         self._hedged.charge_again = self._charge_extra_run
+        self._hedged.has_room = self._has_extra_room
+        self._hedged.held_tokens = self._extra_held_tokens
         self._hedged.reload(cfg.hedge_fraction)
 
     @property
@@ -204,6 +206,21 @@
         """Charge an attempt that runs beside another one."""
         return exchange.grant is None or self._quotas.charge_again(exchange.grant, now)
 
+    def _has_extra_room(
+        self, exchange: Exchange, placement: Placement, now: float
+    ) -> bool:
+        """Return whether admission under load allows an extra attempt at a server."""
+        if not self._control.enabled:
+            return True
+        ticket = _ticket(exchange, Event())
+        return self._control.allows_extra(ticket, placement.server, now)
+
+    def _extra_held_tokens(self, exchange: Exchange) -> int:
+        """Return the KV memory of an extra attempt, in tokens, if it is counted."""
+        if not self._control.enabled:
+            return 0
+        return _ticket(exchange, Event()).held_tokens
+
     def _is_charge_outdated(self, exchange: Exchange, now: float) -> bool:
         """Return whether a request has waited since its run was charged."""
         grant = exchange.grant
@@ -217,10 +234,10 @@
         A server may have run the request of a client that disconnected.
         """
         runs = exchange.executions + (outcome == "answered")
-        if outcome == "caller_gone" and exchange.placement is not None:
+        if outcome == "caller_gone" and exchange.may_run:
             return
-        if exchange.grant is not None and len(exchange.grant.charges) > runs:
-            self._quotas.give_back(exchange.grant)
+        if exchange.grant is not None:
+            self._quotas.give_back_unused(exchange.grant, runs)
 
     def _serve_admitted(
         self,
@@ -324,6 +341,8 @@
         """Try servers as admission under load allows it, without a ticket at once."""
         wait_until = clock.now() + SERVER_WAIT_FRACTION * exchange.route.objective_s
         while True:
+            if not self._charge_further_run(exchange, clock.now()):
+                return self._answer_failure(exchange, "quota")
             now = clock.now()
             if now >= exchange.deadline:
                 return self._answer_failure(exchange, "late")
@@ -333,13 +352,14 @@
                 case Quarantined() as found:
                     return self._answer_quarantined(exchange, found, now)
                 case Suspect(wait_s=wait_s) if wait_s > 0:
+                    if ticket:
+                        self._control.pause(ticket, True)
                     gevent.sleep(wait_s)
+                    if ticket:
+                        self._control.pause(ticket, False)
                     continue
                 case Suspect(key=key, begun=True):
                     suspect_key = key
-            if not self._charge_further_run(exchange, now):
-                return self._answer_failure(exchange, "quota")
-            now = clock.now()
             match self._control.enter(ticket, now) if ticket else None:
                 case Wait(wait_s=wait_s):
                     turn.clear()
@@ -374,7 +394,7 @@
                     continue
                 return self._answer_failure(exchange, "no_server")
             if self._is_charge_outdated(exchange, now):
-                refusal = self._quotas.renew(exchange.grant, now)
+                refusal = self._renew_charge(exchange, ticket, now)
                 if refusal is not None:
                     return self._refuse_charged(exchange, refusal)
                 # The choice of a server is outdated after the wait for the charge.
@@ -386,7 +406,9 @@
             if ticket:
                 self._control.start(ticket, placement.server, now)
                 exchange.late = ticket.late and exchange.route.streaming
+            exchange.may_run = True
             result = self._hedged.dispatch(exchange, placement)
+            exchange.may_run = False
             if ticket:
                 self._end_admitted(exchange, ticket, result)
             if result is None:
@@ -396,6 +418,17 @@
             if not self._may_retry(exchange, result):
                 return self._answer_failure(exchange, result.value)
 
+    def _renew_charge(
+        self, exchange: Exchange, ticket: Ticket | None, now: float
+    ) -> Refusal | None:
+        """Charge a run anew; meanwhile other waiting requests go first."""
+        if ticket:
+            self._control.pause(ticket, True)
+        refusal = self._quotas.renew(exchange.grant, exchange.executions, now)
+        if ticket:
+            self._control.pause(ticket, False)
+        return refusal
+
     def _refuse_charged(self, exchange: Exchange, refusal: Refusal) -> str:
         """Refuse a request whose run could not be charged anew."""
         if exchange.executions or exchange.conn.sent_head:
@@ -409,8 +442,11 @@
         """Free the capacity of an attempt; tell the other nodes of a full server."""
         server, head = ticket.server, exchange.head
         refused = result is AttemptResult.NOT_RUN and head and head.status == 503
+        # An extra attempt may have been refused by another server than the first.
+        refused = refused and exchange.placement.server is server
         ticket.begun = exchange.conn.sent_head
-        if self._control.end_attempt(ticket, bool(refused), clock.now()):
+        served = result is None
+        if self._control.end_attempt(ticket, bool(refused), clock.now(), served):
             self._router.on_load(server.load(), None)
 
     def _refuse_ended_version(self, exchange: Exchange) -> str:
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -97,6 +97,8 @@
     save_to: str = ""
     shared_segment_keys: tuple[bytes, ...] = ()
     broadcast: bool = False
+    # Other nodes learn of the request at once, whatever is left to prefill.
+    announced: bool = False
     tokens_ahead: int = 0
     sent_at: float = 0.0
     first_event_at: float | None = None
@@ -403,6 +405,8 @@
             max(0, work.prompt_tokens - available_tokens),
             fetch,
         )
+        # A cached prompt takes a slot and KV memory too, which admission counts.
+        placement.announced = self.has_room is not None and tokens > LARGE_TOKENS
         if shared_tokens >= self._tracking_min_tokens(service):
             placement.shared_segment_keys = prompt.segment_keys[:-1]
             placement.broadcast = shared_tokens >= self._broadcast_min_tokens()
@@ -565,7 +569,7 @@
         update = None
         if placement.shared_segment_keys:
             update = self._record_segments(placement, False, now)
-        if placement.prefill_tokens > LARGE_TOKENS:
+        if placement.prefill_tokens > LARGE_TOKENS or placement.announced:
             self.on_load(server.load(), update)
 
     def _record_segments(
--- a/arbutusyard/platform/rows.py
+++ b/arbutusyard/platform/rows.py
@@ -40,6 +40,8 @@
 UNIT_TOKENS: Final = "tokens"
 # Largest number of a quota; larger ones are mistakes, and no more can be counted.
 QUOTA_MAX: Final = 1e15
+# Digits of the largest integer that is converted; Python refuses to convert 4,301.
+INTEGER_DIGITS_MAX: Final = 400
 # Maximum number of characters of a malformed value in the log.
 LOGGED_VALUE_CHARS: Final = 80
 
@@ -218,7 +220,10 @@
     except MalformedRow:
         try:
             value = json.loads(
-                data.decode(), parse_float=_finite, parse_constant=_NonFinite
+                data.decode(),
+                parse_float=_finite,
+                parse_int=_integer,
+                parse_constant=_NonFinite,
             )
             return msgspec.convert(value, WireConfig)
         except (ValueError, RecursionError):
@@ -241,6 +246,10 @@
     return number if math.isfinite(number) else _NonFinite(text)
 
 
+def _integer(text: str) -> object:
+    return int(text) if len(text) <= INTEGER_DIGITS_MAX else _NonFinite(text)
+
+
 def _quota(wire: WireTenant, config_version: int) -> AccountQuota | None:
     """Return an account's quota, None without one; log malformed values."""
     if wire.rate_per_s is None or _quota_number(wire.rate_per_s) == 0:
--- a/arbutusyard/quotas/const.py
+++ b/arbutusyard/quotas/const.py
@@ -87,7 +87,7 @@
 SPREAD_STEP: Final = 0.618034
 # Maximum interval between two looks at the configuration and the ranking, in seconds.
 TICK_MAX_S: Final = 0.25
-# Lowest rate with which is computed, per second; it is as good as none.
+# Smallest rate used in computations, per second; avoids division by zero.
 RATE_MIN_S: Final = 1e-6
 # Cost of a request that would otherwise be free, in tokens.
 COST_MIN: Final = 1.0
--- a/arbutusyard/quotas/coordinator.py
+++ b/arbutusyard/quotas/coordinator.py
@@ -129,14 +129,19 @@
         """Charge a further run of a request; return False if it must not run."""
         return self._charge(grant, now) is None
 
-    def renew(self, grant: Grant, now: float) -> Refusal | None:
+    def renew(self, grant: Grant, runs: int, now: float) -> Refusal | None:
         """Charge a run anew that was charged too long before it is sent.
 
-        Return a refusal if there is no quota left for it now.
+        `runs` earlier ones stay charged. Return a refusal if there is no quota left.
         """
-        self.give_back(grant)
+        self.give_back_unused(grant, runs)
         return self._charge(grant, now)
 
+    def give_back_unused(self, grant: Grant, runs: int) -> None:
+        """Take back the charges of a request beyond those of its runs."""
+        while len(grant.charges) > runs:
+            self.give_back(grant)
+
     def give_back(self, grant: Grant) -> None:
         """Take back the newest charge of a request that did not run."""
         self._member.refund(grant, clock.now())
@@ -144,9 +149,9 @@
 
     def _charge(self, grant: Grant, now: float) -> Refusal | None:
         self._refresh(now)
-        grant.charged_at = now
         charge = self._member.spend_credit(grant.account, grant.cost, now)
         if charge is not None:
+            grant.charged_at = now
             grant.charges.append(charge)
             self._metrics.count_quota(grant.account, "credit", grant.cost)
             return None
@@ -166,6 +171,7 @@
         wait_until = now + grant.wait_s
         while True:
             target = self._member.ask_target(now)
+            grant.charged_at = now
             if target == self._me:
                 decision = self._leader.decide(grant.account, grant.cost, now)
                 return Charge(target, self._leader.incarnation, decision.at), decision
--- a/arbutusyard/quotas/member.py
+++ b/arbutusyard/quotas/member.py
@@ -145,8 +145,8 @@
             return
         # A node that answers but does not lead yet may have started just now.
         starts = now - contact.answered_at <= silence_s
-        patience_s = max(silence_s, PREFERENCE_S) if starts else silence_s
-        if now - max(contact.heard_at, contact.since) > patience_s:
+        timeout_s = max(silence_s, PREFERENCE_S) if starts else silence_s
+        if now - max(contact.heard_at, contact.since) > timeout_s:
             self._avoided_until[self.leader] = now + AVOIDANCE_S
             others = [n for n in ranked if self._avoided_until.get(n, now) <= now]
             self._change_leader(others[0] if others else self._me, now, "no answer")
--- a/arbutusyard/quotas/models.py
+++ b/arbutusyard/quotas/models.py
@@ -62,6 +62,7 @@
         # that arrive together are then rejected less often.
         rest = leftover - allowance - credit - rate_s * fresh_s
         # Runs may begin this long after their charge, as far as the tolerance allows.
+        # Without any, a window may contain up to this time of the rate more.
         rest -= min(max(0.0, rest), rate_s * RENEW_AFTER_S)
         return cls(
             rate_s=rate_s,
--- a/tests/quotas/test_coordinator.py
+++ b/tests/quotas/test_coordinator.py
@@ -145,7 +145,9 @@
     monkeypatch.setattr(
         QuotaCoordinator,
         "renew",
-        lambda self, grant, now: renewed.append(now) or renew(self, grant, now),
+        lambda self, grant, runs, now: (
+            renewed.append(now) or renew(self, grant, runs, now)
+        ),
     )
     (known,) = gateway.fleet_state.servers.servers.values()
     before = level(gateway)
