Put quotas, full servers and misbehaving clients into the soak

The soak did not know quotas, admission under load and the limits on clients. In seeds from 7000 on three accounts have quotas in tokens, two of them get more requests than that, and servers' runs may not exceed the rule of any window of 8 s (QUOTA). Servers have 2 slots and a queue of 2, reject with 503 when these are full, and stop for 0.5 s now and then; nodes run with `pressure`. Three clients leave bodies unfinished or answers unread, and each account with a quota must get an answer after the faults. Older seeds draw as before.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -5,7 +5,9 @@
 import socket
 
 import gevent
+from gevent.lock import DummySemaphore, Semaphore
 from gevent.server import StreamServer
+from gevent.socket import wait_read
 
 from arbutusyard.gateway.const import NO_LINGER
 from tests.framing import FRAMINGS, frame
@@ -20,6 +22,11 @@
     HEARTBEAT_S,
     LINGER_S,
     MODEL,
+    QUEUE,
+    SLOTS,
+    SLOW_S,
+    UNREAD_BYTES,
+    UNREAD_PREFIX,
     WEIGHTS_LOAD_S,
 )
 from tests.soak.ledger import plain_body, stream_event
@@ -41,10 +48,12 @@
 class Backend:
     """Serve one service behind a link; each start is a new incarnation."""
 
-    def __init__(self, name, service, ledger, store, rng):
+    def __init__(self, name, service, ledger, store, rng, has_slots):
         self.name = name
         self.service = service
         self.is_engine = service == "llm"
+        # Whether it rejects requests when its slots and its queue are full.
+        self._has_slots = has_slots
         self.version = 1
         # Version of the software with which the next incarnation starts.
         self.next_software = "v1"
@@ -74,6 +83,10 @@
         self.fencing_token = 0
         self.loading = False
         self.limit_header = ""
+        self._slots = Semaphore(SLOTS) if self._has_slots else DummySemaphore()
+        # Requests that are worked on or wait for a slot.
+        self._accepted = []
+        self._slow_until = 0.0
         self._connection_tasks = set()
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
@@ -95,6 +108,10 @@
         self.limit_header = ""
         self._ledger.limits.end_limit(self.server_id)
 
+    def slow_down(self):
+        """Begin no work for a while."""
+        self._slow_until = self._ledger.now() + SLOW_S
+
     def crash(self):
         """Stop at once, without a report; the server's entry expires later."""
         gevent.killall([*self._tasks, *self._connection_tasks], block=False)
@@ -161,7 +178,7 @@
             "address": self._link.address,
             "zone": "z",
             "version": self.software,
-            "slots": 32,
+            "slots": SLOTS if self._has_slots else 32,
             "state": self.state,
             "cold_remaining_ms": 0,
             "sequence": 1,
@@ -265,7 +282,22 @@
             headers = f"Retry-After: 0.7\r\n{self.limit_header}"
             sock.sendall(not_run(request, headers=headers))
             return
+        accepted = self._accepted
+        if self._has_slots and len(accepted) >= SLOTS + QUEUE:
+            self._ledger.full += 1
+            sock.sendall(not_run(request, headers=self.limit_header))
+            return
         run = self._ledger.record_run(self.server_id, request)
+        accepted.append(request)
+        try:
+            with self._slots:
+                if self._slow_until > self._ledger.now():
+                    gevent.sleep(self._slow_until - self._ledger.now())
+                self._work(sock, request, run, fault)
+        finally:
+            accepted.pop()
+
+    def _work(self, sock, request, run, fault):
         if request.body == DEADLY_BODY:
             gevent.sleep(DEADLY_RUN_S)
             if self.state == "ready":
@@ -274,6 +306,11 @@
             request.last = True
             return
         gevent.sleep(self._rng.uniform(0, 2 * MEAN_WORK_S))
+        if fault == "mute" and self._has_slots:
+            # The slot is free again once the request's connection has ended.
+            wait_read(sock.fileno(), MAX_EVENTS)
+            request.last = True
+            return
         if fault == "mute":
             gevent.sleep(MAX_EVENTS)
         if fault == "reset":
@@ -302,6 +339,8 @@
 
     def _send_plain(self, sock, request, headers, fault):
         body = plain_body(self.server_id, request.headers["request-id"])
+        if request.headers["request-id"].startswith(UNREAD_PREFIX):
+            body += b"x" * UNREAD_BYTES
         head, data, framing = self._framed(request, headers, [body])
         if fault == "torn":
             # A FIN would complete an answer that ends with its connection.
--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -37,6 +37,30 @@
     "lease_ms": LEASE_S * 1000,
     "version_ms": VERSION_S * 1000,
 }
+# Settings of nodes in runs with overload, the tokens per second and at once of each
+# client account with a quota, and the cost of a request that states none.
+QUOTA_BOUNDS: Final = {
+    "quota_window_s": 8,
+    "quota_overshoot": 0.1,
+    "quota_slack": 500,
+}
+QUOTAS: Final = {"far": (1_500, 500), "above": (6_000, 6_000), "below": (40_000,) * 2}
+PLAIN_TOKENS: Final = 200
+# The memory for clients' bytes, in MiB, holds two unfinished bodies.
+OVERLOAD_SETTINGS: Final = {
+    "bounds": {**BOUNDS, **QUOTA_BOUNDS},
+    "contracts": ["pressure"],
+    "limits": {"client_memory_mb": 8},
+}
+# Slots of a server in these runs, the requests that wait there for one, and how long
+# it works on nothing when it slows down, in seconds.
+SLOTS: Final = 2
+QUEUE: Final = 2
+SLOW_S: Final = 0.5
+# Ids of requests whose answers are not read begin with it; bytes added to an answer.
+UNREAD_PREFIX: Final = "unread"
+UNREAD_BYTES: Final = 200_000
+
 # Interval at which a server writes its entry, in seconds.
 HEARTBEAT_S: Final = 1.2
 # Time after which the entry of a crashed server expires, in seconds: three heartbeats.
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -10,9 +10,11 @@
     DEADLY_CRASHES,
     DEADLY_RETRIES,
     DRAIN_S,
+    QUOTAS,
     REVOKE_S,
 )
 from tests.soak.limits import LimitCheck
+from tests.soak.quotas import QuotaCheck
 
 # Kinds of requests whose answers are streams; clients resume those of a sequence.
 STREAMS = ("stream", "sequence")
@@ -35,6 +37,8 @@
     headers: tuple[str, ...] = ()
     # The start of the node whose process the request was sent to, counted from 1.
     start_count: int = 0
+    # Prompt tokens and maximum output tokens, stated for streams.
+    tokens: tuple[int, int] = (400, 12)
     status: int | None = None
     ended_at: float | None = None
 
@@ -75,6 +79,9 @@
     # Resumed streams: tried, went on, and refused for good.
     resumes: Counter = field(default_factory=Counter)
     limits: LimitCheck = field(default_factory=LimitCheck)
+    quotas: QuotaCheck = field(default_factory=QuotaCheck)
+    # Requests that full servers rejected.
+    full: int = 0
     started_at: float = field(default_factory=time.monotonic)
 
     def now(self):
@@ -141,6 +148,11 @@
             self.add_violation("UNASKED", f"{request_id} has another body")
         if request.body == DEADLY_BODY:
             self._check_deadly(attempt)
+        if attempt.account in QUOTAS:
+            excused = not self.is_undisturbed(server_id)
+            excess = self.quotas.record_run(attempt, excused, run.started_at)
+            if excess:
+                self.add_violation("QUOTA", excess)
         self._check_times(attempt, run)
         self._check_salt(request, attempt)
         return run
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -21,7 +21,7 @@
 class NodeProcess:
     """Run one node on its own loopback address, with its own link to the store."""
 
-    def __init__(self, number, folder, ledger, store_address):
+    def __init__(self, number, folder, ledger, store_address, changes):
         self.name = f"n{number}"
         # The address depends on the process id, so that concurrent soaks don't collide.
         ip_byte = os.getpid() % 250
@@ -49,6 +49,7 @@
             "internal_port_range": [7340, 7355],
             "bounds": BOUNDS,
             "platform": {"address": self.link.address},
+            **changes,
         }
 
     @property
@@ -129,7 +130,8 @@
 
     def reload(self, retry_slack):
         """Change the settings file and send SIGHUP, so that the node reads it again."""
-        self._settings["bounds"] = {**BOUNDS, "retry_slack": retry_slack}
+        bounds = self._settings["bounds"]
+        self._settings["bounds"] = {**bounds, "retry_slack": retry_slack}
         self._write_settings()
         # Until the interpreter has started the program, which takes some milliseconds,
         # SIGHUP would terminate the process.
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,8 +20,10 @@
 # servers and entries of servers vanish and return; in those from 4000 on servers leave
 # without a report while nodes are away; in those from 5000 on engines get newer
 # software, all nodes are killed now and then, and clients resume streams; in those from
-# 6000 on servers repeat rejections late, send reports without end or have narrow links.
-@pytest.mark.parametrize("seed", [1, 1000, 2000, 3000, 3001, 6000, *REGRESSIONS])
+# 6000 on servers repeat rejections late, send reports without end or have narrow links;
+# in those from 7000 on accounts have quotas, servers reject requests when they are full
+# and slow down, and clients leave bodies unfinished and answers unread.
+@pytest.mark.parametrize("seed", [1, 1000, 2000, 3000, 3001, 6000, 7000, *REGRESSIONS])
 def test_faults_violate_no_guarantee(seed, tmp_path):
     duration_s = 20.0 if seed in REGRESSIONS else 8.0
     # The recovery bound is checked only in manual runs. The bounds on draining, removed
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 import gevent
@@ -23,12 +24,23 @@
     MAX_THINK_TIME_S,
     MODEL,
     NODES,
+    OVERLOAD_SETTINGS,
+    PLAIN_TOKENS,
+    QUOTAS,
     RECOVER_S,
+    SLOTS,
 )
 from tests.soak.faults import FaultInjector
-from tests.soak.ledger import STREAMS, Attempt, Ledger
+from tests.soak.ledger import Attempt, Ledger
 from tests.soak.nodes import NodeProcess
+from tests.soak.overload import (
+    MISBEHAVING_CLIENTS,
+    QUOTA_CLIENTS,
+    MisbehavingClient,
+    QuotaClient,
+)
 from tests.soak.proxy import LinkMode
+from tests.soak.requests import encode_request
 from tests.soak.resumes import ResumingClient
 
 # For each kind of request: path prefix, kind of the route, service, and whether the
@@ -70,6 +82,11 @@
 FIRST_ABUSE_SEED = 6000
 ABUSE_INTERVAL_S = 1.0
 ABUSE_S = 4.0
+# First seed in whose runs accounts have quotas, servers reject requests when they are
+# full and slow down, and clients misbehave, and the maximum pause between two
+# slow-downs, in seconds.
+FIRST_OVERLOAD_SEED = 7000
+SLOW_INTERVAL_S = 1.0
 # Pauses between two such requests and between two such entries, in seconds.
 DEADLY_INTERVAL_S = 0.4
 FORGET_INTERVAL_S = 1.5
@@ -92,7 +109,11 @@
         self._has_deadly = FIRST_DEADLY_SEED <= seed < FIRST_SOFTWARE_SEED
         self._has_removals = FIRST_REMOVAL_SEED <= seed < FIRST_SOFTWARE_SEED
         self._has_software = FIRST_SOFTWARE_SEED <= seed < FIRST_ABUSE_SEED
-        self._has_abuse = seed >= FIRST_ABUSE_SEED
+        self._has_abuse = FIRST_ABUSE_SEED <= seed < FIRST_OVERLOAD_SEED
+        self._has_overload = seed >= FIRST_OVERLOAD_SEED
+        # New nodes do not know for 8 s how many they are. Half of the seeds wait for
+        # it, so that short runs test quotas, too; the others begin with the faults.
+        self._awaits_quotas = self._has_overload and seed % 2 == 0
         self._abuse_rng = random.Random(f"abuse {seed}")
         self._deadly_kind = "stream" if seed % 2 else "once"
         self.ledger = Ledger()
@@ -105,18 +126,38 @@
             "open": [f"open-{n}" for n in range(4)],
             "walled": [f"walled-{n}" for n in range(4)],
         }
-        self._served_count = 0
+        # Complete answers, by account.
+        self._served = Counter()
         self.configure()
         self.backends = [
-            Backend(f"{service}{n}", service, self.ledger, self.store, self.rng)
+            Backend(
+                f"{service}{n}",
+                service,
+                self.ledger,
+                self.store,
+                self.rng,
+                self._has_overload,
+            )
             for service, count in (("llm", 3), ("app", 2))
             for n in range(count)
         ]
+        changes = OVERLOAD_SETTINGS if self._has_overload else {}
         self.nodes = [
-            NodeProcess(n, folder, self.ledger, self.store.address)
+            NodeProcess(n, folder, self.ledger, self.store.address, changes)
             for n in range(NODES)
         ]
         self._tasks = []
+        self._are_servers_slow = self._has_overload
+
+    @property
+    def _served_count(self):
+        """Return the number of complete answers to accounts without a quota."""
+        return sum(self._served[account] for account in self._keys)
+
+    @property
+    def open_key(self):
+        """Return the newest key of the account that shares its cached prompts."""
+        return self._keys["open"][-1]
 
     def configure(self):
         """Write the configuration under a newer version, 1 to 4 higher."""
@@ -142,7 +183,8 @@
             {**routes[2], "name": f"v{n}", "path_prefix": f"/v{n}/"}
             for n in self._route_added_at
         ]
-        services = [{"name": "app", "max_connections": 60}, _engines()]
+        slots = SLOTS if self._has_overload else 32
+        services = [{"name": "app", "max_connections": 60}, _engines(slots)]
         config = {
             "version": self._version,
             "routes": routes + added_routes,
@@ -150,7 +192,8 @@
             "tenants": [
                 {"name": name, "api_keys": keys, "share_nothing": name == "walled"}
                 for name, keys in self._keys.items()
-            ],
+            ]
+            + (_quota_accounts() if self._has_overload else []),
         }
         self.store.write("op", "config", config)
 
@@ -243,7 +286,20 @@
                     self._tasks.append(gevent.spawn(client.run))
             if self._has_abuse:
                 disturbances.append(gevent.spawn(self._abuse_nodes))
+            if self._has_overload:
+                disturbances.append(gevent.spawn(self._slow_servers))
+                self._tasks += [
+                    gevent.spawn(QuotaClient(self, account, number).run)
+                    for account, count in QUOTA_CLIENTS.items()
+                    for number in range(count)
+                ]
+                self._tasks += [
+                    gevent.spawn(MisbehavingClient(self, number).run)
+                    for number in range(MISBEHAVING_CLIENTS)
+                ]
             self._tasks += disturbances
+            if self._awaits_quotas:
+                self._wait_for(lambda: self._served["below"], "quotas")
             if faults is not None:
                 faults()
             else:
@@ -252,6 +308,7 @@
                 )
                 injector.run(duration_s, pause_s)
             self._has_removals = self._has_software = self._has_abuse = False
+            self._are_servers_slow = False
             gevent.joinall(disturbances, raise_error=True)
             self._check_recovery(timed)
         finally:
@@ -260,6 +317,7 @@
             self.ledger.log(
                 f"{len(self.ledger.attempts)} attempts, {self._served_count} ok"
                 + (f", resumes {dict(resumes)}" if resumes else "")
+                + (self._describe_overload() if self._has_overload else "")
             )
             for node in self.nodes:
                 node.stop()
@@ -268,6 +326,16 @@
             self.store.stop()
         return self.ledger
 
+    def _describe_overload(self):
+        ledger = self.ledger
+        quota_served = {name: self._served[name] for name in QUOTAS}
+        refused = sum(a.status == 429 for a in ledger.attempts.values())
+        return (
+            f", of quotas {quota_served}, {ledger.quotas.counted} runs counted, "
+            f"{ledger.quotas.excused} excused, peaks {ledger.quotas.peaks}; "
+            f"{refused} rejected with 429, {ledger.full} by full servers"
+        )
+
     def _abuse_nodes(self):
         """Let servers repeat rejections or send without end, or narrow their links."""
         rng = self._abuse_rng
@@ -285,6 +353,13 @@
             backend.abuse = ""
             link.set_mode(LinkMode.OPEN)
 
+    def _slow_servers(self):
+        """Let servers slow down for a while, one after another."""
+        rng = random.Random("slow")
+        while self._are_servers_slow:
+            gevent.sleep(rng.uniform(0, SLOW_INTERVAL_S))
+            rng.choice(self.backends).slow_down()
+
     def _check_recovery(self, timed):
         """Check that nodes, answers and target weights recover after the last fault."""
         since = self.ledger.now()
@@ -293,6 +368,12 @@
         self._wait_for(
             lambda: self._served_count >= served_before + RECOVERED_ANSWERS, "answers"
         )
+        accounts = QUOTAS if self._has_overload else ()
+        quota_served = {name: self._served[name] for name in accounts}
+        self._wait_for(
+            lambda: all(self._served[name] > n for name, n in quota_served.items()),
+            "answers to accounts with quotas",
+        )
         engines = [b for b in self.backends if b.is_engine]
         target = self._target_version
         self._wait_for(lambda: all(b.version == target for b in engines), "weights")
@@ -319,14 +400,14 @@
         while True:
             gevent.sleep(rng.uniform(0, self._max_think_time_s))
             count += 1
-            node, sock = reusable or self._connect(rng)
+            node, sock = reusable or self.connect(rng)
             if sock is None:
                 continue
             kind = rng.choice(sorted(ROUTES))
             request_id = f"c{number}-{count}"
             reusable = (
                 (node, sock)
-                if self._send_request(node, sock, kind, request_id)
+                if self.send_request(node, sock, kind, request_id)
                 else None
             )
             if reusable is None:
@@ -338,14 +419,14 @@
         count = 0
         while True:
             gevent.sleep(DEADLY_INTERVAL_S)
-            node, sock = self._connect(rng)
+            node, sock = self.connect(rng)
             if sock is None:
                 continue
             count += 1
             key = self._keys["open"][-1]
             # Each kind has a path, and so a request, of its own.
             kind = self._deadly_kind
-            self._send_request(node, sock, kind, f"d-{count}", None, key, DEADLY_BODY)
+            self.send_request(node, sock, kind, f"d-{count}", None, key, DEADLY_BODY)
             sock.close()
 
     def _forget_entries(self):
@@ -397,7 +478,7 @@
 
     def send_stream(self, rng, request_id, headers):
         """Send the request of a stream to a random node; return what came, or None."""
-        node, sock = self._connect(rng)
+        node, sock = self.connect(rng)
         if sock is None:
             return None
         key = self._keys["open"][-1]
@@ -417,7 +498,7 @@
         received = None
         try:
             sock.settimeout(CLIENT_TIMEOUT_S + 1)
-            sock.sendall(_request(attempt, ROUTES["stream"][0] + "x"))
+            sock.sendall(encode_request(attempt, ROUTES["stream"][0] + "x"))
             received = read_answer(sock)
         except (OSError, ValueError):
             # What came before the connection ended is in what the reader returned.
@@ -439,7 +520,7 @@
                 gevent.sleep(REMOVAL_AWAY_S)
                 node.link.set_mode(LinkMode.OPEN)
 
-    def _connect(self, rng):
+    def connect(self, rng):
         """Connect to a node that the directory of a random node lists."""
         directory_node = rng.choice(self.nodes)
         url = f"http://{directory_node.directory}/-/lookup?name={HOST}&region=r&zone=z"
@@ -452,11 +533,19 @@
         except (urllib3.exceptions.HTTPError, OSError, LookupError, ValueError):
             return None, None
 
-    def _send_request(
-        self, node, sock, kind, request_id, path=None, key=None, body=None
+    def send_request(
+        self,
+        node,
+        sock,
+        kind,
+        request_id,
+        path=None,
+        key=None,
+        body=None,
+        account="open",
+        tokens=(400, 12),
     ):
         """Send one request; return whether its connection can be reused."""
-        account = "open"
         if key is None:
             account = self.rng.choice(sorted(self._keys))
             key = self.rng.choice(self._keys[account])
@@ -467,11 +556,12 @@
         )
         attempt.sent_at = self.ledger.now()
         attempt.start_count = node.start_count
+        attempt.tokens = tokens
         self.ledger.attempts[request_id] = attempt
         path = path or ROUTES[kind][0] + "x"
         try:
             sock.settimeout(CLIENT_TIMEOUT_S + 1)
-            sock.sendall(_request(attempt, path))
+            sock.sendall(encode_request(attempt, path))
             received = read_answer(sock)
         except (OSError, ValueError):
             received = None
@@ -486,7 +576,7 @@
             attempt, received.status, received.body, received.complete
         )
         if received.status == 200 and received.complete:
-            self._served_count += 1
+            self._served[attempt.account] += 1
         return received.complete and received.headers.get("connection") != "close"
 
     def _probe_configuration(self):
@@ -510,7 +600,7 @@
             sent_at = self.ledger.now()
             undisturbed = self.ledger.is_undisturbed(node.name, "store")
             request_id = f"p-{count}"
-            self._send_request(node, sock, "any", request_id, f"/v{number}/x")
+            self.send_request(node, sock, "any", request_id, f"/v{number}/x")
             sock.close()
             status = self.ledger.attempts[request_id].status
             if status == 200:
@@ -532,36 +622,32 @@
                 )
 
 
-def _engines():
+def _quota_accounts():
+    return [
+        {
+            "name": name,
+            "api_keys": [name],
+            "unit": "tokens",
+            "plain_tokens": PLAIN_TOKENS,
+            "rate_per_s": rate_s,
+            "burst": burst,
+        }
+        for name, (rate_s, burst) in QUOTAS.items()
+    ]
+
+
+def _engines(slots):
     return {
         "name": "llm",
         "max_connections": 200,
         "engine": {
-            "slots": 32,
+            "slots": slots,
             "kv_capacity_tokens": 100_000,
             "models": [{"name": MODEL}],
         },
     }
 
 
-def _request(attempt, path):
-    method = "GET" if attempt.kind == "any" else "POST"
-    lines = [
-        f"{method} {path} HTTP/1.1",
-        f"Host: {HOST}",
-        f"Request-Id: {attempt.request_id}",
-        f"Api-Key: {attempt.key}",
-        f"Deadline-Ms: {CLIENT_TIMEOUT_S * 1000:.0f}",
-        "Tenant: forged",
-    ]
-    if attempt.body:
-        lines.append(f"Content-Length: {len(attempt.body)}")
-    lines += attempt.headers
-    if attempt.kind in STREAMS:
-        lines += [f"Model: {MODEL}", "Token-Count: 400,12", "Prefix-Hash: a:100,b:300"]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + attempt.body
-
-
 def soak(seed, duration_s, pause_s=1.0, timed=True, folder=None):
     """Run one seed; return the ledger and the folder with the nodes' logs."""
     folder = Path(folder or tempfile.mkdtemp(prefix="soak-"))
