--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -46,7 +46,7 @@
 }
 QUOTAS: Final = {"far": (1_500, 500), "above": (6_000, 6_000), "below": (40_000,) * 2}
 PLAIN_TOKENS: Final = 200
-# The memory for clients' bytes, in MiB, holds two unfinished bodies.
+# The memory for clients' bytes, in MiB, is short with two unfinished bodies.
 OVERLOAD_SETTINGS: Final = {
     "bounds": {**BOUNDS, **QUOTA_BOUNDS},
     "contracts": ["pressure"],
--- a/tests/soak/overload.py
+++ b/tests/soak/overload.py
@@ -8,7 +8,7 @@
 from tests.soak.ledger import Attempt
 from tests.soak.requests import encode_request
 
-# Clients of each account with a quota. Each sends up to 13,000 tokens a second.
+# Clients of each account with a quota.
 QUOTA_CLIENTS = {"far": 4, "above": 2, "below": 1}
 # Maximum pause of such a client between two requests, in seconds.
 QUOTA_PAUSE_S = 0.1
