--- a/arbutusyard/admission/coordinator.py
+++ b/arbutusyard/admission/coordinator.py
@@ -104,7 +104,7 @@
 
     def allows_extra(self, ticket: Ticket, server: Server, now: float) -> bool:
         """Return whether a server may get an attempt beside another one."""
-        return self.capacity.is_accepting(server, ticket, now)
+        return not self.enabled or self.capacity.is_accepting(server, ticket, now)
 
     def pause(self, ticket: Ticket, paused: bool) -> None:
         """Let other requests go first while one waits for something else."""
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -13,6 +13,7 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.admission import Admission, Admitted
 from arbutusyard.gateway.caller import CallerConnection
+from arbutusyard.gateway.charges import QuotaCharges, is_outdated
 from arbutusyard.gateway.const import (
     CONNECT_ATTEMPTS,
     NOT_RUN_RETRIES,
@@ -26,8 +27,6 @@
     AttemptResult,
     Dispatcher,
     Exchange,
-    client_gap_s,
-    urgency,
 )
 from arbutusyard.gateway.hedged_dispatch import HedgedDispatch
 from arbutusyard.gateway.incarnations import IncarnationCheck
@@ -35,6 +34,7 @@
 from arbutusyard.gateway.pool import ServerPool
 from arbutusyard.gateway.router import Placement, PlacementRouter
 from arbutusyard.gateway.settings import NodeSettings
+from arbutusyard.gateway.tickets import make_ticket
 from arbutusyard.limits.retry_budget import RetryBudget
 from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.metrics.deferred import DeferredMetrics
@@ -49,9 +49,8 @@
     shared_keys,
 )
 from arbutusyard.quarantine.models import Quarantined, Suspect
-from arbutusyard.quotas.const import RENEW_AFTER_S
 from arbutusyard.quotas.coordinator import QuotaCoordinator
-from arbutusyard.quotas.models import Grant, quota_rule
+from arbutusyard.quotas.models import Grant
 from arbutusyard.routing.placement import choose
 
 _LOGGER = logging.getLogger(__name__)
@@ -68,7 +67,7 @@
         "_fleet_state",
         "_hedged",
         "_metrics",
-        "_quotas",
+        "_charges",
         "_router",
         "origins",
         "quarantine",
@@ -87,7 +86,7 @@
         servers: ServerClient | None = None,
         quotas: QuotaCoordinator | None = None,
     ) -> None:
-        self._quotas = quotas
+        self._charges = QuotaCharges(quotas)
         self._admission = Admission(fleet_state, cfg.revoke_s)
         self.origins = origins or OriginCoordinator(peers.me, fleet_state)
         self.quarantine = RequestQuarantine(peers.me)
@@ -124,9 +123,13 @@
             self._retry_budget,
             metrics,
         )
-        self._hedged.charge_again = self._charge_extra_run
-        self._hedged.has_room = self._has_extra_room
-        self._hedged.held_tokens = self._extra_held_tokens
+        self._hedged.charge_again = self._charges.charge_extra_run
+        self._hedged.has_room = lambda exchange, placement, now: (
+            self._control.allows_extra(make_ticket(exchange), placement.server, now)
+        )
+        self._hedged.held_tokens = lambda exchange: (
+            make_ticket(exchange).held_tokens if self._control.enabled else 0
+        )
         self._hedged.reload(cfg.hedge_fraction)
 
     @property
@@ -147,8 +150,7 @@
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
         self._hedged.reload(cfg.hedge_fraction)
-        if self._quotas is not None:
-            self._quotas.reload(quota_rule(cfg))
+        self._charges.reload(cfg)
 
     def _set_hooks(self) -> None:
         """Let admission under load choose servers if the settings enable it."""
@@ -180,65 +182,12 @@
             case Refusal() as refusal:
                 self._refuse(req, conn, refusal, now)
             case Admitted() as admitted:
-                match self._charge_quota(req, admitted, now):
+                match self._charges.charge(req, admitted, now):
                     case Refusal() as refusal:
                         self._refuse(req, conn, refusal, clock.now())
                     case grant:
                         self._serve_admitted(req, conn, admitted, grant, clock.now())
 
-    def _charge_quota(
-        self, req: CallerRequest, admitted: Admitted, now: float
-    ) -> Grant | Refusal | None:
-        """Charge a request to its account's quota; return None if it has none."""
-        account = admitted.account
-        if self._quotas is None or account is None or account.quota is None:
-            return None
-        return self._quotas.acquire(account, req, admitted.time_limit_s, now)
-
-    def _charge_further_run(self, exchange: Exchange, now: float) -> bool:
-        """Charge a run that follows one which may have taken place."""
-        grant = exchange.grant
-        if grant is None or len(grant.charges) > exchange.executions:
-            return True
-        return self._quotas.charge_again(grant, now)
-
-    def _charge_extra_run(self, exchange: Exchange, now: float) -> bool:
-        """Charge an attempt that runs beside another one."""
-        return exchange.grant is None or self._quotas.charge_again(exchange.grant, now)
-
-    def _has_extra_room(
-        self, exchange: Exchange, placement: Placement, now: float
-    ) -> bool:
-        """Return whether admission under load allows an extra attempt at a server."""
-        if not self._control.enabled:
-            return True
-        ticket = _ticket(exchange, Event())
-        return self._control.allows_extra(ticket, placement.server, now)
-
-    def _extra_held_tokens(self, exchange: Exchange) -> int:
-        """Return the KV memory of an extra attempt, in tokens, if it is counted."""
-        if not self._control.enabled:
-            return 0
-        return _ticket(exchange, Event()).held_tokens
-
-    def _is_charge_outdated(self, exchange: Exchange, now: float) -> bool:
-        """Return whether a request has waited since its run was charged."""
-        grant = exchange.grant
-        if grant is None or not grant.charges:
-            return False
-        return now - grant.charged_at > RENEW_AFTER_S
-
-    def _give_back_quota(self, exchange: Exchange, outcome: str) -> None:
-        """Take back the quota of a run for which no server was found, or that failed.
-
-        A server may have run the request of a client that disconnected.
-        """
-        runs = exchange.executions + (outcome == "answered")
-        if outcome == "caller_gone" and exchange.may_run:
-            return
-        if exchange.grant is not None:
-            self._quotas.give_back_unused(exchange.grant, runs)
-
     def _serve_admitted(
         self,
         req: CallerRequest,
@@ -267,7 +216,7 @@
         finally:
             if exchange.retry_is_paid:
                 self._retry_budget.give_back(exchange.service)
-            self._give_back_quota(exchange, outcome)
+            self._charges.give_back(exchange, outcome)
             self._record_outcome(exchange, outcome, clock.now())
 
     def _find_origin(self, exchange: Exchange) -> str:
@@ -329,7 +278,7 @@
         if not self._control.enabled:
             return self._try_admitted(exchange, None, None)
         turn = Event()
-        ticket = _ticket(exchange, turn)
+        ticket = make_ticket(exchange, turn.set)
         try:
             return self._try_admitted(exchange, ticket, turn)
         finally:
@@ -341,7 +290,7 @@
         """Try servers as admission under load allows it, without a ticket at once."""
         wait_until = clock.now() + SERVER_WAIT_FRACTION * exchange.route.objective_s
         while True:
-            if not self._charge_further_run(exchange, clock.now()):
+            if not self._charges.charge_further_run(exchange, clock.now()):
                 return self._answer_failure(exchange, "quota")
             now = clock.now()
             if now >= exchange.deadline:
@@ -393,7 +342,7 @@
                     exchange.excluded.clear()
                     continue
                 return self._answer_failure(exchange, "no_server")
-            if self._is_charge_outdated(exchange, now):
+            if is_outdated(exchange, now):
                 refusal = self._renew_charge(exchange, ticket, now)
                 if refusal is not None:
                     return self._refuse_charged(exchange, refusal)
@@ -424,7 +373,7 @@
         """Charge a run anew; meanwhile other waiting requests go first."""
         if ticket:
             self._control.pause(ticket, True)
-        refusal = self._quotas.renew(exchange.grant, exchange.executions, now)
+        refusal = self._charges.renew(exchange, now)
         if ticket:
             self._control.pause(ticket, False)
         return refusal
@@ -640,26 +589,3 @@
         "fetch_from": fetch.address if fetch else "",
         "saved_to": placement.save_to,
     }
-
-
-def _ticket(exchange: Exchange, turn: Event) -> Ticket:
-    """Return what admission under load has to know of a request."""
-    req, route = exchange.req, exchange.route
-    gives_up_at = exchange.deadline
-    level = urgency(route, exchange.account)
-    if route.streaming:
-        gives_up_at = min(gives_up_at, req.arrived_at + client_gap_s(route))
-    return Ticket(
-        exchange.service,
-        route.name,
-        route.priority if level is None else level,
-        req.arrived_at,
-        route.objective_s,
-        gives_up_at,
-        route.timeout_s,
-        exchange.deadline - req.arrived_at,
-        req.prompt_tokens if req.model else 0,
-        req.prompt_tokens + req.output_tokens if req.model else 0,
-        exchange.conn.sent_head,
-        turn.set,
-    )
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -3,8 +3,6 @@
 import random
 from collections import Counter, deque
 from collections.abc import Callable
-from hashlib import blake2b
-from itertools import accumulate
 
 from msgspec import Struct
 
@@ -21,6 +19,14 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.const import LAST_SERVER_FRACTION
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
+from arbutusyard.gateway.prompts import (
+    AFFINITY_SEGMENT_TOKENS,
+    Prompt,
+    affinity_target,
+    cache_salt,
+    leading_tokens,
+    segment_keys,
+)
 from arbutusyard.limits.const import LIMIT_GRACE_S
 from arbutusyard.limits.server_limits import ServerLimits
 from arbutusyard.routing.chain import rank
@@ -39,13 +45,9 @@
     Source,
     best_fetch,
     min_fetch_tokens,
-    segment_key,
 )
 from arbutusyard.routing.speed import PrefillSpeed
 
-# Size of the smallest first segment that has an affinity target, and of the smallest
-# shared segments that the nodes of a small fleet broadcast, in tokens.
-AFFINITY_SEGMENT_TOKENS = 512
 # Weight of the newest prompt in the average size of a service's prompts, from 0 to 1.
 PROMPT_WEIGHT = 0.02
 # Segment updates in one heartbeat.
@@ -68,22 +70,6 @@
 OUTDATED_WEIGHTS_GRACE_S = 1.2
 
 
-class Prompt(Struct):
-    """Hold the cache keys of a prompt under one version of the weights.
-
-    Also holds, by server id or store address, how many of its leading segments each
-    engine was sent, each engine has prefilled lately, and each cache store holds.
-    """
-
-    salt: str
-    segment_keys: tuple[bytes, ...]
-    sent_depths: dict[str, int]
-    engine_depths: dict[str, int]
-    store_depths: dict[str, int]
-    # The places from which leading segments can be fetched, and their tokens.
-    sources: list[tuple[Source, int]] = []
-
-
 class Placement(Struct):
     """Hold the server chosen for one attempt at a request, and why."""
 
@@ -338,7 +324,7 @@
         newest = max(server.weights.get(req.model, 0) for server in servers)
         newest_servers = [s for s in servers if s.weights.get(req.model, 0) == newest]
         newest_ids = [server.entry.server_id for server in newest_servers]
-        affinity_target = _affinity_target(req, group, newest_ids)
+        target_id = affinity_target(req, group, newest_ids)
         # A server with a limit is a candidate only now and then.
         reserved = reserved_engines(
             [s.entry.server_id for s in newest_servers if not self._is_limited(s)]
@@ -352,7 +338,7 @@
             objective_s,
             self._is_small(service, tokens),
         )
-        leading_tokens = _leading_tokens(req)
+        leading = leading_tokens(req)
         prompts: dict[int, Prompt] = {}
         max_depths: dict[int, int] = {}
         fetches: dict[str, Fetch | None] = {}
@@ -368,7 +354,7 @@
                 )
             prompt = prompts[version]
             server_id = server.entry.server_id
-            cached = leading_tokens[prompt.sent_depths.get(server_id, 0)]
+            cached = leading[prompt.sent_depths.get(server_id, 0)]
             fetch = self._find_fetch(service, server, prompt, cached)
             fetches[server_id] = fetch
             views.append(
@@ -378,8 +364,8 @@
                     tokens=tokens,
                     cached_tokens=cached,
                     fetch=fetch,
-                    max_sent_tokens=leading_tokens[max_depths[version]],
-                    affinity_target=server_id == affinity_target,
+                    max_sent_tokens=leading[max_depths[version]],
+                    affinity_target=server_id == target_id,
                     reserved=server_id in reserved,
                     outdated_weights=version < newest
                     and self._is_outdated(req.model, version, now),
@@ -437,7 +423,7 @@
         catalog = self._fleet_state.catalog
         engine = self._engine_traits(service)
         if engine is not None:
-            tokens = _leading_tokens(req)
+            tokens = leading_tokens(req)
             prompt.sources = [
                 (source, tokens[depth])
                 for source, depth in self._find_sources(catalog, engine, prompt)
@@ -728,26 +714,3 @@
                     server.mismatch_until = 0.0
                 if status.loading_s is not None:
                     server.loading_until = 0.0
-
-
-def _leading_tokens(req: CallerRequest) -> list[int]:
-    """Return the tokens of the first 0, 1, 2 and more segments of a prompt."""
-    return [0, *accumulate(segment.tokens for segment in req.segments)]
-
-
-def _affinity_target(req: CallerRequest, group: str, server_ids: list[str]) -> str:
-    """Return the server on which all nodes place this first segment by preference."""
-    if len(req.segments) < 2 or req.segments[0].tokens < AFFINITY_SEGMENT_TOKENS:
-        return ""
-    return rank(f"{group}/{req.segments[0].segment_id}".encode(), server_ids)[0]
-
-
-def cache_salt(group: str, model: str, version: int) -> str:
-    """Return a cache salt that separates account groups, models and weights."""
-    text = f"{len(group)}:{group}{len(model)}:{model}{version}"
-    return blake2b(text.encode(), digest_size=12).hexdigest()
-
-
-def segment_keys(req: CallerRequest, salt: str) -> tuple[bytes, ...]:
-    """Return a key for each segment of a prompt under a salt."""
-    return tuple(segment_key(salt, segment.segment_id) for segment in req.segments)
--- a/tests/gateway/test_narrow_links.py
+++ b/tests/gateway/test_narrow_links.py
@@ -23,7 +23,8 @@
     ServerState,
     Service,
 )
-from arbutusyard.gateway.router import Placement, PlacementRouter, Prompt
+from arbutusyard.gateway.prompts import Prompt
+from arbutusyard.gateway.router import Placement, PlacementRouter
 from arbutusyard.routing.segments import SegmentMap, segment_key
 
 FLEET = 79
