Check the time of a store call between the chunks of its answer

Endless answers in chunks of one byte exceeded the bound of their calls on a busy machine (5 of 7 cases at load 20): the deadline was checked before each read only, and one read contains thousands of chunks.

--- a/arbutusyard/platform/http.py
+++ b/arbutusyard/platform/http.py
@@ -221,6 +221,10 @@
         raise h11.RemoteProtocolError("too many informational responses")
 
     def _next_event(self, limits: CallLimits) -> object:
+        # One read may contain thousands of chunks, which a busy VM decodes for longer
+        # than the time left.
+        if clock.now() > self._deadline:
+            raise TimeoutError("the answer was not complete in time")
         while (event := self._h11.next_event()) is h11.NEED_DATA:
             left_s = self._deadline - clock.now()
             if left_s <= 0:
