--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -21,7 +21,7 @@
 class NodeProcess:
     """Run one node on its own loopback address, with its own link to the store."""
 
-    def __init__(self, number, folder, ledger, store_address, changes):
+    def __init__(self, number, folder, ledger, store_address, changes=None):
         self.name = f"n{number}"
         # The address depends on the process id, so that concurrent soaks don't collide.
         ip_byte = os.getpid() % 250
@@ -49,7 +49,7 @@
             "internal_port_range": [7340, 7355],
             "bounds": BOUNDS,
             "platform": {"address": self.link.address},
-            **changes,
+            **(changes or {}),
         }
 
     @property
