Log how old superseded weights are and how long a prompt waited

The logs could not tell whether a node knew since when weights were outdated, nor whether a request waited at the node or in the engine. A request's last line now has the age of the superseding target at placement (none if unknown) and the time to the first event, and a new target's line has its assumed age. No decision changes.

--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -569,11 +569,16 @@
         # A peer may have reported it first.
         if target.version not in dict(history):
             history.append((target.version, target_at))
+        now = clock.now()
         _LOGGER.info(
             "Target weights are now version %d of %s",
             target.version,
             target.model,
-            extra={"model": target.model, "weights": target.version},
+            extra={
+                "model": target.model,
+                "weights": target.version,
+                "age_s": None if target_at is None else round(now - target_at, 3),
+            },
         )
         self.on_target_weights()
 
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -583,9 +583,18 @@
     return {
         "server": placement.server.entry.server_id,
         "weights": placement.weights_version,
+        "superseded_s": placement.superseded_s,
+        "waited_ms": _waited_ms(placement),
         "expected_ms": round(placement.expected_s * 1000, 1),
         "cached": placement.cached_tokens,
         "fetched": fetch.tokens if fetch else 0,
         "fetch_from": fetch.address if fetch else "",
         "saved_to": placement.save_to,
     }
+
+
+def _waited_ms(placement: Placement) -> float | None:
+    """Return how long the first event took after the last attempt was placed."""
+    if placement.first_event_at is None:
+        return None
+    return round((placement.first_event_at - placement.sent_at) * 1000, 1)
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -86,6 +86,8 @@
     # Other nodes learn of the request at once, whatever is left to prefill.
     announced: bool = False
     tokens_ahead: int = 0
+    # Seconds since newer weights were the target; 0 if none are, None if not known.
+    superseded_s: float | None = 0.0
     sent_at: float = 0.0
     first_event_at: float | None = None
 
@@ -390,6 +392,7 @@
             best.cached_tokens,
             max(0, work.prompt_tokens - available_tokens),
             fetch,
+            superseded_s=self._fleet_state.superseded_s(req.model, version, now),
         )
         # A cached prompt takes a slot and KV memory too, which admission counts.
         placement.announced = self.has_room is not None and tokens > LARGE_TOKENS
