--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -231,10 +231,11 @@
         self.store.write(TABLE_OPERATOR, KEY_CONFIG, CONFIG)
         self.nodes = [SimulatedNode(self, n, 1) for n in range(count)]
 
-    def add_server(self, server_id, started_at_ms=1, **changes):
+    def add_server(self, server_id, started_at_ms=1, weights=None, **changes):
         """Write a server's entry."""
         address = f"10.1.0.{ord(server_id)}:80"
-        value = entry(address, born=started_at_ms, models=[], **changes)
+        models = [{"name": "m", "version": weights}] if weights else []
+        value = entry(address, born=started_at_ms, models=models, **changes)
         self.store.write(TABLE_SERVERS, server_id, value)
 
     def run(self, seconds):
--- /dev/null
+++ b/tests/gateway/test_outdated_weights.py
@@ -0,0 +1,55 @@
+"""Requests don't begin on weights that were superseded too long ago."""
+
+import gevent
+
+from arbutusyard import clock
+from arbutusyard.gateway.models import RetryPolicy
+from tests.gateway.support import SETTINGS, chunk, event, stream_head
+
+MODEL = {"Model": "m", "Token_Count": "400,8", "Prefix_Hash": "a:100,b:300"}
+
+
+def mute(request):
+    yield None
+
+
+def whole_stream(request):
+    yield stream_head(request) + chunk(event(1)) + b"0\r\n\r\n"
+
+
+def supersede(gateway, age_s):
+    """Make version 2 the target weights, and say how long ago that was."""
+    gateway.fleet_state.weights["m"] = 2
+    gateway.fleet_state.target_history["m"] = [(2, clock.now() - age_s)]
+
+
+# Guards against VERSION: a request that was sent in time waited in its engine until
+# the engine's weights were overdue, and began then.
+def test_a_request_that_waits_at_outdated_weights_is_given_up_before_they_are_overdue(
+    run,
+):
+    gateway, (engine,) = run(
+        mute, retry_policy=RetryPolicy.ONCE, streaming=True, timeout_s=5.0
+    )
+    overdue_at = clock.now() + 1.7
+    supersede(gateway, SETTINGS.weights_s - 1.7)
+    call = gevent.spawn(gateway.call, Deadline_Ms="5000", **MODEL)
+    call.join(overdue_at - clock.now())
+    assert engine.requests
+    assert engine.closed == 1
+    assert call.value.status == 502
+
+
+# Guards against VERSION: a request was sent to an engine at which, by what the node
+# knew, it would not begin before the engine's weights were overdue.
+def test_no_request_goes_to_outdated_weights_that_will_be_overdue_when_it_begins(run):
+    gateway, (outdated, newer) = run(
+        whole_stream, whole_stream, retry_policy=RetryPolicy.ONCE, streaming=True
+    )
+    supersede(gateway, SETTINGS.weights_s - 1.7)
+    servers = gateway.fleet_state.servers
+    servers.get("s0").prompt_tokens = 200_000
+    servers.get("s1").prompt_tokens = 400_000
+    servers.get("s1").weights["m"] = 2
+    assert gateway.call(**MODEL).status == 200
+    assert (len(outdated.requests), len(newer.requests)) == (0, 1)
