Record in the store when target weights were set

The operators' row has only the newest target and no time, so its age lived in the memory of the nodes that saw it set; where all of those had restarted, outdated weights stayed allowed without limit.

The nodes that read the store for the others now write the times of a model's newest targets, by the store's clock, and a node that starts reads them. Weights that were superseded at a time which is still unknown 1 s after the start are not used any more.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -24,6 +24,7 @@
 from arbutusyard.quotas.coordinator import QuotaCoordinator
 from arbutusyard.quotas.models import quota_rule
 from arbutusyard.weights.coordinator import WeightsCoordinator
+from arbutusyard.weights.target_times import TargetTimes
 
 # Time subtracted from the period in which superseded weights may be used, in seconds:
 # a request begins to run some time after it is sent.
@@ -70,8 +71,9 @@
     weights = WeightsCoordinator(
         cfg.name, fleet_state, peers, store, servers, cfg.lease_s, cfg.weights_s
     )
+    target_times = TargetTimes(fleet_state, store, peers)
     caches = CacheWatcher(fleet_state, peers.table, router.segments, servers)
-    node.register_callbacks(peers, weights, caches)
+    node.register_callbacks(peers, weights, caches, target_times)
     watcher = SettingsWatcher(cfg, reread, node.reload)
     for component in (
         watcher,
@@ -81,6 +83,7 @@
         node,
         ingress,
         weights,
+        target_times,
         origins,
         quotas,
     ):
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -30,6 +30,7 @@
 from arbutusyard.metrics.deferred import DeferredMetrics
 from arbutusyard.platform.status import make_status_app
 from arbutusyard.weights.coordinator import WeightsCoordinator
+from arbutusyard.weights.target_times import TargetTimes
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -54,6 +55,7 @@
         "_router",
         "_servers",
         "_started_at",
+        "_target_times",
         "_was_ready",
         "_weights",
     )
@@ -81,6 +83,7 @@
         self._caches: CacheWatcher | None = None
         self._peers: PeerCoordinator | None = None
         self._weights: WeightsCoordinator | None = None
+        self._target_times: TargetTimes | None = None
         self._servers: list[WSGIServer] = []
         self._started_at = clock.now()
         self._was_ready = False
@@ -92,11 +95,13 @@
         peers: PeerCoordinator,
         weights: WeightsCoordinator,
         caches: CacheWatcher,
+        target_times: TargetTimes,
     ) -> None:
         """Set the components that depend on this node and register its callbacks."""
         self._caches = caches
         self._peers = peers
         self._weights = weights
+        self._target_times = target_times
         peers.on_tick = self._tick
         peers.on_heartbeat = self._apply_heartbeat
         self._router.on_check = lambda server: gevent.spawn(self._probe, server)
@@ -128,13 +133,19 @@
         weights.bind(
             self.is_ready, lambda now: now - self._started_at, self._router.limits
         )
-        self._fleet_state.on_target_weights = weights.wake
+        self._fleet_state.on_target_weights = self._handle_target_weights
         self._fleet_state.on_store_rollback = self._handle_store_rollback
 
+    def _handle_target_weights(self) -> None:
+        """Roll out new target weights, and record when they were set."""
+        self._weights.wake()
+        self._target_times.wake()
+
     def _handle_store_rollback(self) -> None:
         """Write to the store again what an older copy of it may lack."""
         self._peers.rewrite_row()
         self._relay.origins.handle_store_rollback()
+        self._target_times.handle_store_rollback()
 
     def setup(self, app: Application) -> None:
         """Start serving the readiness, directory and metrics endpoints."""
--- /dev/null
+++ b/arbutusyard/gateway/outdated_weights.py
@@ -0,0 +1,58 @@
+"""Decide how long requests may begin on weights that newer ones superseded."""
+
+import math
+from typing import Final
+
+from arbutusyard.fleet.servers import Server
+from arbutusyard.fleet.state import FleetState
+
+# Time after a node's start in which it uses weights that were superseded at an unknown
+# time, in seconds. By then it has heard from the store and from the other nodes.
+UNKNOWN_AGE_GRACE_S: Final = 1.0
+
+
+class OutdatedWeights:
+    """Tell by when a request must begin on a version of a model's weights."""
+
+    __slots__ = ("_fleet_state", "_max_s", "_unknown_until")
+
+    def __init__(
+        self, fleet_state: FleetState, superseded_max_s: float, now: float
+    ) -> None:
+        self._fleet_state = fleet_state
+        self._max_s = superseded_max_s
+        self._unknown_until = now + UNKNOWN_AGE_GRACE_S
+
+    def begin_by(self, model: str, version: int) -> float:
+        """Return the time by which requests must begin; inf for current weights.
+
+        Weights that were superseded at an unknown time may be overdue already.
+        """
+        superseded_at = self._earliest_superseded_at(model, version)
+        if superseded_at == -math.inf:
+            return self._unknown_until
+        return superseded_at + self._max_s
+
+    def _earliest_superseded_at(self, model: str, version: int) -> float:
+        """Return the earliest time at which a version can have been superseded.
+
+        -inf if nothing is known of it, inf if no later target is known.
+        """
+        earliest = -math.inf
+        for target, target_at in self._fleet_state.target_history.get(model, ()):
+            if target_at is not None:
+                # Later versions were set later, even if it is not known when.
+                earliest = max(earliest, target_at)
+            if target > version:
+                return earliest
+        return math.inf
+
+    def without_overdue(
+        self, servers: list[Server], model: str, now: float
+    ) -> list[Server]:
+        """Leave out servers at which requests must not begin any more."""
+        begin_by = {
+            version: self.begin_by(model, version)
+            for version in {server.weights.get(model, 0) for server in servers}
+        }
+        return [s for s in servers if now <= begin_by[s.weights.get(model, 0)]]
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from arbutusyard import clock
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.const import UPDATE_HEARTBEATS
 from arbutusyard.fleet.messages import (
@@ -19,6 +20,7 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.const import LAST_SERVER_FRACTION
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
+from arbutusyard.gateway.outdated_weights import OutdatedWeights
 from arbutusyard.gateway.prompts import (
     AFFINITY_SEGMENT_TOKENS,
     Prompt,
@@ -106,7 +108,6 @@
         "_mean_prompt_tokens",
         "_segment_updates",
         "_peers",
-        "_superseded_max_s",
         "_rng",
         "_service_speeds",
         "choose",
@@ -121,6 +122,7 @@
         "on_load",
         "on_replaced",
         "on_unreachable",
+        "outdated",
         "segments",
         "slow_s",
     )
@@ -136,7 +138,7 @@
         self._fleet_state = fleet_state
         self._peers = peers
         self._domain = failure_domain
-        self._superseded_max_s = superseded_max_s
+        self.outdated = OutdatedWeights(fleet_state, superseded_max_s, clock.now())
         self._segment_updates: deque[list] = deque(maxlen=SEGMENT_UPDATES_MAX)
         self._mean_prompt_tokens: dict[str, float] = {}
         self.limits = ServerLimits(peers.me, limit_grace_s)
@@ -189,7 +191,7 @@
         elif is_resumable:
             servers = self._for_new_stream(service, servers)
         if req.model:
-            servers = self._with_allowed_weights(servers, req.model, now)
+            servers = self.outdated.without_overdue(servers, req.model, now)
         if not servers:
             return None
         if suspect_key:
@@ -267,30 +269,6 @@
         server = self._fleet_state.servers.get(incarnation[0])
         return server is not None and server.incarnation == incarnation
 
-    def _with_allowed_weights(
-        self, servers: list[Server], model: str, now: float
-    ) -> list[Server]:
-        """Leave out servers whose weights were superseded too long ago."""
-        oldest: int | None = None
-        for version in sorted({server.weights.get(model, 0) for server in servers}):
-            age_s = self._fleet_state.superseded_s(model, version, now)
-            if age_s is not None and age_s <= self._superseded_max_s:
-                oldest = version
-                break
-        if oldest is None:
-            # Weights superseded before this node's start stay allowed: the node can't
-            # know whether they are overdue.
-            return [
-                server
-                for server in servers
-                if self._fleet_state.superseded_s(
-                    model, server.weights.get(model, 0), now
-                )
-                is None
-            ]
-        # Newer versions were superseded later, even where that time is not known.
-        return [s for s in servers if s.weights.get(model, 0) >= oldest]
-
     def _is_outdated(self, model: str, version: int, now: float) -> bool:
         """Tell whether requests to a version of the weights no longer count in full."""
         age_s = self._fleet_state.superseded_s(model, version, now)
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -20,6 +20,7 @@
 from arbutusyard.platform.models import Changes, Row, Snapshot
 from arbutusyard.platform.rows import KEY_CONFIG, TABLE_OPERATOR, TABLE_SERVERS
 from arbutusyard.weights.coordinator import WeightsCoordinator
+from arbutusyard.weights.target_times import TargetTimes
 from tests.fleet.support import CONFIG, entry
 from tests.gateway.support import METRICS, SETTINGS
 
@@ -163,7 +164,8 @@
             self.name, self.state, self.peers, client, None, 3.0, 8.0
         )
         caches = CacheWatcher(self.state, self.peers.table, self.router.segments, None)
-        self.node.register_callbacks(self.peers, weights, caches)
+        self.target_times = TargetTimes(self.state, client, self.peers)
+        self.node.register_callbacks(self.peers, weights, caches, self.target_times)
         self.peers._socket = self
         self.peers._outbox = DatagramOutbox(self)
         self.peers._supervisor = self
@@ -200,6 +202,7 @@
         self.peers.send()
         if not self.origins.is_loaded:
             self.origins.load(now)
+        self.target_times.update(now)
         self.origins.track(now)
         self.origins.push(now)
         self.origins.persist(now)
