Give up requests that can't begin before their weights are overdue

Nodes stopped placing requests 1.5 s before the bound, whatever waited at the engine; prompts that the node itself expected to take 1.6 s were sent there and began 2 s later.

A server is now left out if the prompts that wait there, and the request's own, may take until the bound. A stream without an event is given up 0.75 s before the bound, wherever the wait came from, also if the weights were superseded after it was sent; it is retried where its kind permits that. That does not count as a failure of the server.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -26,9 +26,9 @@
 from arbutusyard.weights.coordinator import WeightsCoordinator
 from arbutusyard.weights.target_times import TargetTimes
 
-# Time subtracted from the period in which superseded weights may be used, in seconds:
-# a request begins to run some time after it is sent.
-WEIGHTS_MARGIN_S: Final = 1.5
+# Time subtracted from the period in which requests may begin on superseded weights, in
+# seconds: a server notices some time later that a request was given up.
+WEIGHTS_MARGIN_S: Final = 0.75
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -184,6 +184,8 @@
             conn = self._pool.acquire(server, exchange.req.request_id, cap, now)
             if not server.is_staying:
                 raise NotSent(f"{conn.address} left while its connection opened")
+            if self._has_overdue_weights(exchange, placement, clock.now()):
+                raise NotSent(f"{conn.address} has weights that are overdue")
             conn.should_abandon = lambda: self._should_abandon(exchange, placement)
             if exchange.conn.has_disconnected():
                 # On a busy node a client's request is read together with the end of
@@ -209,7 +211,8 @@
                 exchange, placement, AttemptResult.NOT_SENT, exc
             )
         except AnswerBroken as exc:
-            server.count_outcome(True, clock.now())
+            if not placement.given_up:
+                server.count_outcome(True, clock.now())
             result = self._record_failure(
                 exchange, placement, AttemptResult.BROKEN, exc
             )
@@ -308,6 +311,18 @@
             Quarantined,
         ):
             return True
+        if self._has_overdue_weights(exchange, placement, now):
+            placement.given_up = True
+            _LOGGER.info(
+                "Gave up a request that can't begin before its weights are overdue",
+                extra={
+                    "request_id": exchange.req.request_id,
+                    "server": server.entry.server_id,
+                    "weights": placement.weights_version,
+                    "since_sent_s": round(now - placement.sent_at, 3),
+                },
+            )
+            return True
         if not self._router.is_unresponsive(server, now):
             return False
         may_be_prefilling = self._router.may_be_prefilling(server, now)
@@ -345,6 +360,22 @@
         exchange.retry_is_paid = has_other and self.spend_retry(exchange.service, now)
         return exchange.retry_is_paid
 
+    def _has_overdue_weights(
+        self, exchange: Exchange, placement: Placement, now: float
+    ) -> bool:
+        """Tell whether a stream must not begin any more at its server's weights.
+
+        Whether another request has begun is not known before its answer.
+        """
+        return (
+            placement.prompt is not None
+            and placement.first_event_at is None
+            and exchange.route.streaming
+            and self._router.outdated.is_overdue(
+                placement.server, exchange.req.model, now
+            )
+        )
+
     def connection_cap(self, service: str) -> int:
         """Return how many connections this node may open to a server of a service."""
         catalog = self._fleet_state.catalog
--- a/arbutusyard/gateway/outdated_weights.py
+++ b/arbutusyard/gateway/outdated_weights.py
@@ -1,6 +1,7 @@
 """Decide how long requests may begin on weights that newer ones superseded."""
 
 import math
+from collections.abc import Callable
 from typing import Final
 
 from arbutusyard.fleet.servers import Server
@@ -48,11 +49,27 @@
         return math.inf
 
     def without_overdue(
-        self, servers: list[Server], model: str, now: float
+        self,
+        servers: list[Server],
+        model: str,
+        wait_s: Callable[[Server], float],
+        now: float,
     ) -> list[Server]:
-        """Leave out servers at which requests must not begin any more."""
+        """Leave out servers at which a request would begin too late.
+
+        `wait_s` tells how long a request may wait at a server until it begins.
+        """
         begin_by = {
             version: self.begin_by(model, version)
             for version in {server.weights.get(model, 0) for server in servers}
         }
-        return [s for s in servers if now <= begin_by[s.weights.get(model, 0)]]
+        return [
+            server
+            for server in servers
+            if (until := begin_by[server.weights.get(model, 0)]) == math.inf
+            or now + wait_s(server) <= until
+        ]
+
+    def is_overdue(self, server: Server, model: str, now: float) -> bool:
+        """Tell whether no request may begin at a server's weights any more."""
+        return now > self.begin_by(model, server.weights.get(model, 0))
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -92,6 +92,8 @@
     superseded_s: float | None = 0.0
     sent_at: float = 0.0
     first_event_at: float | None = None
+    # This node ended the attempt, which says nothing about the server.
+    given_up: bool = False
 
     @property
     def cache_salt(self) -> str:
@@ -191,7 +193,12 @@
         elif is_resumable:
             servers = self._for_new_stream(service, servers)
         if req.model:
-            servers = self.outdated.without_overdue(servers, req.model, now)
+            servers = self.outdated.without_overdue(
+                servers,
+                req.model,
+                lambda server: self._prefill_wait_s(server, req.prompt_tokens),
+                now,
+            )
         if not servers:
             return None
         if suspect_key:
@@ -619,12 +626,13 @@
         return server.since_last_byte_s(now) <= self._response_limit_s(server)
 
     def _response_limit_s(self, server: Server) -> float:
-        _, prompt_tokens = self._peers.load(server.entry.server_id)
-        tokens = prompt_tokens + server.prompt_tokens
-        return (
-            UNRESPONSIVE_AFTER_S
-            + PREFILL_TIME_FACTOR * tokens / self._prefill_tokens_s(server)
-        )
+        return UNRESPONSIVE_AFTER_S + self._prefill_wait_s(server, 0)
+
+    def _prefill_wait_s(self, server: Server, tokens: int) -> float:
+        """Return how long the waiting prompts and further tokens may take."""
+        _, peer_tokens = self._peers.load(server.entry.server_id)
+        tokens += peer_tokens + server.prompt_tokens
+        return PREFILL_TIME_FACTOR * tokens / self._prefill_tokens_s(server)
 
     def unreachable(self) -> tuple[str, ...]:
         """Return the servers that are unreachable by first-hand observation."""
