Date target weights no later than they can have been set

A node that relies on the reads of others dated a target by its own read of it.

Changes are dated by the read that returns them only where it follows the node's previous read at once; else they may have been made at any time since that read, or since the newest confirmation. Such a time is not reported to the other nodes, and gives way to one that a node reports which saw the change.

--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -12,6 +12,7 @@
 from arbutusyard.app import Application
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.const import (
+    ANSWER_DELAY_MAX_S,
     CONFIG_LONG_POLL_MAX_S,
     CONFIG_LONG_POLL_S,
     CONFIRMATION_FRACTION,
@@ -62,9 +63,8 @@
     """Keep a copy of one table up to date by long polls.
 
     `confirmed_at` is the time at which the newest confirmed read was sent. `changed_at`
-    is the assumed time of the changes that a read returns: the time of the read if it
-    returns recent changes only, the time of the newest confirmed read before it if it
-    returns the whole table or follows a gap, and None if there was none before.
+    is the earliest time at which the changes that a read returns can have been made,
+    None if that is not known. `is_change_dated` says that they were made at that time.
     """
 
     __slots__ = (
@@ -81,6 +81,7 @@
         "after_read",
         "before_read",
         "digest",
+        "is_change_dated",
         "on_era_change",
         "on_outage_end",
         "interval_s",
@@ -117,6 +118,7 @@
         self.on_era_change: Callable[[], None] = lambda: None
         self.confirmed_at = float("-inf")
         self.changed_at: float | None = None
+        self.is_change_dated = False
         self.unreachable = False
         self.on_outage_end: Callable[[float], None] = lambda now: None
         self.before_read: Callable[[], list[Heartbeat]] = list
@@ -250,6 +252,7 @@
             snapshot = self._client.snapshot(self.table)
             known_at = self.confirmed_at
             self.changed_at = known_at if known_at > float("-inf") else None
+            self.is_change_dated = False
             self._update_era(snapshot.era)
             self._end_outage(sent_at)
             self.read_version = (snapshot.era, snapshot.version)
@@ -263,9 +266,7 @@
             # The store reuses the versions after a rollback, so this node's version
             # does not show which rows it lacks.
             raise HistoryUnavailable("the store was restored from an older copy")
-        # What changed while this node did not read may have changed at any time since.
-        is_recent = sent_at - self.confirmed_at <= STORE_GAP_MAX_S
-        self.changed_at = clock.now() if is_recent else self.confirmed_at
+        self._date_changes(sent_at, clock.now())
         self._end_outage(sent_at)
         self.read_version = (changes.era, changes.version)
         if changes.rows:
@@ -273,6 +274,16 @@
         self._version = max(self._version, changes.version)
         self._record_read(sent_at)
 
+    def _date_changes(self, sent_at: float, now: float) -> None:
+        """Set when the changes were made that a read sent at a time has returned."""
+        # The store answers a waiting read as soon as something changes.
+        self.is_change_dated = sent_at - self.read_at <= ANSWER_DELAY_MAX_S
+        if self.is_change_dated:
+            self.changed_at = now
+        else:
+            # What changed while this node did not read may have changed at any time.
+            self.changed_at = max(self.confirmed_at, self.read_at - ANSWER_DELAY_MAX_S)
+
     def _update_era(self, era: int) -> None:
         if self.era is not None and era != self.era:
             _LOGGER.warning(
@@ -336,6 +347,7 @@
         "_config_watcher",
         "_malformed_rows",
         "_newest_version",
+        "_undated_targets",
         "_server_watcher",
         "_supervisor",
         "catalog",
@@ -352,6 +364,8 @@
         self.servers = ServerTable()
         self.weights: dict[str, int] = {}
         self.target_history: dict[str, list[tuple[int, float | None]]] = {}
+        # Targets of which only the earliest time is known.
+        self._undated_targets: set[tuple[str, int]] = set()
         self.on_store_rollback: Callable[[], None] = lambda: None
         self.on_target_weights: Callable[[], None] = lambda: None
         self._malformed_rows: set[tuple[str, str]] = set()
@@ -514,7 +528,7 @@
             TargetWeightsAge(model, version, now - target_at)
             for model, history in self.target_history.items()
             for version, target_at in history[-TARGET_AGES_MAX:]
-            if target_at is not None
+            if target_at is not None and (model, version) not in self._undated_targets
         )
 
     def apply_target_ages(
@@ -522,12 +536,16 @@
     ) -> None:
         """Adopt reported ages that are higher than this node's own, or unknown to it.
 
-        A node that has just started does not know when older targets were set.
+        A node that has just started, or relied on the reads of others, does not know
+        when targets were set.
         """
         for item in reported:
             known = dict(self.target_history.get(item.model, ()))
             known_at = known.get(item.version)
-            if known_at is None or now - item.age_s < known_at:
+            target = (item.model, item.version)
+            is_undated = known_at is None or target in self._undated_targets
+            if is_undated or now - item.age_s < known_at:
+                self._undated_targets.discard(target)
                 known[item.version] = now - item.age_s
                 self.target_history[item.model] = sorted(known.items())
 
@@ -561,14 +579,14 @@
         if target.version <= self.weights.get(target.model, 0):
             return
         self.weights[target.model] = target.version
-        # The age of a target that was set before this node started is unknown. Where a
-        # part of the change history is missing, the target may have been set at any
-        # time since the last read.
+        # The age of a target that was set before this node started is unknown.
         target_at = self._config_watcher.changed_at
         history = self.target_history.setdefault(target.model, [])
         # A peer may have reported it first.
         if target.version not in dict(history):
             history.append((target.version, target_at))
+            if not self._config_watcher.is_change_dated:
+                self._undated_targets.add((target.model, target.version))
         now = clock.now()
         _LOGGER.info(
             "Target weights are now version %d of %s",
