Load weights on all overdue engines at once

Engines whose weights are overdue take no requests, yet at most 0.4 of a service's engines loaded at a time, so that callers were refused while engines waited for each other. The limit protects capacity that overdue engines do not have; they don't count for it now.

--- a/arbutusyard/weights/planner.py
+++ b/arbutusyard/weights/planner.py
@@ -1,6 +1,6 @@
 """Decide which engines load weights next."""
 
-from math import ceil
+from math import ceil, inf
 
 from msgspec import Struct
 
@@ -43,19 +43,24 @@
 
     Engines with the oldest weights come first, then those with the fewest requests in
     flight. When targets change faster than all engines can load, an order by requests
-    alone would leave a busy engine with weights that were superseded long ago.
+    alone would leave a busy engine with weights that were superseded long ago. Engines
+    whose weights are overdue serve no requests, so all of them load at once.
     """
     usable = [engine for engine in engines if engine.reachable or engine.loading]
     outdated = [engine for engine in usable if engine.version < target]
     allowed = max_concurrent_loads(len(usable))
     if times is not None and _prompts_are_waiting(usable):
         allowed = min(allowed, _loads_needed(usable, outdated, times))
-    free_places = allowed - sum(engine.loading for engine in engines)
+    limit_s = times.time_limit_s if times is not None else inf
+    serving = [engine for engine in engines if engine.superseded_s < limit_s]
+    free_places = max(0, allowed - sum(engine.loading for engine in serving))
     waiting = [engine for engine in outdated if not engine.loading and engine.reachable]
     waiting.sort(
         key=lambda engine: (engine.version, engine.in_flight, engine.server_id)
     )
-    return [engine.server_id for engine in waiting[: max(0, free_places)]]
+    overdue = [engine for engine in waiting if engine.superseded_s >= limit_s]
+    others = [engine for engine in waiting if engine.superseded_s < limit_s]
+    return [engine.server_id for engine in overdue + others[:free_places]]
 
 
 def _prompts_are_waiting(usable: list[EngineView]) -> bool:
--- a/tests/weights/test_planner.py
+++ b/tests/weights/test_planner.py
@@ -53,6 +53,17 @@
     assert len(plan_loads(waiting_engines(0.0, waiting_s=0.01), 2, times)) == 12
 
 
+# Guards against refusing all requests while engines that may serve none wait for others
+# to load.
+def test_engines_with_overdue_weights_load_all_at_once():
+    times = RollOutTimes(10.0, 1.2)
+    overdue, others = waiting_engines(10.0)[:20], waiting_engines(0.0)[20:]
+    planned = plan_loads([*others, *overdue], 2, times)
+    assert set(planned) >= {item.server_id for item in overdue}
+    loading = [replace(item, loading=True) for item in overdue]
+    assert len(plan_loads([*others, *loading], 2, times)) == len(planned) - 20 > 0
+
+
 def test_more_engines_load_at_a_time_when_each_load_takes_longer():
     # Seen on wao-ankiety-grown: waiting prompts delayed the loads, so that the
     # roll-out exceeded its time limit.
