--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from arbutusyard import clock
 from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.const import UPDATE_HEARTBEATS
 from arbutusyard.fleet.messages import (
@@ -19,6 +20,7 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.const import LAST_SERVER_FRACTION
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
+from arbutusyard.gateway.outdated_weights import OutdatedWeights
 from arbutusyard.gateway.prompts import (
     AFFINITY_SEGMENT_TOKENS,
     Prompt,
@@ -86,8 +88,12 @@
     # Other nodes learn of the request at once, whatever is left to prefill.
     announced: bool = False
     tokens_ahead: int = 0
+    # Seconds since newer weights were the target; 0 if none are, None if not known.
+    superseded_s: float | None = 0.0
     sent_at: float = 0.0
     first_event_at: float | None = None
+    # This node ended the attempt, which says nothing about the server.
+    given_up: bool = False
 
     @property
     def cache_salt(self) -> str:
@@ -104,7 +110,6 @@
         "_mean_prompt_tokens",
         "_segment_updates",
         "_peers",
-        "_superseded_max_s",
         "_rng",
         "_service_speeds",
         "choose",
@@ -119,6 +124,7 @@
         "on_load",
         "on_replaced",
         "on_unreachable",
+        "outdated",
         "segments",
         "slow_s",
     )
@@ -134,7 +140,7 @@
         self._fleet_state = fleet_state
         self._peers = peers
         self._domain = failure_domain
-        self._superseded_max_s = superseded_max_s
+        self.outdated = OutdatedWeights(fleet_state, superseded_max_s, clock.now())
         self._segment_updates: deque[list] = deque(maxlen=SEGMENT_UPDATES_MAX)
         self._mean_prompt_tokens: dict[str, float] = {}
         self.limits = ServerLimits(peers.me, limit_grace_s)
@@ -187,7 +193,12 @@
         elif is_resumable:
             servers = self._for_new_stream(service, servers)
         if req.model:
-            servers = self._with_allowed_weights(servers, req.model, now)
+            servers = self.outdated.without_overdue(
+                servers,
+                req.model,
+                lambda server: self._prefill_wait_s(server, req.prompt_tokens),
+                now,
+            )
         if not servers:
             return None
         if suspect_key:
@@ -265,30 +276,6 @@
         server = self._fleet_state.servers.get(incarnation[0])
         return server is not None and server.incarnation == incarnation
 
-    def _with_allowed_weights(
-        self, servers: list[Server], model: str, now: float
-    ) -> list[Server]:
-        """Leave out servers whose weights were superseded too long ago."""
-        oldest: int | None = None
-        for version in sorted({server.weights.get(model, 0) for server in servers}):
-            age_s = self._fleet_state.superseded_s(model, version, now)
-            if age_s is not None and age_s <= self._superseded_max_s:
-                oldest = version
-                break
-        if oldest is None:
-            # Weights superseded before this node's start stay allowed: the node can't
-            # know whether they are overdue.
-            return [
-                server
-                for server in servers
-                if self._fleet_state.superseded_s(
-                    model, server.weights.get(model, 0), now
-                )
-                is None
-            ]
-        # Newer versions were superseded later, even where that time is not known.
-        return [s for s in servers if s.weights.get(model, 0) >= oldest]
-
     def _is_outdated(self, model: str, version: int, now: float) -> bool:
         """Tell whether requests to a version of the weights no longer count in full."""
         age_s = self._fleet_state.superseded_s(model, version, now)
@@ -390,6 +377,7 @@
             best.cached_tokens,
             max(0, work.prompt_tokens - available_tokens),
             fetch,
+            superseded_s=self._fleet_state.superseded_s(req.model, version, now),
         )
         # A cached prompt takes a slot and KV memory too, which admission counts.
         placement.announced = self.has_room is not None and tokens > LARGE_TOKENS
@@ -638,12 +626,13 @@
         return server.since_last_byte_s(now) <= self._response_limit_s(server)
 
     def _response_limit_s(self, server: Server) -> float:
-        _, prompt_tokens = self._peers.load(server.entry.server_id)
-        tokens = prompt_tokens + server.prompt_tokens
-        return (
-            UNRESPONSIVE_AFTER_S
-            + PREFILL_TIME_FACTOR * tokens / self._prefill_tokens_s(server)
-        )
+        return UNRESPONSIVE_AFTER_S + self._prefill_wait_s(server, 0)
+
+    def _prefill_wait_s(self, server: Server, tokens: int) -> float:
+        """Return how long the waiting prompts and further tokens may take."""
+        _, peer_tokens = self._peers.load(server.entry.server_id)
+        tokens += peer_tokens + server.prompt_tokens
+        return PREFILL_TIME_FACTOR * tokens / self._prefill_tokens_s(server)
 
     def unreachable(self) -> tuple[str, ...]:
         """Return the servers that are unreachable by first-hand observation."""
