Don't record the earliest time of a target as its own

Callers would be refused while no weights are overdue: a node that had not read the store for 20 s recorded the start of its absence as the time of a target that was 1 s old, as the earlier one of two times counted. The next node that started read it, reported it as dated, and all nodes of a simulated fleet of three took the target for 24.85 s old in place of 5 s.

Records now say whether a time is dated; a dated one replaces an earliest one, and of two earliest ones the later counts. The new test failed before. The simulated fleet's nodes now read the store without gaps, as long polls do; before, none of them ever dated a target. tests/fleet and tests/weights pass.

--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -78,11 +78,15 @@
 
 
 class TargetWeightsAge(Struct, frozen=True, array_like=True):
-    """Hold how many seconds ago operators set a version as a model's target weights."""
+    """Hold how many seconds ago operators set a version as a model's target weights.
+
+    Without `is_dated`, it was set at most so long ago.
+    """
 
     model: str
     version: int
     age_s: Finite
+    is_dated: bool = True
 
 
 class ServerLimitReport(Struct, frozen=True, array_like=True):
--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -528,26 +528,37 @@
             TargetWeightsAge(model, version, now - target_at)
             for model, history in self.target_history.items()
             for version, target_at in history[-TARGET_AGES_MAX:]
-            if target_at is not None and (model, version) not in self._undated_targets
+            if target_at is not None and self.is_target_dated(model, version)
         )
 
+    def is_target_dated(self, model: str, version: int) -> bool:
+        """Return whether the time of a target is its own, not just the earliest one."""
+        return (model, version) not in self._undated_targets
+
     def apply_target_ages(
         self, reported: tuple[TargetWeightsAge, ...], now: float
     ) -> None:
         """Adopt reported ages that are higher than this node's own, or unknown to it.
 
         A node that has just started, or relied on the reads of others, does not know
-        when targets were set.
+        when targets were set. Of two earliest times of a target, the later one counts.
         """
         for item in reported:
             known = dict(self.target_history.get(item.model, ()))
             known_at = known.get(item.version)
             target = (item.model, item.version)
+            target_at = now - item.age_s
             is_undated = known_at is None or target in self._undated_targets
-            if is_undated or now - item.age_s < known_at:
+            if item.is_dated:
+                if not is_undated and target_at >= known_at:
+                    continue
                 self._undated_targets.discard(target)
-                known[item.version] = now - item.age_s
-                self.target_history[item.model] = sorted(known.items())
+            else:
+                if not is_undated or (known_at is not None and target_at <= known_at):
+                    continue
+                self._undated_targets.add(target)
+            known[item.version] = target_at
+            self.target_history[item.model] = sorted(known.items())
 
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
--- a/arbutusyard/weights/target_times.py
+++ b/arbutusyard/weights/target_times.py
@@ -34,10 +34,14 @@
 
 
 class TargetTime(Struct, frozen=True, array_like=True):
-    """Hold since when a version has been the target, in the store's seconds."""
+    """Hold since when a version has been the target, in the store's seconds.
+
+    Without `is_dated`, it became the target at that time or later.
+    """
 
     version: int
     set_s: Finite
+    is_dated: bool = True
 
 
 class TargetTimesRow(Struct, frozen=True):
@@ -73,8 +77,8 @@
         self._client = client
         self._peers = peers
         self._is_loaded = False
-        # Models and versions whose times the store has.
-        self._recorded: set[tuple[str, int]] = set()
+        # Models and versions whose times the store has, and whether they are dated.
+        self._recorded: set[tuple[str, int, bool]] = set()
         self._retry_at = float("-inf")
         self._supervisor: Supervisor | None = None
         self._wake = Event()
@@ -122,41 +126,54 @@
             self._retry_at = clock.now() + RETRY_DELAY_S
             _LOGGER.warning("Cannot record when target weights were set: %s", exc)
 
-    def _known_times(self, model: str) -> dict[int, float]:
+    def _known_times(self, model: str) -> tuple[TargetTime, ...]:
         history = self._fleet_state.target_history.get(model, ())[-TARGET_AGES_MAX:]
-        return {version: at for version, at in history if at is not None}
+        return tuple(
+            TargetTime(
+                version,
+                self._client.store_time_s(at),
+                self._fleet_state.is_target_dated(model, version),
+            )
+            for version, at in history
+            if at is not None
+        )
 
     def _unrecorded_models(self) -> list[str]:
         return [
             model
             for model in self._fleet_state.target_history
-            if any((model, v) not in self._recorded for v in self._known_times(model))
+            if any(
+                (model, item.version, item.is_dated) not in self._recorded
+                for item in self._known_times(model)
+            )
         ]
 
     def _record(self, model: str) -> None:
         for _ in range(WRITE_ATTEMPTS):
             row = self._client.get(TABLE_TARGET_TIMES, model)
             known = self._known_times(model)
-            now = clock.now()
-            times = {
-                version: self._client.store_time_s(at) for version, at in known.items()
-            }
             recorded = _decode(row)
-            merged = merge_times(recorded, times)
+            merged = merge_times(recorded, known)
             value = msgspec.msgpack.encode(TargetTimesRow(merged))
             if merged != recorded and not self._client.put(
                 Put(TABLE_TARGET_TIMES, model, value, row.version)
             ):
                 continue
             self._apply(model, recorded)
-            self._recorded.update((model, version) for version in known)
+            self._recorded.update(
+                (model, item.version, item.is_dated) for item in known
+            )
             if merged != recorded:
+                store_s = self._client.store_time_s(clock.now())
                 _LOGGER.info(
                     "Recorded when target weights of %s were set",
                     model,
                     extra={
                         "model": model,
-                        "ages_s": {v: round(now - at, 3) for v, at in known.items()},
+                        "ages_s": {
+                            item.version: round(store_s - item.set_s, 3)
+                            for item in known
+                        },
                     },
                 )
             return
@@ -166,7 +183,7 @@
         now = clock.now()
         store_s = self._client.store_time_s(now)
         ages = tuple(
-            TargetWeightsAge(model, item.version, store_s - item.set_s)
+            TargetWeightsAge(model, item.version, store_s - item.set_s, item.is_dated)
             for item in times
             # A time to come is of another clock of the store and says nothing.
             if item.set_s <= store_s
@@ -175,15 +192,31 @@
 
 
 def merge_times(
-    recorded: tuple[TargetTime, ...], known: dict[int, float]
+    recorded: tuple[TargetTime, ...], known: tuple[TargetTime, ...]
 ) -> tuple[TargetTime, ...]:
-    """Return the times of the newest versions; the earlier one of two counts."""
-    merged = {item.version: item.set_s for item in recorded}
-    for version, set_s in known.items():
-        if set_s < merged.get(version, float("inf")) - TIME_TOLERANCE_S:
-            merged[version] = set_s
-    newest = sorted(merged.items())[-TARGET_AGES_MAX:]
-    return tuple(TargetTime(version, set_s) for version, set_s in newest)
+    """Return the times of the newest versions, the better one of two."""
+    merged = {item.version: item for item in recorded}
+    for item in known:
+        other = merged.get(item.version)
+        if other is None or _is_better(item, other):
+            merged[item.version] = item
+    return tuple(sorted(merged.values(), key=_version)[-TARGET_AGES_MAX:])
+
+
+def _is_better(item: TargetTime, other: TargetTime) -> bool:
+    """Tell whether a time replaces another one of the same target.
+
+    The earlier one of two dated times counts, and the later one of two earliest times.
+    """
+    if item.is_dated is not other.is_dated:
+        return item.is_dated
+    if item.is_dated:
+        return item.set_s < other.set_s - TIME_TOLERANCE_S
+    return item.set_s > other.set_s + TIME_TOLERANCE_S
+
+
+def _version(item: TargetTime) -> int:
+    return item.version
 
 
 def _decode(row: Row) -> tuple[TargetTime, ...]:
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -193,6 +193,10 @@
         for watcher in (self.state._config_watcher, self.state._server_watcher):
             if now < self.read_after.get(watcher, 0.0) or not watcher.needs_read(now):
                 continue
+            is_waiting = watcher.is_reader and not watcher.unreachable
+            if is_waiting and now - watcher.read_at <= STEP_S:
+                # Its read has waited at the store since the step before.
+                watcher.read_at = now
             with suppress(HistoryUnavailable, PlatformUnavailable):
                 watcher.read_once()
             if watcher.unreachable:
--- a/tests/fleet/test_target_ages.py
+++ b/tests/fleet/test_target_ages.py
@@ -73,3 +73,22 @@
         if not node.frozen:
             age_s = node.state.superseded_s("m", 1, fleet.now)
             assert age_s >= fleet.now - set_at - 0.3
+
+
+# Guards against refused requests: a node that was away recorded when it left as the
+# time of a target, and all nodes took older weights for overdue once one started.
+def test_the_time_since_which_a_node_was_away_is_not_recorded_as_that_of_a_target(
+    monkeypatch,
+):
+    fleet = SimulatedFleet(3, monkeypatch)
+    fleet.run(5.0)
+    fleet.nodes[0].cut = True
+    fleet.run(20.0)
+    set_target(fleet, 2)
+    fleet.run(1.0)
+    fleet.nodes[0].cut = False
+    fleet.run(2.0)
+    fleet.nodes[1] = SimulatedNode(fleet, 1, 2)
+    fleet.run(2.0)
+    for node in fleet.nodes:
+        assert node.state.superseded_s("m", 1, fleet.now) == pytest.approx(5.0, abs=0.5)
