Date target weights by the store's clock in the answer

Requests began on outdated weights as much later as an answer of the store was on its way: a node dated a target by when it read the answer, so one that had been suspended meanwhile took it for as much younger, reported it as dated, and the other nodes gave up their own earliest times for it. Such an answer set the clock of the store back too, by which recorded times become ages.

A target is now dated by the time in the answer, reads follow each other without a gap if the next one is sent soon after the store's answer, and the clock's offset is the highest of recent answers. Three new tests, which failed before.

--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -44,7 +44,7 @@
     MalformedRow,
     PlatformError,
 )
-from arbutusyard.platform.models import Row
+from arbutusyard.platform.models import Changes, Row
 from arbutusyard.platform.rows import (
     KEY_CONFIG,
     PREFIX_WEIGHTS,
@@ -68,6 +68,7 @@
     """
 
     __slots__ = (
+        "_answered_at",
         "_apply",
         "_client",
         "_replace",
@@ -126,6 +127,8 @@
         self.digest: Callable[[], bytes] = lambda: b""
         self.is_reader = True
         self.read_at = float("-inf")
+        # Time at which the store gave the newest answer, which may have come later.
+        self._answered_at = float("-inf")
         self._confirmation_at = float("-inf")
         # Era and version of the store up to which the rows of a read are complete.
         self.read_version = (0, 0)
@@ -258,6 +261,8 @@
             self.read_version = (snapshot.era, snapshot.version)
             self._replace(snapshot.rows)
             self._version = snapshot.version
+            # Later pages may lack what changed after the first one.
+            self._answered_at = sent_at
             self._record_read(sent_at)
             return
         wait_s = self.wait_s if self.is_reader else 0.0
@@ -266,7 +271,7 @@
             # The store reuses the versions after a rollback, so this node's version
             # does not show which rows it lacks.
             raise HistoryUnavailable("the store was restored from an older copy")
-        self._date_changes(sent_at, clock.now())
+        self._date_changes(sent_at, self._answer_time(changes, clock.now()))
         self._end_outage(sent_at)
         self.read_version = (changes.era, changes.version)
         if changes.rows:
@@ -274,15 +279,24 @@
         self._version = max(self._version, changes.version)
         self._record_read(sent_at)
 
-    def _date_changes(self, sent_at: float, now: float) -> None:
+    def _answer_time(self, changes: Changes, now: float) -> float:
+        """Return when the store gave an answer that was read just now."""
+        if changes.answered_s is None:
+            return now
+        delay_s = self._client.store_time_s(now) - changes.answered_s
+        return now - max(0.0, delay_s)
+
+    def _date_changes(self, sent_at: float, answered_at: float) -> None:
         """Set when the changes were made that a read sent at a time has returned."""
         # The store answers a waiting read as soon as something changes.
-        self.is_change_dated = sent_at - self.read_at <= ANSWER_DELAY_MAX_S
+        self.is_change_dated = sent_at - self._answered_at <= ANSWER_DELAY_MAX_S
         if self.is_change_dated:
-            self.changed_at = now
+            self.changed_at = answered_at
         else:
             # What changed while this node did not read may have changed at any time.
-            self.changed_at = max(self.confirmed_at, self.read_at - ANSWER_DELAY_MAX_S)
+            earliest_at = self._answered_at - ANSWER_DELAY_MAX_S
+            self.changed_at = max(self.confirmed_at, earliest_at)
+        self._answered_at = answered_at
 
     def _update_era(self, era: int) -> None:
         if self.era is not None and era != self.era:
--- a/arbutusyard/platform/client.py
+++ b/arbutusyard/platform/client.py
@@ -7,6 +7,7 @@
 import base64
 import binascii
 import logging
+import math
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
@@ -56,6 +57,9 @@
 TABLE_BYTES_MAX: Final = 33_554_432
 # Maximum number of idle connections to the store.
 IDLE_CONNECTIONS_MAX: Final = 8
+# Interval for which the offset of the store's clock is measured, in seconds; longer
+# than any answer takes.
+CLOCK_INTERVAL_S: Final = 30.0
 # Maximum number of rows in one page of a read.
 PAGE_ROWS_MAX: Final = 500
 TABLE_VMS: Final = "vms"
@@ -74,15 +78,26 @@
 class PlatformClient:
     """Read and write the store's tables and objects."""
 
-    __slots__ = ("_address", "_clock_offset_s", "_pool", "calls", "era")
+    __slots__ = (
+        "_address",
+        "_clock_offset_at",
+        "_clock_offset_before_s",
+        "_clock_offset_s",
+        "_pool",
+        "calls",
+        "era",
+    )
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = HttpPool(CONNECT_TIMEOUT_S, IDLE_CONNECTIONS_MAX)
         self.calls = 0
         self.era: int | None = None
-        # The store's steady clock minus this node's; None before the first answer.
-        self._clock_offset_s: float | None = None
+        # The store's steady clock minus this node's, in the interval that began at
+        # a time and in the one before; -inf before the first answer.
+        self._clock_offset_s = -math.inf
+        self._clock_offset_before_s = -math.inf
+        self._clock_offset_at = -math.inf
 
     def commit(self, *operations: Operation) -> bool:
         """Commit operations in one transaction; return False on a version mismatch."""
@@ -122,8 +137,9 @@
         query = {"table": table, "after": after, "wait_ms": int(wait_s * MS_PER_S)}
         resp = self._get(PATH_FEED, query, READ_TIMEOUT_S + wait_s)
         answer, era = _decode_object(resp.data, PATH_FEED), _era(resp)
-        self._record_clock(answer)
-        return Changes(_decode_rows(answer, era), _store_version(answer), era)
+        answered_s = self._record_clock(answer, clock.now())
+        version = _store_version(answer)
+        return Changes(_decode_rows(answer, era), version, era, answered_s)
 
     def put_object(self, key: str, data: bytes) -> None:
         """Write an object under a key."""
@@ -149,13 +165,25 @@
         It survives restarts of nodes and is the same for all of them, but for the time
         that an answer takes. 0 before the first answer.
         """
-        offset_s = self._clock_offset_s
-        return now + offset_s if offset_s is not None else 0.0
+        offset_s = max(self._clock_offset_s, self._clock_offset_before_s)
+        return now + offset_s if offset_s > -math.inf else 0.0
 
-    def _record_clock(self, answer: dict[str, Any]) -> None:
+    def _record_clock(self, answer: dict[str, Any], now: float) -> float | None:
+        """Record the store's clock in an answer; return it, in seconds, if it is valid.
+
+        An answer that came late shows a clock that is behind, so the highest one of
+        recent answers counts.
+        """
         now_ms = answer.get("now_ms")
-        if isinstance(now_ms, int | float) and 0 <= now_ms <= COUNT_MAX:
-            self._clock_offset_s = now_ms / MS_PER_S - clock.now()
+        if not isinstance(now_ms, int | float) or not 0 <= now_ms <= COUNT_MAX:
+            return None
+        store_s = now_ms / MS_PER_S
+        if now - self._clock_offset_at > CLOCK_INTERVAL_S:
+            self._clock_offset_at = now
+            self._clock_offset_before_s = self._clock_offset_s
+            self._clock_offset_s = -math.inf
+        self._clock_offset_s = max(self._clock_offset_s, store_s - now)
+        return store_s
 
     def vms(self) -> VmList:
         """Read the operators' list of VMs, which the own interface uses."""
@@ -200,7 +228,7 @@
                 query["to"] = end
             resp = self._get(PATH_ROWS, query, READ_TIMEOUT_S)
             answer = _decode_object(resp.data, PATH_ROWS)
-            self._record_clock(answer)
+            self._record_clock(answer, clock.now())
             if rows and _era(resp) != rows[0].era:
                 raise PlatformUnavailable("store rollback between two pages of a table")
             page = _decode_rows(answer, _era(resp))
--- a/arbutusyard/platform/models.py
+++ b/arbutusyard/platform/models.py
@@ -52,11 +52,15 @@
 
 
 class Changes(Struct, frozen=True):
-    """Hold the changed rows of a table up to one version in one era of the store."""
+    """Hold the changed rows of a table up to one version in one era of the store.
+
+    `answered_s` is the time of the answer by the store's clock, in seconds, or None.
+    """
 
     rows: tuple[Row, ...]
     version: int
     era: int = 0
+    answered_s: float | None = None
 
 
 class Vm(Struct, frozen=True):
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -106,7 +106,12 @@
             for version, name, row in self._store.history
             if name == table and version > after
         }
-        return Changes(tuple(newest.values()), self._store.version)
+        answered_s = self.store_time_s(clock.now())
+        # Time passes for the whole fleet while the answer is on its way.
+        self._node.fleet.now += self._node.answer_delay_s
+        return Changes(
+            tuple(newest.values()), self._store.version, answered_s=answered_s
+        )
 
 
 class SimulatedNode:
@@ -123,6 +128,7 @@
         # Time until which a failed read is not repeated, by watcher.
         self.read_after = {}
         self.read_delay_s = 0.0
+        self.answer_delay_s = 0.0
         self._start()
 
     @property
@@ -194,9 +200,9 @@
             if now < self.read_after.get(watcher, 0.0) or not watcher.needs_read(now):
                 continue
             is_waiting = watcher.is_reader and not watcher.unreachable
-            if is_waiting and now - watcher.read_at <= STEP_S:
+            if is_waiting and now - watcher._answered_at <= STEP_S:
                 # Its read has waited at the store since the step before.
-                watcher.read_at = now
+                watcher._answered_at = now
             with suppress(HistoryUnavailable, PlatformUnavailable):
                 watcher.read_once()
             if watcher.unreachable:
--- a/tests/fleet/test_target_ages.py
+++ b/tests/fleet/test_target_ages.py
@@ -92,3 +92,24 @@
     fleet.run(2.0)
     for node in fleet.nodes:
         assert node.state.superseded_s("m", 1, fleet.now) == pytest.approx(5.0, abs=0.5)
+
+
+# Guards against VERSION: a node that was suspended while it waited for the store dated
+# a target by when it read the answer, and the other nodes believed it.
+@pytest.mark.parametrize("is_set_before", [True, False])
+def test_a_target_is_not_dated_by_an_answer_that_came_late(monkeypatch, is_set_before):
+    fleet = SimulatedFleet(1, monkeypatch)
+    (node,) = fleet.nodes
+    fleet.run(5.0)
+    if is_set_before:
+        set_target(fleet, 2)
+    answered_at = fleet.now
+    node.answer_delay_s = 3.0
+    fleet.step()
+    node.answer_delay_s = 0.0
+    if not is_set_before:
+        # It may have been set at any time since the store's answer.
+        set_target(fleet, 2)
+    fleet.run(1.0)
+    age_s = node.state.superseded_s("m", 1, fleet.now)
+    assert age_s >= fleet.now - answered_at - 0.3
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -50,3 +50,12 @@
     changes = task.get()
     assert changes.rows == ()
     assert store_client.follow("op", changes.version, 0.0).rows
+
+
+# Guards against VERSION: an answer that came late set the store's clock back, and with
+# it the ages of targets.
+def test_an_answer_that_came_late_does_not_set_the_clock_of_the_store_back():
+    client = PlatformClient("127.0.0.1:1")
+    client._record_clock({"now_ms": 5000}, 100.0)
+    client._record_clock({"now_ms": 6000}, 104.0)
+    assert client.store_time_s(104.0) == 9.0
