Don't send requests without a stream to weights that became overdue

A request without a stream could begin on outdated weights up to a second after the bound, the time that a connection may take to open: only streams were checked after it. Now all requests to models are.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -311,7 +311,9 @@
             Quarantined,
         ):
             return True
-        if self._has_overdue_weights(exchange, placement, now):
+        # Whether a request without a stream has begun is not known before its answer.
+        has_begun = placement.first_event_at is not None or not exchange.route.streaming
+        if not has_begun and self._has_overdue_weights(exchange, placement, now):
             placement.given_up = True
             _LOGGER.info(
                 "Gave up a request that can't begin before its weights are overdue",
@@ -363,17 +365,9 @@
     def _has_overdue_weights(
         self, exchange: Exchange, placement: Placement, now: float
     ) -> bool:
-        """Tell whether a stream must not begin any more at its server's weights.
-
-        Whether another request has begun is not known before its answer.
-        """
-        return (
-            placement.prompt is not None
-            and placement.first_event_at is None
-            and exchange.route.streaming
-            and self._router.outdated.is_overdue(
-                placement.server, exchange.req.model, now
-            )
+        """Tell whether a request must not begin any more at its server's weights."""
+        return placement.prompt is not None and self._router.outdated.is_overdue(
+            placement.server, exchange.req.model, now
         )
 
     def connection_cap(self, service: str) -> int:
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -4,7 +4,8 @@
 
 from arbutusyard import clock
 from arbutusyard.gateway.models import RetryPolicy
-from tests.gateway.support import SETTINGS, chunk, event, stream_head
+from arbutusyard.gateway.pool import ServerPool
+from tests.gateway.support import SETTINGS, STAMP, answer, chunk, event, stream_head
 
 MODEL = {"Model": "m", "Token_Count": "400,8", "Prefix_Hash": "a:100,b:300"}
 
@@ -53,3 +54,22 @@
     servers.get("s1").weights["m"] = 2
     assert gateway.call(**MODEL).status == 200
     assert (len(outdated.requests), len(newer.requests)) == (0, 1)
+
+
+# Guards against VERSION: a request without a stream was sent to weights that had become
+# overdue while its connection opened.
+def test_no_request_is_sent_to_weights_that_became_overdue_while_it_connected(
+    run, monkeypatch
+):
+    acquire, connected = ServerPool.acquire, []
+
+    def acquire_late(*args):
+        gevent.sleep(0.7)
+        connected.append(acquire(*args))
+        return connected[0]
+
+    monkeypatch.setattr(ServerPool, "acquire", acquire_late)
+    gateway, (engine,) = run(lambda req: [answer(req)], retry_policy=RetryPolicy.ONCE)
+    supersede(gateway, SETTINGS.weights_s - 2.0)
+    assert gateway.call(**MODEL).status == 503
+    assert (len(connected), engine.requests) == (1, [])
