Don't let late answers bring back the weights of before

Callers of one node could be refused although an engine had the target weights: an answer that was overtaken by the report of its load set the node's knowledge back, and once those weights were overdue nothing was sent there that could correct it. Weights never get older within an incarnation, so an answer only raises the known version; a refusal with 421 still sets it. The new test failed before (1 in place of 2); tests/gateway and tests/platform pass.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -387,7 +387,11 @@
         server = placement.server
         model = exchange.req.model
         if model and head.weights_version is not None:
-            server.weights[model] = head.weights_version
+            # Answers may overtake each other, and weights never get older within an
+            # incarnation; only a refusal shows that newer ones were assumed wrongly.
+            is_newer = head.weights_version > server.weights.get(model, 0)
+            if is_newer or head.status == 421:
+                server.weights[model] = head.weights_version
         self._apply_server_headers(server, head)
         if head.not_run:
             read_until = min(exchange.deadline, clock.now() + REFUSAL_READ_TIMEOUT_S)
@@ -622,8 +626,9 @@
     ) -> None:
         for event in events:
             version = event_weights_version(event.data)
-            if version is not None:
-                placement.server.weights[exchange.req.model] = version
+            weights = placement.server.weights
+            if version is not None and version > weights.get(exchange.req.model, 0):
+                weights[exchange.req.model] = version
 
     def answer(self, exchange: Exchange, head: AnswerHead, body: bytes) -> None:
         """Relay a complete answer."""
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -73,3 +73,17 @@
     supersede(gateway, SETTINGS.weights_s - 2.0)
     assert gateway.call(**MODEL).status == 503
     assert (len(connected), engine.requests) == (1, [])
+
+
+# Guards against refused requests: an answer that was overtaken by the report of a load
+# made a node take an engine's weights for overdue until the next load.
+def test_a_late_answer_does_not_bring_back_the_weights_of_before(run):
+    def late(request):
+        engine.weights["m"] = 2
+        yield stream_head(request, STAMP + "Weight-Versions: 1\r\n")
+        yield chunk(event(1)) + b"0\r\n\r\n"
+
+    gateway, _ = run(late, retry_policy=RetryPolicy.ONCE, streaming=True)
+    engine = gateway.fleet_state.servers.get("s0")
+    assert gateway.call(**MODEL).status == 200
+    assert engine.weights["m"] == 2
