Keep most of the engines that serve from loading beside overdue ones

Callers could be refused for a load's time: the limit on loads at a time was 0.4 of all engines, but loads of overdue ones no longer counted for it. With 8 of 12 engines overdue, the 4 others that had older weights, too, all loaded at once (12 loads planned; 9 now).

The limit is 0.4 of the engines that serve. The new test failed before.

--- a/arbutusyard/weights/planner.py
+++ b/arbutusyard/weights/planner.py
@@ -46,15 +46,19 @@
     alone would leave a busy engine with weights that were superseded long ago. Engines
     whose weights are overdue serve no requests, so all of them load at once.
     """
+    limit_s = times.time_limit_s if times is not None else inf
     usable = [engine for engine in engines if engine.reachable or engine.loading]
-    outdated = [engine for engine in usable if engine.version < target]
-    allowed = max_concurrent_loads(len(usable))
+    serving = [engine for engine in usable if engine.superseded_s < limit_s]
+    allowed = max_concurrent_loads(len(serving))
     if times is not None and _prompts_are_waiting(usable):
-        allowed = min(allowed, _loads_needed(usable, outdated, times))
-    limit_s = times.time_limit_s if times is not None else inf
-    serving = [engine for engine in engines if engine.superseded_s < limit_s]
+        outdated = [engine for engine in serving if engine.version < target]
+        allowed = min(allowed, _loads_needed(serving, outdated, times))
     free_places = max(0, allowed - sum(engine.loading for engine in serving))
-    waiting = [engine for engine in outdated if not engine.loading and engine.reachable]
+    waiting = [
+        engine
+        for engine in usable
+        if engine.version < target and not engine.loading and engine.reachable
+    ]
     waiting.sort(
         key=lambda engine: (engine.version, engine.in_flight, engine.server_id)
     )
--- a/tests/weights/test_planner.py
+++ b/tests/weights/test_planner.py
@@ -64,6 +64,17 @@
     assert len(plan_loads([*others, *loading], 2, times)) == len(planned) - 20 > 0
 
 
+# Guards against refusing all requests: all engines that still served loaded beside
+# those that did not.
+def test_most_engines_serve_while_those_with_overdue_weights_load():
+    times = RollOutTimes(6.0, 1.2)
+    overdue = waiting_engines(6.0)[:8]
+    serving = [replace(item, version=2) for item in waiting_engines(1.0)[8:12]]
+    planned = plan_loads([*overdue, *serving], 3, times)
+    assert len(planned) == 8 + 1
+    assert set(planned) >= {item.server_id for item in overdue}
+
+
 def test_more_engines_load_at_a_time_when_each_load_takes_longer():
     # Seen on wao-ankiety-grown: waiting prompts delayed the loads, so that the
     # roll-out exceeded its time limit.
