--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -311,7 +311,9 @@
             Quarantined,
         ):
             return True
-        if self._has_overdue_weights(exchange, placement, now):
+        # Whether a request without a stream has begun is not known before its answer.
+        has_begun = placement.first_event_at is not None or not exchange.route.streaming
+        if not has_begun and self._has_overdue_weights(exchange, placement, now):
             placement.given_up = True
             _LOGGER.info(
                 "Gave up a request that can't begin before its weights are overdue",
@@ -363,17 +365,9 @@
     def _has_overdue_weights(
         self, exchange: Exchange, placement: Placement, now: float
     ) -> bool:
-        """Tell whether a stream must not begin any more at its server's weights.
-
-        Whether another request has begun is not known before its answer.
-        """
-        return (
-            placement.prompt is not None
-            and placement.first_event_at is None
-            and exchange.route.streaming
-            and self._router.outdated.is_overdue(
-                placement.server, exchange.req.model, now
-            )
+        """Tell whether a request must not begin any more at its server's weights."""
+        return placement.prompt is not None and self._router.outdated.is_overdue(
+            placement.server, exchange.req.model, now
         )
 
     def connection_cap(self, service: str) -> int:
@@ -393,7 +387,11 @@
         server = placement.server
         model = exchange.req.model
         if model and head.weights_version is not None:
-            server.weights[model] = head.weights_version
+            # Answers may overtake each other, and weights never get older within an
+            # incarnation; only a refusal shows that newer ones were assumed wrongly.
+            is_newer = head.weights_version > server.weights.get(model, 0)
+            if is_newer or head.status == 421:
+                server.weights[model] = head.weights_version
         self._apply_server_headers(server, head)
         if head.not_run:
             read_until = min(exchange.deadline, clock.now() + REFUSAL_READ_TIMEOUT_S)
@@ -628,8 +626,9 @@
     ) -> None:
         for event in events:
             version = event_weights_version(event.data)
-            if version is not None:
-                placement.server.weights[exchange.req.model] = version
+            weights = placement.server.weights
+            if version is not None and version > weights.get(exchange.req.model, 0):
+                weights[exchange.req.model] = version
 
     def answer(self, exchange: Exchange, head: AnswerHead, body: bytes) -> None:
         """Relay a complete answer."""
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -4,7 +4,8 @@
 
 from arbutusyard import clock
 from arbutusyard.gateway.models import RetryPolicy
-from tests.gateway.support import SETTINGS, chunk, event, stream_head
+from arbutusyard.gateway.pool import ServerPool
+from tests.gateway.support import SETTINGS, STAMP, answer, chunk, event, stream_head
 
 MODEL = {"Model": "m", "Token_Count": "400,8", "Prefix_Hash": "a:100,b:300"}
 
@@ -53,3 +54,36 @@
     servers.get("s1").weights["m"] = 2
     assert gateway.call(**MODEL).status == 200
     assert (len(outdated.requests), len(newer.requests)) == (0, 1)
+
+
+# Guards against VERSION: a request without a stream was sent to weights that had become
+# overdue while its connection opened.
+def test_no_request_is_sent_to_weights_that_became_overdue_while_it_connected(
+    run, monkeypatch
+):
+    acquire, connected = ServerPool.acquire, []
+
+    def acquire_late(*args):
+        gevent.sleep(0.7)
+        connected.append(acquire(*args))
+        return connected[0]
+
+    monkeypatch.setattr(ServerPool, "acquire", acquire_late)
+    gateway, (engine,) = run(lambda req: [answer(req)], retry_policy=RetryPolicy.ONCE)
+    supersede(gateway, SETTINGS.weights_s - 2.0)
+    assert gateway.call(**MODEL).status == 503
+    assert (len(connected), engine.requests) == (1, [])
+
+
+# Guards against refused requests: an answer that was overtaken by the report of a load
+# made a node take an engine's weights for overdue until the next load.
+def test_a_late_answer_does_not_bring_back_the_weights_of_before(run):
+    def late(request):
+        engine.weights["m"] = 2
+        yield stream_head(request, STAMP + "Weight-Versions: 1\r\n")
+        yield chunk(event(1)) + b"0\r\n\r\n"
+
+    gateway, _ = run(late, retry_policy=RetryPolicy.ONCE, streaming=True)
+    engine = gateway.fleet_state.servers.get("s0")
+    assert gateway.call(**MODEL).status == 200
+    assert engine.weights["m"] == 2
