Prefer a software version only among servers whose weights may be used

A new stream was refused (503) while another server could take it: the preference for listed software versions left only servers with overdue weights, which were removed after it. The order is reversed. The new test failed before (503 in place of 200).

--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -186,12 +186,6 @@
             if self.accepts(server, now) and server.entry.server_id not in excluded
         ]
         servers = self._fleet_state.servers.without_retained(service, servers)
-        if software_version is not None:
-            servers = [
-                s for s in servers if s.entry.software_version == software_version
-            ]
-        elif is_resumable:
-            servers = self._for_new_stream(service, servers)
         if req.model:
             servers = self.outdated.without_overdue(
                 servers,
@@ -199,6 +193,12 @@
                 lambda server: self._prefill_wait_s(server, req.prompt_tokens),
                 now,
             )
+        if software_version is not None:
+            servers = [
+                s for s in servers if s.entry.software_version == software_version
+            ]
+        elif is_resumable:
+            servers = self._for_new_stream(service, servers)
         if not servers:
             return None
         if suspect_key:
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -1,6 +1,7 @@
 """Requests don't begin on weights that were superseded too long ago."""
 
 import gevent
+from msgspec.structs import replace
 
 from arbutusyard import clock
 from arbutusyard.gateway.models import RetryPolicy
@@ -87,3 +88,21 @@
     engine = gateway.fleet_state.servers.get("s0")
     assert gateway.call(**MODEL).status == 200
     assert engine.weights["m"] == 2
+
+
+# Guards against refused requests: the preference for a software version left only
+# servers with overdue weights.
+def test_a_new_stream_goes_to_another_software_version_if_weights_are_overdue(run):
+    gateway, (outdated, newer) = run(
+        whole_stream, whole_stream, retry_policy=RetryPolicy.RESUME, streaming=True
+    )
+    supersede(gateway, 60.0)
+    servers = gateway.fleet_state.servers
+    for name, version in (("s0", "v1"), ("s1", "v2")):
+        server = servers.get(name)
+        server.entry = replace(server.entry, software_version=version)
+    servers.changes += 1
+    servers.get("s1").weights["m"] = 2
+    gateway.router.is_listed = lambda service, version: version == "v1"
+    assert gateway.call(**MODEL).status == 200
+    assert (len(outdated.requests), len(newer.requests)) == (0, 1)
