--- a/arbutusyard/platform/client.py
+++ b/arbutusyard/platform/client.py
@@ -299,6 +299,7 @@
                 era,
                 extra={"era": era, "era_before": self.era},
             )
+            self._clock_offset_s = self._clock_offset_before_s = -math.inf
         self.era = era
 
 
