Log when a node reaches no server of a service

In the incident no line and no metric told that a node was cut off from servers which others reached; its refusals (no_server) look like those of a service that is down. A node now tells, per service, that all servers that stay fail to connect, or that three in a row became unreachable and none was heard since, as dozens of servers would each need a timeout of their own. A failure in silence has two other servers checked at once, and while a node is cut off one that is not suspected is checked each 250 ms.

No decision on requests changes.

--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -62,8 +62,12 @@
     busy_since: float = 0.0
     last_byte_at: float = 0.0
     reached_at: float = float("-inf")
+    # When a connection for requests was last opened.
+    connected_at: float = float("-inf")
     suspected: bool = False
     first_hand: bool = True
+    # When this node itself began to find the server unreachable.
+    unreachable_since: float = float("-inf")
     suspect_until: float = 0.0
     suspect_s: float = 0.0
     # When something last hinted at a restart under the same id, and when a check that
@@ -170,6 +174,8 @@
         `first_hand` says that this node itself could not open a connection. Only such
         a server is reported to the peers.
         """
+        if first_hand and not (self.suspected and self.first_hand):
+            self.unreachable_since = now
         self.suspected = True
         self.first_hand = first_hand
         if now < self.suspect_until:
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -104,12 +104,14 @@
         self._target_times = target_times
         peers.on_tick = self._tick
         peers.on_heartbeat = self._apply_heartbeat
-        self._router.on_check = lambda server: gevent.spawn(self._probe, server)
+        self._router.on_check = self._check
+        self._relay.reachability.on_check = lambda server: gevent.spawn(
+            self._probe, server
+        )
+        self._relay.reachability.on_change = self._handle_cut_off
         self._router.on_weights_mismatch = weights.check_weights
         self._router.on_load = peers.broadcast_load
-        self._router.on_unreachable = lambda server_id: peers.broadcast_servers(
-            (server_id,)
-        )
+        self._router.on_unreachable = self._handle_unreachable
         self._router.on_replaced = lambda server_id: peers.broadcast_servers(
             replaced=(server_id,)
         )
@@ -306,6 +308,23 @@
         self._relay.reload(cfg)
         self._ingress.memory.limits = cfg.client_limits
 
+    def _check(self, server: Server) -> None:
+        """Probe a server; others too if it is unresponsive and none is heard."""
+        if server.in_flight:
+            self._relay.reachability.handle_failure(server, clock.now())
+        gevent.spawn(self._probe, server)
+
+    def _handle_unreachable(self, server_id: str) -> None:
+        """Report a server that could not be connected to; check whether others can."""
+        self._peers.broadcast_servers((server_id,))
+        server = self._fleet_state.servers.get(server_id)
+        if server is not None:
+            self._relay.reachability.handle_failure(server, clock.now())
+
+    def _handle_cut_off(self, services: int) -> None:
+        self._metrics.set_cut_off(services)
+        self._peers.trigger_heartbeat()
+
     def _probe(self, server: Server) -> None:
         """Probe a server; send a heartbeat soon if it is unreachable."""
         self._pool.probe(server)
@@ -316,6 +335,7 @@
         self._fleet_state.servers.sweep(now)
         self._router.tick(now)
         self._relay.tick(now)
+        self._relay.reachability.tick(now)
         self._relay.update_share(self._peers.fleet_share(self._cfg.retry_window_s, now))
         nodes = len(self._peers.table.peers) + 1
         reads = self._peers.reads_for_others(now) or self._weights.fencing_token > 0
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -486,19 +486,23 @@
                 del self._idle[incarnation]
 
     def probe(self, server: Server) -> None:
-        """Connect to a suspected server and clear the suspicion if that succeeds."""
+        """Connect to a server, and suspect it only if that fails."""
         # Prevents concurrent probes of the same server.
         server.suspect_until = clock.now() + PROBE_PAUSE_S
+        was_suspected = server.suspected
         try:
             conn = self._connect(server)
         except Unreachable:
             server.suspect(server.suspect_until)
+            server.unreachable_since = min(server.unreachable_since, clock.now())
             return
         now = clock.now()
         conn.idle_until = now + IDLE_KEEP_S - IDLE_MARGIN_S
         self._idle.setdefault(conn.incarnation, []).append(conn)
         server.reached_at = now
         server.suspected = False
+        if not was_suspected:
+            return
         _LOGGER.info(
             "Server %s is reachable again",
             server.entry.server_id,
@@ -542,6 +546,7 @@
             self.discard(conn)
             raise
         self.opened += 1
+        server.connected_at = clock.now()
         return conn
 
 
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -32,6 +32,7 @@
 from arbutusyard.gateway.incarnations import IncarnationCheck
 from arbutusyard.gateway.models import CallerRequest, Refusal, RetryPolicy
 from arbutusyard.gateway.pool import ServerPool
+from arbutusyard.gateway.reachability import Reachability
 from arbutusyard.gateway.router import Placement, PlacementRouter
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.gateway.tickets import make_ticket
@@ -72,6 +73,7 @@
         "origins",
         "quarantine",
         "rate",
+        "reachability",
     )
 
     def __init__(
@@ -90,6 +92,7 @@
         self._admission = Admission(fleet_state, cfg.revoke_s)
         self.origins = origins or OriginCoordinator(peers.me, fleet_state)
         self.quarantine = RequestQuarantine(peers.me)
+        self.reachability = Reachability(fleet_state)
         self._dispatcher = Dispatcher(
             self._admission,
             fleet_state,
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -82,6 +82,10 @@
         """Count an extra attempt that was not started, by the reason."""
         self._record("count_hedge_refusal", reason)
 
+    def set_cut_off(self, services: int) -> None:
+        """Set from how many services this node is cut off."""
+        self._record("set_cut_off", services)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self._metrics is None:
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -44,6 +44,7 @@
 
     __slots__ = (
         "_admissions",
+        "_cut_off",
         "_expected_wait",
         "_hedge_refusals",
         "_hedges",
@@ -90,6 +91,7 @@
         self._refusals = meter.create_counter("arbutusyard_refusals")
         self._retries = meter.create_counter("arbutusyard_retries")
         self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
+        self._cut_off = meter.create_gauge("arbutusyard_cut_off_services")
         self._hedges = meter.create_counter("arbutusyard_hedges")
         self._hedge_refusals = meter.create_counter("arbutusyard_hedge_refusals")
         self._quarantined = meter.create_gauge("arbutusyard_quarantined")
@@ -162,6 +164,10 @@
         """Count an extra attempt that was not started, by the reason."""
         self._hedge_refusals.add(1, {ATTR_REASON: reason})
 
+    def set_cut_off(self, services: int) -> None:
+        """Set from how many services this node is cut off."""
+        self._cut_off.set(services)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(REGISTRY)
