Serve requests through another node while this one reaches no server

Cause: a node served through its own connections only. Class: a part that cannot do its work, but can reach one that can, refuses instead of handing it over.

A node that is cut off from a service now sends its clients' requests to another node, whose second listener, on the address of its datagrams, serves them like those of its own clients: admission, quota, retries and choice of server happen there, once. Nothing that came by that listener is forwarded. Without a cut nothing changes, except that each node listens on one more port.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -67,7 +67,26 @@
         cfg, fleet_state, peers.table, router, pool, metrics, origins, servers, quotas
     )
     ingress = Ingress(cfg.callers_address, fleet_state, relay, cfg.client_limits)
-    node = Node(cfg, incarnation, fleet_state, relay, router, pool, ingress, metrics)
+    node_ingress = Ingress(
+        cfg.peer_address,
+        fleet_state,
+        relay,
+        ingress.memory,
+        lambda host: any(
+            address.rsplit(":", 1)[0] == host for address in peers.known_addresses
+        ),
+    )
+    node = Node(
+        cfg,
+        incarnation,
+        fleet_state,
+        relay,
+        router,
+        pool,
+        ingress,
+        metrics,
+        node_ingress,
+    )
     weights = WeightsCoordinator(
         cfg.name, fleet_state, peers, store, servers, cfg.lease_s, cfg.weights_s
     )
@@ -82,6 +101,7 @@
         caches,
         node,
         ingress,
+        node_ingress,
         weights,
         target_times,
         origins,
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -293,6 +293,8 @@
     # interruption, and age of its newest confirmed read, in seconds.
     store_read_s: Finite = 0.0
     servers_age_s: Finite = 0.0
+    # Services all of whose servers the node cannot reach.
+    cut_off: tuple[str, ...] = ()
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/gateway/admission.py
+++ b/arbutusyard/gateway/admission.py
@@ -59,6 +59,8 @@
         catalog = self._fleet_state.catalog
         if catalog is None or not self._fleet_state.servers.known:
             return Refusal(503, "nothing_known", RETRY_AFTER_ELSEWHERE_S)
+        if req.config_version > catalog.cfg.version:
+            return Refusal(503, "config_outdated", RETRY_AFTER_ELSEWHERE_S)
         age_s = self._fleet_state.config_age_s(now)
         config_is_fresh = age_s <= CONFIG_FRESH_S
         route = catalog.route(req.host, req.path)
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -78,6 +78,9 @@
 # Number of connections to one server that each node may open in a fleet of any size.
 CONNECTIONS_MIN: Final = 4
 
+# Size of the headers that a node adds to a request which it forwards, in bytes.
+NODE_HEADER_BYTES: Final = 1024
+
 # Number of requests after which a connection is closed. It bounds the IDs that each
 # connection remembers.
 CARRIED_REQUESTS_MAX: Final = 512
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -110,6 +110,8 @@
     fallback_answer: tuple[AnswerHead, bytes] | None = None
     # What was charged to the account's quota; None if it has none.
     grant: Grant | None = None
+    # Nodes to which the request was forwarded.
+    forwarded_to: set[str] = field(default_factory=set)
     # An attempt is under way, so that a server may run the request.
     may_run: bool = False
 
--- /dev/null
+++ b/arbutusyard/gateway/forwarding.py
@@ -0,0 +1,286 @@
+"""Send requests through another node while this one reaches no server of a service."""
+
+import logging
+from typing import Final
+
+from arbutusyard import clock
+from arbutusyard.fleet.messages import Heartbeat
+from arbutusyard.fleet.peer_table import PeerTable
+from arbutusyard.fleet.servers import Server
+from arbutusyard.fleet.state import FleetState
+from arbutusyard.gateway.const import REFUSAL_BYTES_MAX, REFUSAL_READ_TIMEOUT_S
+from arbutusyard.gateway.exceptions import (
+    AnswerBroken,
+    AnswerLate,
+    CallerGone,
+    NotSent,
+    Unreachable,
+)
+from arbutusyard.gateway.exchange import AttemptResult, Dispatcher, Exchange
+from arbutusyard.gateway.models import (
+    AnswerHead,
+    Framing,
+    RetryPolicy,
+    ServerEntry,
+    ServerState,
+)
+from arbutusyard.gateway.pool import ServerConnection, ServerPool
+from arbutusyard.gateway.reachability import Reachability
+from arbutusyard.metrics.deferred import DeferredMetrics
+from arbutusyard.platform.headers import peer_headers
+
+_LOGGER = logging.getLogger(__name__)
+
+# Number of nodes to which one request is sent, until one of them takes it.
+FORWARD_NODES_MAX: Final = 3
+# Number of requests that one other node is sent at a time. Each takes a connection of
+# the clients' budget there, 3,500 on a VM with 4,100 descriptors.
+FORWARDS_PER_NODE_MAX: Final = 256
+# Number of requests that the nodes of the own failure domain are sent more than others.
+OWN_DOMAIN_PREFERENCE: Final = 8
+
+
+class Forwarder:
+    """Forward requests to nodes that reach the servers, and relay their answers.
+
+    The other node admits a request, charges it and chooses its servers, as if it had
+    come from the client.
+    """
+
+    __slots__ = (
+        "_dispatcher",
+        "_domain",
+        "_fleet_state",
+        "_metrics",
+        "_nodes",
+        "_peers",
+        "_pool",
+        "_reachability",
+    )
+
+    def __init__(
+        self,
+        fleet_state: FleetState,
+        peers: PeerTable,
+        reachability: Reachability,
+        dispatcher: Dispatcher,
+        metrics: DeferredMetrics,
+        failure_domain: str,
+    ) -> None:
+        self._fleet_state = fleet_state
+        self._peers = peers
+        self._reachability = reachability
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._domain = failure_domain
+        self._pool = ServerPool()
+        # What is in flight at each node; to the pool a node is a server.
+        self._nodes: dict[tuple[str, int], Server] = {}
+
+    def is_due(self, exchange: Exchange, now: float) -> bool:
+        """Tell whether a request should be served through another node.
+
+        Requests that another node has forwarded are never forwarded again.
+        """
+        return (
+            not exchange.req.from_node
+            and not exchange.conn.sent_head
+            and len(exchange.forwarded_to) < FORWARD_NODES_MAX
+            and self._reachability.is_cut_off(exchange.service, now)
+            and self._choose(exchange, now) is not None
+        )
+
+    def forward(self, exchange: Exchange) -> AttemptResult | None:
+        """Forward a request; return None once its client has an answer.
+
+        NOT_SENT if no node has taken it, so that no server has it either.
+        """
+        while len(exchange.forwarded_to) < FORWARD_NODES_MAX:
+            now = clock.now()
+            peer = self._choose(exchange, now)
+            if peer is None:
+                break
+            exchange.forwarded_to.add(peer.name)
+            result = self._send(exchange, peer, now)
+            self._metrics.count_forward(result.value if result else "answered")
+            if result is not AttemptResult.NOT_SENT:
+                return result
+        return AttemptResult.NOT_SENT
+
+    def sweep(self, now: float) -> None:
+        """Close idle connections; forget nodes that have timed out."""
+        self._pool.sweep(now)
+        if not self._nodes:
+            return
+        live = {(hb.name, hb.incarnation) for hb in self._peers.live_heartbeats(now)}
+        for incarnation, node in list(self._nodes.items()):
+            if incarnation not in live and not node.in_flight:
+                del self._nodes[incarnation]
+
+    def _candidates(self, service: str, now: float) -> list[Heartbeat]:
+        """Return the nodes that serve clients and report to reach a service."""
+        return [
+            peer
+            for peer in self._peers.live_heartbeats(now)
+            if peer.ready
+            and not peer.leaving
+            and service not in peer.cut_off
+            and (not self._peers.large() or self._peers.serves(peer.name, now))
+        ]
+
+    def _choose(self, exchange: Exchange, now: float) -> Heartbeat | None:
+        """Choose a node that may take a request; return None if there is none."""
+        catalog = self._fleet_state.catalog
+        version = catalog.cfg.version if catalog else 0
+        usable = []
+        for peer in self._candidates(exchange.service, now):
+            node = self._node(peer)
+            if peer.name in exchange.forwarded_to or (
+                node.suspected and now < node.suspect_until
+            ):
+                continue
+            if node.in_flight >= FORWARDS_PER_NODE_MAX:
+                continue
+            cost = node.in_flight
+            if peer.failure_domain != self._domain:
+                cost += OWN_DOMAIN_PREFERENCE
+            # A heartbeat may be older than the configuration that its node has by now.
+            usable.append((peer.config_version < version, cost, peer.name, peer))
+        return min(usable, key=lambda item: item[:3])[3] if usable else None
+
+    def _node(self, peer: Heartbeat) -> Server:
+        incarnation = (peer.name, peer.incarnation)
+        node = self._nodes.get(incarnation)
+        if node is None or node.entry.address != peer.peer_address:
+            entry = ServerEntry(
+                *incarnation,
+                service="",
+                address=peer.peer_address,
+                failure_domain=peer.failure_domain,
+                state=ServerState.READY,
+                slots=0,
+                weights={},
+            )
+            node = self._nodes[incarnation] = Server(entry)
+        return node
+
+    def _send(
+        self, exchange: Exchange, peer: Heartbeat, now: float
+    ) -> AttemptResult | None:
+        """Send a request to one node and relay its answer."""
+        node = self._node(peer)
+        request_id = exchange.req.request_id
+        conn: ServerConnection | None = None
+        complete_head: AnswerHead | None = None
+        exchange.head = None
+        node.in_flight += 1
+        try:
+            conn = self._pool.acquire(node, request_id, FORWARDS_PER_NODE_MAX, now)
+            node.suspected = False
+            conn.should_abandon = lambda: self._should_abandon(exchange, peer)
+            if exchange.conn.has_disconnected():
+                raise CallerGone("client disconnected before its request was forwarded")
+            self._send_request(exchange, conn)
+            head = conn.read_head(request_id, exchange.deadline)
+            if _is_refusal(head):
+                read_until = min(
+                    exchange.deadline, clock.now() + REFUSAL_READ_TIMEOUT_S
+                )
+                if conn.discard_body(REFUSAL_BYTES_MAX, read_until):
+                    complete_head = head
+                raise NotSent(f"refused: {head.node_refusal or head.status}")
+            exchange.head = head
+            self._relay(exchange, conn, head)
+            complete_head = head
+            node.count_outcome(False, clock.now())
+            return None
+        except NotSent as exc:
+            if isinstance(exc, Unreachable):
+                node.suspect(clock.now())
+            return self._record_failure(exchange, peer, AttemptResult.NOT_SENT, exc)
+        except AnswerBroken as exc:
+            return self._record_failure(exchange, peer, AttemptResult.BROKEN, exc)
+        except AnswerLate as exc:
+            return self._record_failure(exchange, peer, AttemptResult.LATE, exc)
+        finally:
+            node.in_flight -= 1
+            if conn is not None and complete_head is not None:
+                self._pool.release(conn, complete_head, clock.now())
+            elif conn is not None:
+                self._pool.abort(conn)
+
+    def _send_request(self, exchange: Exchange, conn: ServerConnection) -> None:
+        req = exchange.req
+        catalog = self._fleet_state.catalog
+        headers = peer_headers(
+            req,
+            exchange.deadline - clock.now(),
+            catalog.cfg.version if catalog else 0,
+        )
+        conn.send(req.request_id, req.method, req.target, headers, req.body)
+
+    def _relay(
+        self, exchange: Exchange, conn: ServerConnection, head: AnswerHead
+    ) -> None:
+        """Relay a node's answer as it arrives; raise AnswerBroken if it ends early."""
+        if head.framing is Framing.CLOSE:
+            raise AnswerBroken(f"{conn.address} did not say where its answer ends")
+        if head.status < 300 and not head.stamped:
+            raise AnswerBroken(f"{conn.address} sent an answer of no server")
+        caller = exchange.conn
+        headers = self._dispatcher.with_connection_header(head.headers)
+        data = conn.read_data(exchange.deadline)
+        if data is None:
+            caller.answer(head.status, headers, b"")
+            return
+        exchange.first_event_at = clock.now()
+        if head.framing is Framing.LENGTH:
+            headers = [*headers, (b"content-length", b"%d" % head.length)]
+        caller.send_head(head.status, headers)
+        while data is not None:
+            caller.send_data(data)
+            data = conn.read_data(exchange.deadline)
+        caller.end()
+
+    def _should_abandon(self, exchange: Exchange, peer: Heartbeat) -> bool:
+        """Tell whether to give up on a node that has timed out.
+
+        A request that can't be repeated waits for its answer until its deadline.
+        """
+        if exchange.conn.sent_head:
+            return False
+        if exchange.route.retry_policy is RetryPolicy.ONCE:
+            return False
+        live = self._peers.live_heartbeats(clock.now())
+        return all(
+            (other.name, other.incarnation) != (peer.name, peer.incarnation)
+            for other in live
+        )
+
+    @staticmethod
+    def _record_failure(
+        exchange: Exchange, peer: Heartbeat, result: AttemptResult, cause: Exception
+    ) -> AttemptResult:
+        _LOGGER.info(
+            "Forwarding a request to a node failed",
+            extra={
+                "request_id": exchange.req.request_id,
+                "service": exchange.service,
+                "peer": peer.name,
+                "address": peer.peer_address,
+                "result": result.value,
+                "cause": str(cause),
+                "left_s": round(exchange.deadline - clock.now(), 3),
+            },
+        )
+        return result
+
+
+def _is_refusal(head: AnswerHead) -> bool:
+    """Tell whether a node refused a request for reasons that others may not have.
+
+    A node that is short of memory refuses a request before it has read its ID.
+    """
+    return bool(head.node_refusal) or (
+        head.status in (408, 503) and not head.stamped and not head.request_id
+    )
--- a/arbutusyard/gateway/ingress.py
+++ b/arbutusyard/gateway/ingress.py
@@ -2,17 +2,19 @@
 
 import logging
 import socket
+from collections.abc import Callable
 from typing import Final
 
 import gevent
 from gevent.pool import Pool
 from gevent.server import StreamServer
+from msgspec.structs import replace
 
 from arbutusyard import clock
 from arbutusyard.app import Application
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.caller import CallerConnection
-from arbutusyard.gateway.const import CLIENT_BUFFER_BYTES
+from arbutusyard.gateway.const import CLIENT_BUFFER_BYTES, NODE_HEADER_BYTES
 from arbutusyard.gateway.exceptions import (
     BadRequest,
     CallerGone,
@@ -35,12 +37,14 @@
 
 
 class Ingress:
-    """Listen on one address and serve the clients that connect to it."""
+    """Listen on one address and serve the clients that connect to it.
 
-    name = "ingress"
+    With `is_node` only other nodes may connect, which forward their clients' requests.
+    """
 
     __slots__ = (
         "_address",
+        "_is_node",
         "_reading",
         "_fleet_state",
         "_refused_at",
@@ -50,6 +54,7 @@
         "_tasks",
         "in_flight",
         "memory",
+        "name",
     )
 
     def __init__(
@@ -57,14 +62,18 @@
         address: str,
         fleet_state: FleetState,
         relay: Relay,
-        limits: MemoryLimits,
+        limits: MemoryLimits | MemoryBudget,
+        is_node: Callable[[str], bool] | None = None,
     ) -> None:
+        self.name = "ingress" if is_node is None else "node_ingress"
         self._address = address
+        self._is_node = is_node
         self._fleet_state = fleet_state
         self._relay = relay
         # The budget limits the connections: a full pool would keep new clients out.
         self._tasks = Pool()
-        self.memory = MemoryBudget(limits)
+        shared = isinstance(limits, MemoryBudget)
+        self.memory = limits if shared else MemoryBudget(limits)
         self.memory.on_end = self._count_ended
         # Time of the last log line about a connection that was not accepted.
         self._refused_at = float("-inf")
@@ -76,9 +85,21 @@
     def setup(self, app: Application) -> None:
         """Start accepting connections."""
         host, port = self._address.rsplit(":", 1)
-        listener = StreamServer.get_listener(
-            (host, int(port)), backlog=BACKLOG_CONNECTIONS, family=socket.AF_INET
-        )
+        try:
+            listener = StreamServer.get_listener(
+                (host, int(port)), backlog=BACKLOG_CONNECTIONS, family=socket.AF_INET
+            )
+        except OSError as exc:
+            if self._is_node is None:
+                raise
+            # Clients are served all the same.
+            _LOGGER.error(
+                "Other nodes cannot forward requests to this one: cannot listen on "
+                "%s: %s",
+                self._address,
+                exc,
+            )
+            return
         # Accepted connections inherit them; they cannot shrink once bytes have come.
         for name in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             listener.setsockopt(socket.SOL_SOCKET, name, CLIENT_BUFFER_BYTES)
@@ -96,6 +117,8 @@
 
     def drain(self) -> None:
         """Stop accepting, close idle connections and wait for requests in flight."""
+        if self._server is None:
+            return
         # Accept the connections that are already queued before the port closes.
         gevent.sleep(DRAIN_POLL_S)
         self._server.stop_accepting()
@@ -119,13 +142,21 @@
 
     def unload(self) -> None:
         """Close every connection."""
-        self._server.stop(timeout=0)
+        if self._server is not None:
+            self._server.stop(timeout=0)
 
-    def _serve_connection(self, sock: socket.socket, _: object) -> None:
+    def _serve_connection(self, sock: socket.socket, address: tuple) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         catalog = self._fleet_state.catalog
         limits = catalog.cfg.limits if catalog else IngressLimits()
         now = clock.now()
+        if self._is_node is not None:
+            if not self._is_node(address[0]):
+                self._reject_unknown(sock, address[0], now)
+                return
+            # What the other node adds must not exceed the limit on the client's head.
+            header_bytes = limits.header_bytes + NODE_HEADER_BYTES
+            limits = replace(limits, header_bytes=header_bytes)
         holding = self.memory.open(lambda reason: None, now)
         if holding is None:
             self._reject_connection(sock, now)
@@ -159,6 +190,18 @@
                 extra=self.memory.usage(),
             )
 
+    def _reject_unknown(self, sock: socket.socket, host: str, now: float) -> None:
+        """Close a connection to the nodes' listener that is not from a node."""
+        sock.close()
+        self._relay.count_refusal("unknown_node")
+        if now - self._refused_at >= REFUSED_LOG_INTERVAL_S:
+            self._refused_at = now
+            _LOGGER.warning(
+                "Closed a connection from %s to the listener for nodes: no node is "
+                "known at that address",
+                host,
+            )
+
     def _count_ended(self, reason: EndReason) -> None:
         self._relay.count_refusal(reason.value)
 
@@ -187,6 +230,7 @@
         watcher = conn.watch(lambda: task.kill(disconnect, block=False))
         self.in_flight += 1
         try:
+            req.from_node = self._is_node is not None
             read_request(req)
             self._relay.serve(req, conn)
         except GatewayError:
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -169,6 +169,9 @@
     resume_after: str = ""
     # Id of the attempt that brought the first event of a stream that is resumed.
     resumed_id: str = ""
+    # Another node has forwarded it, and that node's version of the configuration.
+    from_node: bool = False
+    config_version: int = 0
 
 
 class Dispatch(Struct, frozen=True):
@@ -220,6 +223,8 @@
     # absent or malformed.
     limit_s: float | None = None
     limit_text: str = ""
+    # Why a node refused a request that another one may be able to serve.
+    node_refusal: str = ""
 
 
 class Refusal(Struct, frozen=True):
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -47,6 +47,7 @@
         "_ingress",
         "_fleet_state",
         "_metrics",
+        "_node_ingress",
         "_peers",
         "_pool",
         "_quarantined",
@@ -70,6 +71,7 @@
         pool: ServerPool,
         ingress: Ingress,
         metrics: DeferredMetrics,
+        node_ingress: Ingress | None = None,
     ) -> None:
         self._cfg = cfg
         self._incarnation = incarnation
@@ -79,6 +81,7 @@
         self._router = router
         self._pool = pool
         self._ingress = ingress
+        self._node_ingress = node_ingress
         self._metrics = metrics
         self._caches: CacheWatcher | None = None
         self._peers: PeerCoordinator | None = None
@@ -174,6 +177,8 @@
         stop_at = stop_requested_at + self._cfg.grace_s - STOP_MARGIN_S
         self._relay.start_draining(stop_requested_at, stop_at)
         self._ingress.set_drain_deadline(stop_at)
+        if self._node_ingress is not None:
+            self._node_ingress.set_drain_deadline(stop_at)
         self._peers.send()
         cached_until = stop_requested_at + DIRECTORY_KEEP_FACTOR * DIRECTORY_KEEP_S
         gevent.sleep(max(0.0, min(cached_until, stop_at - 1.0) - stop_requested_at))
@@ -246,6 +251,7 @@
             servers_age_s=min(
                 self._fleet_state.servers_age_s(now), REMOVED_INCARNATION_RETENTION_S
             ),
+            cut_off=self._relay.reachability.services(),
         )
 
     def _apply_confirmation(
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -28,6 +28,7 @@
     Dispatcher,
     Exchange,
 )
+from arbutusyard.gateway.forwarding import Forwarder
 from arbutusyard.gateway.hedged_dispatch import HedgedDispatch
 from arbutusyard.gateway.incarnations import IncarnationCheck
 from arbutusyard.gateway.models import CallerRequest, Refusal, RetryPolicy
@@ -51,7 +52,6 @@
 )
 from arbutusyard.quarantine.models import Quarantined, Suspect
 from arbutusyard.quotas.coordinator import QuotaCoordinator
-from arbutusyard.quotas.models import Grant
 from arbutusyard.routing.placement import choose
 
 _LOGGER = logging.getLogger(__name__)
@@ -67,6 +67,7 @@
         "_dispatcher",
         "_fleet_state",
         "_hedged",
+        "forwarder",
         "_metrics",
         "_charges",
         "_router",
@@ -117,6 +118,14 @@
         )
         self._dispatcher.spend_retry = self._retry_budget.spend
         self._set_hooks()
+        self.forwarder = Forwarder(
+            fleet_state,
+            peers,
+            self.reachability,
+            self._dispatcher,
+            metrics,
+            cfg.failure_domain,
+        )
         self._hedged = HedgedDispatch(
             self._dispatcher,
             fleet_state,
@@ -167,6 +176,7 @@
     def tick(self, now: float) -> None:
         """Forget what admission under load no longer needs."""
         self._control.tick(now)
+        self.forwarder.sweep(now)
 
     def update_share(self, share: FleetShare) -> None:
         """Set what this node knows of the nodes that share the joint limits."""
@@ -185,32 +195,46 @@
             case Refusal() as refusal:
                 self._refuse(req, conn, refusal, now)
             case Admitted() as admitted:
+                exchange = _make_exchange(req, conn, admitted)
+                # The node to which it is forwarded charges it.
+                if self._serve_forwarded(exchange, now):
+                    return
                 match self._charges.charge(req, admitted, now):
                     case Refusal() as refusal:
                         self._refuse(req, conn, refusal, clock.now())
                     case grant:
-                        self._serve_admitted(req, conn, admitted, grant, clock.now())
+                        exchange.grant = grant
+                        self._serve_admitted(exchange, clock.now())
 
-    def _serve_admitted(
-        self,
-        req: CallerRequest,
-        conn: CallerConnection,
-        admitted: Admitted,
-        grant: Grant | None,
-        now: float,
-    ) -> None:
-        deadline = req.arrived_at + admitted.time_limit_s
-        exchange = Exchange(
-            req,
-            conn,
-            admitted.route,
-            admitted.account,
-            admitted.service,
-            deadline,
-            shared_keys(req.model, req.segments) if req.model else (),
-            sequence=EventSequence(req.resume_after),
-            grant=grant,
-        )
+    def _serve_forwarded(self, exchange: Exchange, now: float) -> bool:
+        """Serve a request through another node if that is due; return whether it is."""
+        if not self.forwarder.is_due(exchange, now):
+            return False
+        outcome = "caller_gone"
+        try:
+            outcome = self._forward(exchange, now)
+        finally:
+            if outcome:
+                self._record_outcome(exchange, outcome, clock.now())
+        return bool(outcome)
+
+    def _forward(self, exchange: Exchange, now: float) -> str:
+        """Forward a request; return the outcome's name, empty if it goes on here."""
+        is_retry = bool(exchange.attempts)
+        if is_retry and not self._may_spend_retry(exchange, now):
+            return self._answer_failure(exchange, "retry_budget")
+        result = self.forwarder.forward(exchange)
+        if result is None:
+            return "forwarded"
+        if result is AttemptResult.NOT_SENT:
+            if is_retry:
+                self._retry_budget.give_back(exchange.service)
+            return ""
+        if self._may_retry(exchange, result):
+            return ""
+        return self._answer_failure(exchange, result.value)
+
+    def _serve_admitted(self, exchange: Exchange, now: float) -> None:
         outcome = "caller_gone"
         try:
             refused = self._find_origin(exchange)
@@ -298,6 +322,15 @@
             now = clock.now()
             if now >= exchange.deadline:
                 return self._answer_failure(exchange, "late")
+            if self.forwarder.is_due(exchange, now):
+                if ticket:
+                    self._control.pause(ticket, True)
+                outcome = self._forward(exchange, now)
+                if ticket:
+                    self._control.pause(ticket, False)
+                if outcome:
+                    return outcome
+                now = clock.now()
             suspect_key = b""
             keys = exchange.keys(with_request=self.quarantine.judges_requests)
             match self.quarantine.judge(keys, now):
@@ -578,6 +611,21 @@
         return self._router.limits.limit_s(placement.server.incarnation)
 
 
+def _make_exchange(
+    req: CallerRequest, conn: CallerConnection, admitted: Admitted
+) -> Exchange:
+    return Exchange(
+        req,
+        conn,
+        admitted.route,
+        admitted.account,
+        admitted.service,
+        req.arrived_at + admitted.time_limit_s,
+        shared_keys(req.model, req.segments) if req.model else (),
+        sequence=EventSequence(req.resume_after),
+    )
+
+
 def _placement_fields(placement: Placement | None) -> dict[str, object]:
     """Return the log fields of the last placement."""
     if placement is None:
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -82,6 +82,10 @@
         """Count an extra attempt that was not started, by the reason."""
         self._record("count_hedge_refusal", reason)
 
+    def count_forward(self, result: str) -> None:
+        """Count a request that was sent to another node, by its result."""
+        self._record("count_forward", result)
+
     def set_cut_off(self, services: int) -> None:
         """Set from how many services this node is cut off."""
         self._record("set_cut_off", services)
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -46,6 +46,7 @@
         "_admissions",
         "_cut_off",
         "_expected_wait",
+        "_forwards",
         "_hedge_refusals",
         "_hedges",
         "_hit_tokens",
@@ -92,6 +93,7 @@
         self._retries = meter.create_counter("arbutusyard_retries")
         self._hit_tokens = meter.create_counter("arbutusyard_hit_tokens")
         self._cut_off = meter.create_gauge("arbutusyard_cut_off_services")
+        self._forwards = meter.create_counter("arbutusyard_forwards")
         self._hedges = meter.create_counter("arbutusyard_hedges")
         self._hedge_refusals = meter.create_counter("arbutusyard_hedge_refusals")
         self._quarantined = meter.create_gauge("arbutusyard_quarantined")
@@ -164,6 +166,10 @@
         """Count an extra attempt that was not started, by the reason."""
         self._hedge_refusals.add(1, {ATTR_REASON: reason})
 
+    def count_forward(self, result: str) -> None:
+        """Count a request that was sent to another node, by its result."""
+        self._forwards.add(1, {ATTR_RESULT: result})
+
     def set_cut_off(self, services: int) -> None:
         """Set from how many services this node is cut off."""
         self._cut_off.set(services)
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -53,6 +53,23 @@
 # Highest limit that is told apart from higher ones, in requests per second.
 SERVER_LIMIT_MAX_S: Final = 1e9
 DECIMAL_NUMBER: Final = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
+# Between nodes only: the configuration version of a node that forwards a request, and
+# why another node refused it.
+CONFIG_VERSION: Final = b"arbutusyard-config-version"
+NODE_REFUSAL: Final = b"arbutusyard-refusal"
+# Reasons for refusals that may not apply to other nodes.
+NODE_REFUSAL_REASONS: Final = frozenset(
+    {
+        "config_outdated",
+        "keys_too_old",
+        "leaving",
+        "no_route_yet",
+        "no_server",
+        "not_sent",
+        "nothing_known",
+        "unknown_key_yet",
+    }
+)
 # Statuses with which a server may state that it did not run a request.
 NOT_RUN_STATUSES: Final = frozenset({400, 421, 429, 503})
 
@@ -96,6 +113,8 @@
 
 def read_request(req: CallerRequest) -> None:
     """Set a request's fields from its headers; drop headers that are not forwarded."""
+    if req.from_node:
+        _take_config_version(req)
     dropped = (
         HOP_BY_HOP_HEADERS | RESERVED_HEADERS | _connection_listed_headers(req.headers)
     )
@@ -107,6 +126,16 @@
     req.headers = forwarded
 
 
+def _take_config_version(req: CallerRequest) -> None:
+    """Read and remove the header of the node that forwarded a request."""
+    for index, (name, value) in enumerate(req.headers):
+        if name == CONFIG_VERSION:
+            req.config_version = int(_parse_number(value) or 0)
+            # A client's header of that name follows.
+            del req.headers[index]
+            return
+
+
 def _read_request_header(req: CallerRequest, name: bytes, value: bytes) -> None:
     match name:
         case b"request-id":
@@ -164,9 +193,22 @@
     return headers
 
 
+def peer_headers(
+    req: CallerRequest, time_left_s: float, config_version: int
+) -> Headers:
+    """Return the headers of a request to another node, as the client sent them."""
+    headers = [(CONFIG_VERSION, b"%d" % config_version), *req.headers]
+    time_left_ms = max(1, int(time_left_s * MS_PER_S))
+    headers.append((DEADLINE_MS, b"%d" % time_left_ms))
+    for name, text in ((ACCOUNT_KEY, req.key), (LAST_EVENT_ID, req.resume_after)):
+        if text:
+            headers.append((name, text.encode("latin-1")))
+    return headers
+
+
 def read_answer(status: int, raw: Headers) -> AnswerHead:
     """Decode the head of a backend server's answer."""
-    dropped = HOP_BY_HOP_HEADERS | _connection_listed_headers(raw)
+    dropped = HOP_BY_HOP_HEADERS | _connection_listed_headers(raw) | {NODE_REFUSAL}
     head = AnswerHead(status, [item for item in raw if item[0] not in dropped])
     for name, value in raw:
         match name:
@@ -197,6 +239,8 @@
             case b"transfer-encoding":
                 # It takes precedence over Content-Length.
                 head.framing = Framing.CHUNKED
+            case b"arbutusyard-refusal":
+                head.node_refusal = _decode_text(value)
             case b"server-leaving":
                 head.leaving = _decode_text(value) == "1"
             case b"server-limit":
@@ -228,6 +272,9 @@
         headers.append((REQUEST_ID, req.request_id.encode()))
     if refusal.retry_after_s is not None:
         headers.append((RETRY_AFTER, b"%.2f" % refusal.retry_after_s))
+    is_retried = refusal.status == 503 and refusal.reason in NODE_REFUSAL_REASONS
+    if req is not None and req.from_node and is_retried:
+        headers.append((NODE_REFUSAL, refusal.reason.encode()))
     return headers
 
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -228,6 +228,16 @@
             "127.0.0.1:0", self.fleet_state, self.relay, SETTINGS.client_limits
         )
         self.ingress.setup(Application("test"))
+        # IP addresses at which other nodes are known.
+        self.nodes = {"127.0.0.1"}
+        self.node_ingress = Ingress(
+            "127.0.0.1:0",
+            self.fleet_state,
+            self.relay,
+            self.ingress.memory,
+            lambda host: host in self.nodes,
+        )
+        self.node_ingress.setup(Application("test"))
 
     def configure(self, *routes, version=1, accounts=None, limits=None):
         accounts = accounts or (Account("acc", ("key",), None, False),)
@@ -262,6 +272,7 @@
 
     def stop(self):
         self.ingress.unload()
+        self.node_ingress.unload()
 
 
 def request_bytes(path="/a/x", method="POST", body=b"body", **headers):
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -1,12 +1,30 @@
 """Requests at a node that reaches no server are served through another node."""
 
+import contextlib
 import socket
 
 import pytest
+from gevent.event import Event
 
 from arbutusyard import clock
 from arbutusyard.fleet.messages import Heartbeat
-from tests.gateway.support import Gateway, ScriptedServer, answer
+from arbutusyard.gateway.charges import QuotaCharges
+from arbutusyard.gateway.models import (
+    Account,
+    IngressLimits,
+    RetryPolicy,
+)
+from tests.gateway.support import (
+    Gateway,
+    ScriptedServer,
+    answer,
+    chunk,
+    event,
+    read_answer,
+    request_bytes,
+    stream_head,
+    wait_for,
+)
 
 
 class RefusingServer:
@@ -24,7 +42,7 @@
         name=name,
         incarnation=1,
         seq=seq,
-        peer_address=gateway.ingress.address,
+        peer_address=gateway.node_ingress.address,
         callers_address=gateway.ingress.address,
         failure_domain="z",
         region="r",
@@ -33,6 +51,27 @@
     )
 
 
+class FakeNode:
+    """Scripted server that other nodes take for a node."""
+
+    def __init__(self, script):
+        self.node_ingress = self.ingress = ScriptedServer(script)
+
+    @property
+    def requests(self):
+        return self.ingress.requests
+
+    def stop(self):
+        self.ingress.stop()
+
+
+def link(gateway, *others, **fields):
+    """Let a gateway receive heartbeats of other nodes; the first is preferred."""
+    for number, other in enumerate(others):
+        name = f"n{number + 2}"
+        gateway.peers.apply_heartbeat(heartbeat_of(other, name, **fields), clock.now())
+
+
 @pytest.fixture
 def make():
     started = []
@@ -58,3 +97,209 @@
         "s",
         b"ok",
     )
+
+
+@pytest.fixture
+def cut(make):
+    return make(Gateway, RefusingServer(), RefusingServer())
+
+
+# Guards against requests that change on their way through another node.
+def test_the_other_node_gets_the_request_as_the_client_sent_it(make, cut):
+    server = make(ScriptedServer, lambda request: [answer(request)])
+    other = make(Gateway, server)
+    link(cut, other)
+    body = b"x" * 300_000
+    got = cut.call(
+        request_bytes(body=body, Length_Hint="7", Tenant="other", Resumes="r0")
+    )
+    assert got.status == 200
+    (request,) = server.requests
+    assert request.first == "POST /a/x HTTP/1.1"
+    assert request.body == body
+    assert request.headers["tenant"] == "acc"
+    assert (request.headers["length-hint"], request.headers["resumes"]) == ("7", "r0")
+    assert 0 < int(request.headers["deadline-ms"]) <= 1500
+    assert not {"api-key", "arbutusyard-config-version"} & request.headers.keys()
+
+
+# Guards against a head at the limit that the other node refuses with 431.
+def test_a_head_of_the_largest_size_is_forwarded(make, cut):
+    server = make(ScriptedServer, lambda request: [answer(request)])
+    other = make(Gateway, server)
+    link(cut, other)
+    limits = IngressLimits(header_bytes=4_000)
+    for gateway in (cut, other):
+        gateway.configure_limits(header_bytes=4_000)
+    raw = request_bytes(Filler="f" * (limits.header_bytes - 150))
+    assert cut.call(raw).status == 200
+
+
+# Guards against buffered streams: each event has to arrive when it is made.
+def test_a_stream_is_forwarded_event_by_event(make):
+    go_on = Event()
+
+    def script(request):
+        yield stream_head(request)
+        yield chunk(event(1))
+        go_on.wait(3)
+        yield chunk(event(2)) + b"0\r\n\r\n"
+
+    server = make(ScriptedServer, script)
+    route = {"streaming": True, "retry_policy": RetryPolicy.RESUME}
+    cut = make(Gateway, RefusingServer(), **route)
+    other = make(Gateway, server, **route)
+    link(cut, other)
+    sock = cut.connect()
+    sock.sendall(request_bytes())
+    seen = b""
+    while event(1) not in seen:
+        seen += sock.recv(4096)
+    go_on.set()
+    while not seen.endswith(b"0\r\n\r\n"):
+        seen += sock.recv(4096)
+    sock.close()
+    assert event(2) in seen
+
+
+# Guards against statuses that change, and refusals that hide their cause.
+def test_an_answer_that_is_no_success_is_relayed_unchanged(make, cut):
+    failing = make(
+        ScriptedServer, lambda request: [answer(request, "404 Not Found", b"gone")]
+    )
+    other = make(Gateway, failing)
+    link(cut, other)
+    got = cut.call()
+    assert (got.status, got.body) == (404, b"gone")
+    assert got.headers["response-stamp"] == "s"
+    other.configure(
+        *other.fleet_state.catalog.cfg.routes,
+        accounts=(Account("acc", ("other",), None, False),),
+    )
+    assert cut.call(request_bytes(Request_Id="r2")).status == 401
+
+
+# Guards against nodes that know no server, drain or have an older configuration.
+@pytest.mark.parametrize("reason", ["no_server", "config_outdated"])
+def test_a_refusal_that_may_not_apply_to_others_goes_to_the_next_node(make, reason):
+    server = make(ScriptedServer, lambda request: [answer(request)])
+    cut = make(Gateway, RefusingServer())
+    first = make(Gateway, *([] if reason == "no_server" else [server]))
+    second = make(Gateway, server)
+    for gateway in (cut, second):
+        if reason == "config_outdated":
+            gateway.configure(*gateway.fleet_state.catalog.cfg.routes, version=2)
+    link(cut, first, config_version=2)
+    assert cut.call().status == 503
+    assert "arbutusyard-refusal" not in cut.call().headers
+    link(cut, first, second, seq=2, config_version=2)
+    assert cut.call().status == 200
+    assert len(server.requests) == 1
+
+
+# Guards against requests that go back and forth between nodes that are cut off.
+def test_a_forwarded_request_is_not_forwarded_again(make, cut):
+    server = make(ScriptedServer, lambda request: [answer(request)])
+    middle = make(Gateway, RefusingServer())
+    last = make(Gateway, server)
+    link(cut, middle)
+    middle.peers.apply_heartbeat(heartbeat_of(last, "n9"), clock.now())
+    assert cut.call().status == 503
+    assert server.requests == []
+    # Its own clients' requests are.
+    assert middle.call().status == 200
+
+
+# Guards against a second charge, for which the account may have no quota left.
+def test_only_the_node_that_serves_a_request_charges_it(make, cut):
+    server = make(ScriptedServer, lambda request: [answer(request)])
+    other = make(Gateway, server)
+    assert cut.call().status == 503
+    link(cut, other)
+    charged = []
+
+    class Charges(QuotaCharges):
+        def charge(self, req, admitted, now):
+            charged.append(self)
+
+    for gateway in (cut, other):
+        gateway.relay._charges = Charges(None)
+    assert cut.call().status == 200
+    assert charged == [other.relay._charges]
+
+
+# Guards against running a request twice that can't be repeated.
+@pytest.mark.parametrize("policy", [RetryPolicy.ONCE, RetryPolicy.ANY])
+def test_a_request_that_may_have_run_is_sent_on_only_if_it_may_be_repeated(
+    make, policy
+):
+    def script(request):
+        request.last = True
+        return []
+
+    cut = make(Gateway, RefusingServer(), retry_policy=policy)
+    assert cut.call().status == 503
+    nodes = [make(FakeNode, script), make(FakeNode, script), make(FakeNode, script)]
+    link(cut, *nodes)
+    assert cut.call().status == 502
+    sent = sum(len(node.requests) for node in nodes)
+    assert sent == (1 if policy is RetryPolicy.ONCE else 2)
+
+
+# Guards against an answer that looks complete though the other node died.
+@pytest.mark.parametrize("framing", ["Content-Length: 9", "Transfer-Encoding: chunked"])
+def test_an_answer_that_the_other_node_breaks_off_is_incomplete(make, cut, framing):
+    def script(request):
+        request.last = True
+        yield (
+            f"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n{framing}"
+            "\r\n\r\n"
+        ).encode()
+        yield chunk(b"abc") if "chunked" in framing else b"abc"
+
+    assert cut.call().status == 503
+    link(cut, make(FakeNode, script))
+    got = cut.call()
+    assert (got.status, got.complete) == (200, False)
+
+
+# Guards against work that goes on for a client that has left.
+def test_a_client_that_leaves_ends_its_request_at_the_server(make, cut):
+    server = make(ScriptedServer, lambda request: [None])
+    other = make(Gateway, server)
+    assert cut.call().status == 503
+    link(cut, other)
+    sock = cut.connect()
+    sock.sendall(request_bytes())
+    wait_for(lambda: server.requests)
+    sock.close()
+    wait_for(lambda: server.closed)
+
+
+# Guards against clients that use the listener for nodes.
+def test_the_listener_for_nodes_closes_connections_from_elsewhere(make):
+    server = make(ScriptedServer, lambda request: [answer(request)])
+    other = make(Gateway, server)
+    host, port = other.node_ingress.address.rsplit(":", 1)
+    with socket.create_connection(
+        (host, int(port)), timeout=5, source_address=("127.0.0.2", 0)
+    ) as sock:
+        sock.sendall(request_bytes())
+        with contextlib.suppress(ConnectionResetError):
+            assert read_answer(sock) is None
+    assert server.requests == []
+
+
+# Guards against forwarding by a node that reaches a server, and to nodes that do not.
+def test_requests_are_forwarded_only_while_it_is_needed(make, cut):
+    server = make(ScriptedServer, lambda request: [answer(request)])
+    node = make(FakeNode, lambda request: [answer(request)])
+    healthy = make(Gateway, server)
+    link(healthy, node)
+    assert healthy.call().status == 200
+    for seq, fields in enumerate(
+        ({"cut_off": ("svc",)}, {"ready": False}, {"leaving": True}), 1
+    ):
+        link(cut, node, seq=seq, **fields)
+        assert cut.call().status == 503
+    assert node.requests == []
