Don't lead the roll-out of weights from a node that reaches no engine

A node that is cut off from the engines kept or took the lease on load orders, as it reads the store, and its orders could not arrive: outdated weights stayed until the cut ended. Its heartbeat now says what a node says that does not read the store, so another one takes the lease over. While no other node reaches the engines either, they are gone, and the leader stays.

The coordinator's new test fails without the check: the order is sent at once.

--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -107,6 +107,20 @@
                 return result
         return AttemptResult.NOT_SENT
 
+    def reaches_engines(self, now: float) -> bool:
+        """Tell whether this node reaches the engines as well as the other nodes do.
+
+        While no node reaches those of a service they are gone, not out of reach.
+        """
+        catalog = self._fleet_state.catalog
+        services = catalog.cfg.services if catalog else {}
+        return not any(
+            service in services
+            and services[service].engine is not None
+            and self._candidates(service, now)
+            for service in self._reachability.services()
+        )
+
     def sweep(self, now: float) -> None:
         """Close idle connections; forget nodes that have timed out."""
         self._pool.sweep(now)
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -136,7 +136,10 @@
         )
         self._fleet_state.set_read_hooks(peers.live_heartbeats, peers.confirm)
         weights.bind(
-            self.is_ready, lambda now: now - self._started_at, self._router.limits
+            self.is_ready,
+            lambda now: now - self._started_at,
+            self._router.limits,
+            self._relay.forwarder.reaches_engines,
         )
         self._fleet_state.on_target_weights = self._handle_target_weights
         self._fleet_state.on_store_rollback = self._handle_store_rollback
@@ -231,7 +234,9 @@
             leaving=self._relay.leaving,
             config_version=catalog.cfg.version if catalog else 0,
             fencing_token=self._weights.fencing_token,
-            reads_store=self._fleet_state.has_recent_read(now),
+            # Tells whether this node may lead the roll-out of weights.
+            reads_store=self._fleet_state.has_recent_read(now)
+            and self._relay.forwarder.reaches_engines(now),
             up_s=now - self._started_at,
             loads=self._router.loads(),
             engine_statuses=self._weights.engine_statuses(now),
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -71,6 +71,7 @@
         "_orders_taken",
         "_downtime_s",
         "_peers",
+        "_reaches_engines",
         "_ready",
         "_report_failures",
         "_retry_at",
@@ -114,6 +115,7 @@
         self._retry_at: dict[tuple[str, int], float] = {}
         self._limits = ServerLimits(node)
         self._ready: Callable[[float], bool] = lambda now: False
+        self._reaches_engines: Callable[[float], bool] = lambda now: True
         self._uptime_s: Callable[[float], float] = lambda now: 0.0
         self._supervisor: Supervisor | None = None
         self._wake = Event()
@@ -123,9 +125,11 @@
         ready: Callable[[float], bool],
         uptime_s: Callable[[float], float],
         limits: ServerLimits,
+        reaches_engines: Callable[[float], bool] = lambda now: True,
     ) -> None:
-        """Set what tells this node's readiness and uptime, and the servers' limits."""
+        """Set what tells whether this node may lead, and the servers' limits."""
         self._ready = ready
+        self._reaches_engines = reaches_engines
         self._uptime_s = uptime_s
         self._limits = limits
 
@@ -274,10 +278,10 @@
         """Return whether this node is the one to send orders.
 
         A holder of the lease leads until it stops, also while it drains, if it reads
-        the store itself. A node that relies on peer reports may be cut off from the
-        store.
+        the store itself and reaches the engines. A node that relies on peer reports may
+        be cut off from the store.
         """
-        if not self._fleet_state.has_recent_read(now):
+        if not self._may_lead(now):
             return False
         holders = self._lease_holders(now)
         if self.fencing_token or holders:
@@ -286,6 +290,9 @@
             )
         return self._is_next_leader(now)
 
+    def _may_lead(self, now: float) -> bool:
+        return self._fleet_state.has_recent_read(now) and self._reaches_engines(now)
+
     def _lease_holders(self, now: float) -> list[Heartbeat]:
         alive = self._peers.table.live_heartbeats(now)
         return [
@@ -309,7 +316,7 @@
         Standby nodes come last, since only serving nodes receive reports of the
         prompts that wait at the engines.
         """
-        if not self._ready(now) or not self._fleet_state.has_recent_read(now):
+        if not self._ready(now) or not self._may_lead(now):
             return False
         own_key = self._succession_key(self._node, self._uptime_s(now), now)
         return all(
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -5,12 +5,15 @@
 
 import pytest
 from gevent.event import Event
+from msgspec.structs import replace
 
 from arbutusyard import clock
+from arbutusyard.fleet.catalog import Catalog
 from arbutusyard.fleet.messages import Heartbeat
 from arbutusyard.gateway.charges import QuotaCharges
 from arbutusyard.gateway.models import (
     Account,
+    EngineTraits,
     IngressLimits,
     RetryPolicy,
 )
@@ -303,3 +306,21 @@
         link(cut, node, seq=seq, **fields)
         assert cut.call().status == 503
     assert node.requests == []
+
+
+# Guards against a leader of the roll-out of weights that cannot reach the engines, and
+# against no leader at all when the engines are gone.
+def test_a_node_reaches_engines_as_well_as_the_others_do(make, cut):
+    node = make(FakeNode, lambda request: [answer(request)])
+    cfg = cut.fleet_state.catalog.cfg
+    engine = EngineTraits(8, 1000, 1, 1.0, ("m",))
+    services = {"svc": replace(cfg.services["svc"], engine=engine)}
+    cut.fleet_state.catalog = Catalog(replace(cfg, services=services))
+    reaches = cut.relay.forwarder.reaches_engines
+    assert reaches(clock.now())
+    assert cut.call().status == 503
+    assert reaches(clock.now())
+    link(cut, node)
+    assert not reaches(clock.now())
+    link(cut, node, seq=2, cut_off=("svc",))
+    assert reaches(clock.now())
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -277,6 +277,21 @@
     assert engine.log == []
 
 
+# Guards against a leader whose orders cannot arrive, while other nodes wait for it.
+def test_a_node_that_reaches_no_engine_sends_no_orders(make_nodes):
+    engine = Engine()
+    (node,) = make_nodes([engine], "n1")
+    reaches = False
+    node.weights.bind(
+        lambda now: True, lambda now: 0.0, node.limits, lambda now: reaches
+    )
+    node.set_target(2)
+    gevent.sleep(0.5)
+    assert engine.log == []
+    reaches = True
+    wait_for(lambda: node.versions() == {2}, 10)
+
+
 def test_a_draining_lease_holder_sends_orders_until_it_stops(make_nodes):
     engines = [Engine(), Engine()]
     (node,) = make_nodes(engines, "n1")
