--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -276,6 +276,7 @@
     unreachable: tuple[str, ...] = ()
     segment_updates: tuple[SegmentUpdate, ...] = ()
     cache_store_updates: tuple[CacheStoreUpdate, ...] = ()
+    # The node reads the store and reaches the engines, so it may lead the roll-out.
     reads_store: bool = True
     up_s: Finite = 0.0
     leaving_servers: tuple[str, ...] = ()
@@ -297,6 +298,8 @@
     # interruption, and age of its newest confirmed read, in seconds.
     store_read_s: Finite = 0.0
     servers_age_s: Finite = 0.0
+    # Services all of whose servers the node cannot reach.
+    cut_off: tuple[str, ...] = ()
 
 
 class NodeRow(Struct, frozen=True):
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -47,6 +47,7 @@
         "_ingress",
         "_fleet_state",
         "_metrics",
+        "_node_ingress",
         "_peers",
         "_pool",
         "_quarantined",
@@ -70,6 +71,7 @@
         pool: ServerPool,
         ingress: Ingress,
         metrics: DeferredMetrics,
+        node_ingress: Ingress | None = None,
     ) -> None:
         self._cfg = cfg
         self._incarnation = incarnation
@@ -79,6 +81,7 @@
         self._router = router
         self._pool = pool
         self._ingress = ingress
+        self._node_ingress = node_ingress
         self._metrics = metrics
         self._caches: CacheWatcher | None = None
         self._peers: PeerCoordinator | None = None
@@ -104,12 +107,14 @@
         self._target_times = target_times
         peers.on_tick = self._tick
         peers.on_heartbeat = self._apply_heartbeat
-        self._router.on_check = lambda server: gevent.spawn(self._probe, server)
+        self._router.on_check = self._check
+        self._relay.reachability.on_check = lambda server: gevent.spawn(
+            self._probe, server
+        )
+        self._relay.reachability.on_change = self._handle_cut_off
         self._router.on_weights_mismatch = weights.check_weights
         self._router.on_load = peers.broadcast_load
-        self._router.on_unreachable = lambda server_id: peers.broadcast_servers(
-            (server_id,)
-        )
+        self._router.on_unreachable = self._handle_unreachable
         self._router.on_replaced = lambda server_id: peers.broadcast_servers(
             replaced=(server_id,)
         )
@@ -131,7 +136,10 @@
         )
         self._fleet_state.set_read_hooks(peers.live_heartbeats, peers.confirm)
         weights.bind(
-            self.is_ready, lambda now: now - self._started_at, self._router.limits
+            self.is_ready,
+            lambda now: now - self._started_at,
+            self._router.limits,
+            self._relay.forwarder.reaches_engines,
         )
         self._fleet_state.on_target_weights = self._handle_target_weights
         self._fleet_state.on_store_rollback = self._handle_store_rollback
@@ -172,6 +180,8 @@
         stop_at = stop_requested_at + self._cfg.grace_s - STOP_MARGIN_S
         self._relay.start_draining(stop_requested_at, stop_at)
         self._ingress.set_drain_deadline(stop_at)
+        if self._node_ingress is not None:
+            self._node_ingress.set_drain_deadline(stop_at)
         self._peers.send()
         cached_until = stop_requested_at + DIRECTORY_KEEP_FACTOR * DIRECTORY_KEEP_S
         gevent.sleep(max(0.0, min(cached_until, stop_at - 1.0) - stop_requested_at))
@@ -224,7 +234,9 @@
             leaving=self._relay.leaving,
             config_version=catalog.cfg.version if catalog else 0,
             fencing_token=self._weights.fencing_token,
-            reads_store=self._fleet_state.has_recent_read(now),
+            # Tells whether this node may lead the roll-out of weights.
+            reads_store=self._fleet_state.has_recent_read(now)
+            and self._relay.forwarder.reaches_engines(now),
             up_s=now - self._started_at,
             loads=self._router.loads(),
             engine_statuses=self._weights.engine_statuses(now),
@@ -244,6 +256,7 @@
             servers_age_s=min(
                 self._fleet_state.servers_age_s(now), REMOVED_INCARNATION_RETENTION_S
             ),
+            cut_off=self._relay.reachability.services(),
         )
 
     def _apply_confirmation(
@@ -306,6 +319,23 @@
         self._relay.reload(cfg)
         self._ingress.memory.limits = cfg.client_limits
 
+    def _check(self, server: Server) -> None:
+        """Probe a server; others too if it is unresponsive and none is heard."""
+        if server.in_flight:
+            self._relay.reachability.handle_failure(server, clock.now())
+        gevent.spawn(self._probe, server)
+
+    def _handle_unreachable(self, server_id: str) -> None:
+        """Report a server that could not be connected to; check whether others can."""
+        self._peers.broadcast_servers((server_id,))
+        server = self._fleet_state.servers.get(server_id)
+        if server is not None:
+            self._relay.reachability.handle_failure(server, clock.now())
+
+    def _handle_cut_off(self, services: int) -> None:
+        self._metrics.set_cut_off(services)
+        self._peers.trigger_heartbeat()
+
     def _probe(self, server: Server) -> None:
         """Probe a server; send a heartbeat soon if it is unreachable."""
         self._pool.probe(server)
@@ -316,6 +346,7 @@
         self._fleet_state.servers.sweep(now)
         self._router.tick(now)
         self._relay.tick(now)
+        self._relay.reachability.tick(now)
         self._relay.update_share(self._peers.fleet_share(self._cfg.retry_window_s, now))
         nodes = len(self._peers.table.peers) + 1
         reads = self._peers.reads_for_others(now) or self._weights.fencing_token > 0
