--- a/arbutusyard/gateway/reachability.py
+++ b/arbutusyard/gateway/reachability.py
@@ -38,9 +38,14 @@
 
     def is_cut_off(self, service: str, now: float) -> bool:
         """Tell whether this node is cut off from all servers of a service."""
+        was_cut_off = service in self._cut_off
+        known = self._fleet_state.servers.of_service(service)
+        # Asked for each request, and a service may have thousands of servers.
+        if not was_cut_off and not any(server.suspected for server in known):
+            return False
         servers = self._staying(service)
         cut_off = are_unreachable(servers)
-        if cut_off is not (service in self._cut_off):
+        if cut_off is not was_cut_off:
             self._set_cut_off(service, cut_off, servers, now)
         return cut_off
 
