Trust the end of an answer only once its request is received

Callers would see: a part of an answer as a complete one, where a server ends its own direction of the connection within an answer without a length, and resets it while the node still writes the request (MIXED). A process that crashes after it has read all bytes that had arrived ends its connections like that. Cause: the end was trusted as it came; the reset that follows at the next byte of the request was not waited for. Change: such an answer is complete when the server has acknowledged the whole request without a reset, up to 1 s after the end. A server that ends its answer and reads on is not affected.

--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -106,6 +106,10 @@
 ANSWER_HEAD_TIMEOUT_S: Final = 2.0
 # State of a connection that its peer has ended in order, in the kernel's numbering.
 TCP_CLOSE_WAIT: Final = 8
+# Maximum time between the end of an answer without a length and the time at which its
+# server has received the whole request, and interval of checks for it, in seconds.
+END_TIMEOUT_S: Final = 1.0
+END_CHECK_INTERVAL_S: Final = 0.01
 # Maximum number of bytes and time, in seconds, to read of a refusal's body so that its
 # connection can be reused.
 REFUSAL_BYTES_MAX: Final = 65_536
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -1,10 +1,13 @@
 """Pool connections to backend servers."""
 
 import contextlib
+import fcntl
 import logging
 import math
 import re
 import socket
+import sys
+import termios
 from collections.abc import Callable
 from typing import Final
 
@@ -20,6 +23,8 @@
     CONNECT_TIMEOUT_S,
     CONNECTION_FRACTION,
     CONNECTIONS_MIN,
+    END_CHECK_INTERVAL_S,
+    END_TIMEOUT_S,
     IDLE_KEEP_S,
     IDLE_MARGIN_S,
     KEEPALIVE_COUNT,
@@ -230,13 +235,28 @@
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
-                if self.ended and not _is_ended_by_peer(self._sock):
-                    raise AnswerBroken(
-                        f"{self.address} reset the connection within its answer"
-                    )
+                if self.ended:
+                    self._check_end(deadline)
                 return None
             raise AnswerBroken(f"{self.address} ended its answer early")
 
+    def _check_end(self, deadline: float) -> None:
+        """Raise AnswerBroken unless the server itself ended an answer without length.
+
+        That takes until it has received the whole request: before, the end may be that
+        of a crashed server, which resets the connection at the next byte.
+        """
+        until = min(deadline, clock.now() + END_TIMEOUT_S)
+        while _is_ended_by_peer(self._sock):
+            if self._writer is None and not _unacknowledged_bytes(self._sock):
+                return
+            if clock.now() >= until:
+                raise AnswerBroken(
+                    f"{self.address} ended its answer without reading the request"
+                )
+            gevent.sleep(END_CHECK_INTERVAL_S)
+        raise AnswerBroken(f"{self.address} reset the connection within its answer")
+
     def discard_body(self, bytes_max: int, deadline: float) -> bool:
         """Discard the rest of a body; return False if it is too large or too late."""
         size = 0
@@ -565,6 +585,12 @@
     return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSE_WAIT
 
 
+def _unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return the number of bytes that the peer has not acknowledged."""
+    data = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int.from_bytes(data, sys.byteorder)
+
+
 def set_timeouts(sock: socket.socket) -> None:
     """Make the kernel close a connection whose peer is unresponsive.
 
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -172,8 +172,8 @@
 class BreakingServer(ScriptedServer):
     """Answer a request whose body it does not read, then end the connection.
 
-    It resets the connection, resets it after an end of its own direction ("fin"), or
-    ends its own direction and reads on ("half").
+    It resets the connection, ends its own direction before ("fin"), or ends its own
+    direction and reads on ("half").
     """
 
     def __init__(self, script, end):
@@ -203,6 +203,8 @@
             if self._end == "half":
                 reader.read(int(request.headers["content-length"]))
                 return
+            # The end arrives before the reset.
+            gevent.sleep(0.05)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
 
@@ -259,8 +261,9 @@
 
 # Guards against MIXED: a server answered a long request at once, without a length, and
 # reset the connection; the task that wrote the request took the socket's error, and a
-# part of the answer reached the client as a complete one.
-@pytest.mark.parametrize("end", ["reset"])
+# part of the answer reached the client as a complete one. So it did if the server ended
+# its own direction before the reset.
+@pytest.mark.parametrize("end", ["reset", "fin"])
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("body_bytes", [200_000, 3_000_000])
 @pytest.mark.parametrize(
@@ -294,3 +297,19 @@
     else:
         # An extra attempt was the last one that the route allows.
         assert (got.status, got.body) == (200, event(1))
+
+
+# A server may end its own direction and read the rest of the request.
+@pytest.mark.parametrize("streaming", [False, True])
+def test_an_answer_that_ends_before_its_request_is_read_is_complete(
+    breaking, streaming
+):
+    gateway, _ = breaking(
+        two_events("close"),
+        "half",
+        answer,
+        retry_policy=RetryPolicy.ONCE,
+        streaming=streaming,
+    )
+    got = gateway.call(request_bytes(body=b"x" * 3_000_000, Deadline_Ms="6000"))
+    assert (got.status, got.body, got.complete) == (200, WHOLE, True)
