Retry a request whose answer has a status above 599

Callers saw: statuses from 600 to 999 of a server as those of an answer (MIXED). Cause: h11 accepts three digits from 200 on as the status of a final answer. It rejects 000 to 099 and all that is not three digits, and takes 100 to 199 as informational; what follows then is no answer either. Change: a head with a higher status breaks the attempt, also where it belongs to another request. Evidence: 12 of 60 cases of test_an_answer_with_an_invalid_status_is_retried_or_answered_with_502 failed before, those of 600, 700 and 999, on plain and streaming routes, with and without extra attempts; all pass now, and the rest of the file (81).

--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -37,6 +37,7 @@
     PROBES_OFF_S,
     READ_BYTES,
     SERVER_RECEIVE_BUFFER_BYTES,
+    STATUS_MAX,
     TCP_CLOSE_WAIT,
     TCP_USER_TIMEOUT_MS,
     UNRESPONSIVE_CHECK_INTERVAL_S,
@@ -200,6 +201,10 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise AnswerBroken(f"{self.address} did not send the head of an answer")
+            if event.status_code > STATUS_MAX:
+                raise AnswerBroken(
+                    f"{self.address} sent an invalid status: {event.status_code}"
+                )
             head = read_answer(event.status_code, list(event.headers))
             if head.contradictory or _contains_status_line(event):
                 raise AnswerBroken(f"{self.address} sent parts of several answers")
--- a/tests/gateway/test_server_responses.py
+++ b/tests/gateway/test_server_responses.py
@@ -16,6 +16,7 @@
     stream_head,
 )
 from tests.gateway.test_exchange import good, total, whole_stream
+from tests.gateway.test_hedged_dispatch import turn_on
 
 DRAINING = STAMP + "Server-Leaving: 1\r\n"
 
@@ -252,3 +253,36 @@
 def test_a_complete_stream_is_relayed(run):
     gateway, _ = run(whole_stream, retry_policy=RetryPolicy.ONCE, streaming=True)
     assert gateway.call().complete
+
+
+# Guards against MIXED: a status that is none in the protocol, such as 600, reached the
+# client as that of an answer.
+@pytest.mark.parametrize("streaming", [False, True])
+@pytest.mark.parametrize("hedged", [False, True])
+@pytest.mark.parametrize(
+    "status",
+    ["000", "0", "1", "99", "100", "101", "150", "199"]
+    + ["600", "700", "999", "1000", "-1", "2 0", "abc"],
+)
+def test_an_answer_with_an_invalid_status_is_retried_or_answered_with_502(
+    run, status, streaming, hedged
+):
+    def odd(request):
+        sound = whole_stream if streaming else good
+        data = b"".join(sound(request))
+        yield data.replace(b" 200 OK", f" {status} X".encode(), 1)
+        # The attempt ends with the connection if the head counts as informational.
+        request.last = True
+
+    route = {"retry_policy": RetryPolicy.RESUME if streaming else RetryPolicy.ANY}
+    gateway, (first, _) = run(
+        odd, whole_stream if streaming else good, streaming=streaming, **route
+    )
+    gateway.fleet_state.servers.get("s1").in_flight = 3
+    if hedged:
+        turn_on(gateway)
+    got = gateway.call()
+    assert (got.status, got.complete) == (200, True)
+    assert len(first.requests) == 1
+    gateway, _ = run(odd, retry_policy=RetryPolicy.ONCE, streaming=streaming)
+    assert gateway.call().status == 502
