--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -9,6 +9,7 @@
 from arbutusyard.platform.client import PlatformClient
 from arbutusyard.platform.exceptions import PlatformError
 from arbutusyard.platform.servers import ServerClient
+from arbutusyard.weights.models import LoadOrder, SwitchMode
 from tests.framing import FRAMINGS, frame
 from tests.raw_server import RawServer
 
@@ -74,3 +75,34 @@
         assert (batch.epoch, batch.position, len(batch.events)) == (12, 34, 1)
     except PlatformError:
         return
+
+
+# A status that is none in the protocol is that of no answer.
+@pytest.mark.parametrize(
+    "status",
+    ["000", "0", "1", "99", "100", "101", "150", "199"]
+    + ["600", "700", "999", "1000", "-1", "2 0", "abc"],
+)
+def test_an_answer_with_an_invalid_status_is_none(server, status):
+    platform, servers = PlatformClient(server.address), ServerClient()
+    order = LoadOrder("s0", server.address, "m", 2, SwitchMode.KEEP, "n1", 1, 0)
+    for body, call in (
+        (STORE_ANSWER, lambda: platform.snapshot("t")),
+        (STORE_ANSWER, lambda: platform.follow("t", 1, 0.0)),
+        ({"ver": 123}, lambda: platform.write("t", "k", b"v")),
+        ({}, lambda: platform.put_object("k", b"v")),
+        ({}, lambda: platform.get_object("k")),
+        (REPORT, lambda: servers.report(server.address, "s0")),
+        (EVENTS, lambda: servers.poll_cache_events(server.address, 0)),
+        ({}, lambda: servers.order_load(order)),
+    ):
+        set_answer(server, "length", 1.0, False, body)
+        server.data = server.data.replace(b"200 OK", status.encode() + b" X", 1)
+        with pytest.raises(PlatformError):
+            call()
+
+
+def test_a_large_object_counts_as_written_only_with_a_whole_answer(server):
+    set_answer(server, "close", 1.0, True, {})
+    with pytest.raises(PlatformError):
+        PlatformClient(server.address).put_object("k", b"x" * 6_000_000)
