Count a service's answer with an invalid status as an unknown outcome

Callers of the own interface would see: a status such as 600 or 150 of a plain service as the one of an answer, with the outcome "done", also for calls that must not be repeated (MIXED). Cause: http.client accepts 100 to 999, and urllib3 passes it on. Change: outside 200 to 599 the outcome is unknown, as after a connection that broke off. Evidence: 12 of 28 cases of test_an_answer_with_an_invalid_status_has_an_unknown_outcome failed before, those of 101, 150, 199, 600, 700 and 999; all pass now.

--- a/arbutusyard/entry/services.py
+++ b/arbutusyard/entry/services.py
@@ -1,6 +1,7 @@
 """Forward calls of plain services; calls that are not idempotent are claimed."""
 
 from hashlib import blake2b
+from typing import Final
 
 import bottle
 import urllib3
@@ -34,6 +35,9 @@
 
 # HTTP statuses after which it is unknown whether the service executed the call.
 GATEWAY_STATUSES = frozenset({502, 503, 504})
+# Statuses of final answers (RFC 9110, section 15).
+STATUS_MIN: Final = 200
+STATUS_MAX: Final = 599
 
 
 class ServiceCaller:
@@ -178,6 +182,10 @@
             raise DispatchNotSent(f"{backend.name!r}: {exc}") from exc
         except (HTTPError, OSError) as exc:
             raise DispatchOutcomeUnknown(f"{backend.name!r}: {exc}") from exc
+        if not STATUS_MIN <= resp.status <= STATUS_MAX:
+            raise DispatchOutcomeUnknown(
+                f"{backend.name!r} answered with an invalid status: {resp.status}"
+            )
         content_type = resp.headers.get("Content-Type", "application/octet-stream")
         return Reply(resp.status, content_type, resp.data)
 
