Count a service's answer as unknown if its request broke off

Callers of the own interface would see: a part of an answer of a plain service as a complete one, where the service answers a long call at once without a length and resets the connection while the node still sends it (MIXED). Cause: urllib3 goes on reading after an EPIPE or ECONNRESET of the send, which has taken the socket's error; the reader then sees an end of input. Change: connections to plain services know whether the request was sent whole; if not, only an answer with a length is read. Evidence: 2 of 9 cases of test_an_answer_that_is_reset_has_an_unknown_outcome failed before, of 6 MB (of smaller ones the kernel takes all bytes, and the reader gets the error); all pass now.

--- a/arbutusyard/entry/services.py
+++ b/arbutusyard/entry/services.py
@@ -13,6 +13,7 @@
 )
 
 from arbutusyard import clock
+from arbutusyard.backends.connection import checked_pool
 from arbutusyard.backends.const import CONNECT_TIMEOUT_S
 from arbutusyard.backends.models import Backend
 from arbutusyard.claims.const import MAX_KEY_BYTES
@@ -48,7 +49,7 @@
     def __init__(self, state: EntryState, claims: ClaimCoordinator) -> None:
         self._state = state
         self._claims = claims
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = checked_pool()
         self._rotation = 0
 
     def handle(
@@ -173,7 +174,7 @@
         headers = {"Content-Type": "application/json", **headers}
         if HEADER_IDEMPOTENCY_KEY in headers:
             headers["Connection"] = "close"
-        pool = self._pool if method == "GET" else urllib3.PoolManager(retries=False)
+        pool = self._pool if method == "GET" else checked_pool()
         try:
             resp = pool.request(
                 method, url, body=body, headers=headers, timeout=timeout
--- a/tests/entry/test_services.py
+++ b/tests/entry/test_services.py
@@ -6,7 +6,7 @@
 
 from arbutusyard.claims.exceptions import DispatchOutcomeUnknown
 from arbutusyard.entry.services import ServiceCaller
-from tests.framing import frame
+from tests.framing import FRAMINGS, frame
 from tests.raw_server import RawServer
 
 
@@ -45,3 +45,12 @@
     server.data = answer(f"{status} X")
     with pytest.raises(DispatchOutcomeUnknown):
         send(method, b"")
+
+
+@pytest.mark.parametrize("body_bytes", [4, 200_000, 6_000_000])
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_an_answer_that_is_reset_has_an_unknown_outcome(service, framing, body_bytes):
+    server, send = service
+    server.data, server.reset = answer("200 OK", framing)[:-3], True
+    with pytest.raises(DispatchOutcomeUnknown):
+        send("POST", b"x" * body_bytes)
