Reject load reports whose answers have another status than 200

Cause: the status was not checked. Evidence: 4 of 7 cases of test_a_report_with_another_status_than_200_is_none failed before (404, 503, 600, 999); all pass now.

--- a/arbutusyard/backends/client.py
+++ b/arbutusyard/backends/client.py
@@ -12,6 +12,8 @@
 from arbutusyard.backends.exceptions import BackendAnswerLost, OrderRefused
 from arbutusyard.backends.models import EngineReport
 
+# HTTP status of a load report.
+STATUS_OK: Final = 200
 # HTTP status of an order refused for its fencing token.
 STATUS_FENCED: Final = 412
 # Maximum number of idle connections kept per backend server.
@@ -46,6 +48,10 @@
             resp = self._pool.request(
                 "GET", f"http://{address}/load", timeout=POLL_TIMEOUT_S
             )
+            if resp.status != STATUS_OK:
+                raise BackendAnswerLost(
+                    f"{address} answered {resp.status} in place of a load report"
+                )
             return msgspec.json.decode(resp.data, type=EngineReport)
         except (HTTPError, OSError, msgspec.DecodeError) as exc:
             raise BackendAnswerLost(
