Test that a link that fails at the end of a wait completes no answer

Cause: the reader takes the kernel's TimeoutError for its own there and reads on, to an end of input. Change: none more; since the reset of an answer is judged by the state of the connection, this ends in AnswerBroken too.

--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -1,5 +1,6 @@
 """Test connections to servers whose link is cut while a request is under way."""
 
+import errno
 import socket
 
 import gevent
@@ -8,10 +9,14 @@
 from arbutusyard import clock
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.const import TCP_USER_TIMEOUT_MS
+from arbutusyard.gateway.exceptions import AnswerBroken
 from arbutusyard.gateway.models import ServerEntry, ServerState
 from arbutusyard.gateway.pool import ServerConnection, ServerPool
 from tests.gateway.support import answer
 
+# State of a connection that has failed or was reset, in the kernel's numbering.
+TCP_CLOSE = 7
+
 
 @pytest.fixture
 def silent_server():
@@ -124,3 +129,31 @@
     other = gevent.spawn(serve)
     gevent.joinall([reader, other], timeout=5.0, raise_error=True)
     assert len(turns) >= 15
+
+
+class TimedOutSocket(EndlessSocket):
+    """Socket whose link fails within an answer, just as the reader's wait ends."""
+
+    def settimeout(self, timeout_s):
+        self.timeout_s = timeout_s
+
+    def getsockopt(self, level, option, size):
+        return bytes([TCP_CLOSE])
+
+    def recv(self, size):
+        self.reads += 1
+        if self.reads == 2:
+            gevent.sleep(self.timeout_s * 0.95)
+            raise TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+        return b"" if self.reads > 2 else b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n"
+
+
+# Guards against MIXED: the kernel's timeout for a dead link passed for the end of the
+# reader's wait, and the next read for the end of the answer.
+def test_an_answer_whose_link_fails_is_not_complete(silent_server):
+    conn = ServerConnection(TimedOutSocket(), silent_server)
+    deadline = clock.now() + 5.0
+    conn.send("r1", b"GET", b"/", [(b"host", b"h")], b"")
+    conn.read_head("r1", deadline)
+    with pytest.raises(AnswerBroken):
+        conn.read_data(deadline)
