--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -299,6 +299,16 @@
         assert (got.status, got.body) == (200, event(1))
 
 
+@pytest.mark.parametrize("end", ["reset", "fin"])
+def test_a_large_answer_that_is_reset_during_its_request_is_not_complete(breaking, end):
+    def large(request):
+        return b"".join(framed_answer(request, "close", [b"x" * 1_500_000]))
+
+    gateway, _ = breaking(large, end, answer, retry_policy=RetryPolicy.ANY)
+    got = gateway.call(request_bytes(body=b"x" * 3_000_000, Deadline_Ms="6000"))
+    assert (got.status, got.complete) == (200, False)
+
+
 # A server may end its own direction and read the rest of the request.
 @pytest.mark.parametrize("streaming", [False, True])
 def test_an_answer_that_ends_before_its_request_is_read_is_complete(
