--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -173,7 +173,7 @@
     """Answer a request whose body it does not read, then end the connection.
 
     It resets the connection, ends its own direction before ("fin"), or ends its own
-    direction and reads on ("half").
+    direction and reads on ("half") or neither reads nor resets ("hold").
     """
 
     def __init__(self, script, end):
@@ -204,7 +204,7 @@
                 reader.read(int(request.headers["content-length"]))
                 return
             # The end arrives before the reset.
-            gevent.sleep(0.05)
+            gevent.sleep(3.0 if self._end == "hold" else 0.05)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
 
@@ -309,6 +309,13 @@
     assert (got.status, got.complete) == (200, False)
 
 
+def test_a_server_that_reads_no_more_of_its_request_is_given_up_soon(breaking):
+    gateway, _ = breaking(two_events("close"), "hold", answer)
+    with gevent.Timeout(2.0):
+        got = gateway.call(request_bytes(body=b"x" * 200_000, Deadline_Ms="6000"))
+    assert (got.status, got.body) == (200, b"ok")
+
+
 # A server may end its own direction and read the rest of the request.
 @pytest.mark.parametrize("streaming", [False, True])
 def test_an_answer_that_ends_before_its_request_is_read_is_complete(
--- a/tests/gateway/test_server_responses.py
+++ b/tests/gateway/test_server_responses.py
@@ -286,3 +286,15 @@
     assert len(first.requests) == 1
     gateway, _ = run(odd, retry_policy=RetryPolicy.ONCE, streaming=streaming)
     assert gateway.call().status == 502
+
+
+@pytest.mark.parametrize(
+    ("status", "body"), [(204, b""), (205, b"bad"), (304, b""), (599, b"bad")]
+)
+def test_an_answer_with_a_rare_status_is_relayed(run, status, body):
+    def odd(request):
+        yield answer(request, f"{status} X", b"bad")
+
+    gateway, _ = run(odd, retry_policy=RetryPolicy.ONCE)
+    got = gateway.call()
+    assert (got.status, got.body, got.complete) == (status, body, True)
