--- a/arbutusyard/entry/services.py
+++ b/arbutusyard/entry/services.py
@@ -1,6 +1,7 @@
 """Forward calls of plain services; calls that are not idempotent are claimed."""
 
 from hashlib import blake2b
+from typing import Final
 
 import bottle
 import urllib3
@@ -12,6 +13,7 @@
 )
 
 from arbutusyard import clock
+from arbutusyard.backends.connection import checked_pool
 from arbutusyard.backends.const import CONNECT_TIMEOUT_S
 from arbutusyard.backends.models import Backend
 from arbutusyard.claims.const import MAX_KEY_BYTES
@@ -34,6 +36,9 @@
 
 # HTTP statuses after which it is unknown whether the service executed the call.
 GATEWAY_STATUSES = frozenset({502, 503, 504})
+# Statuses of final answers (RFC 9110, section 15).
+STATUS_MIN: Final = 200
+STATUS_MAX: Final = 599
 
 
 class ServiceCaller:
@@ -44,7 +49,7 @@
     def __init__(self, state: EntryState, claims: ClaimCoordinator) -> None:
         self._state = state
         self._claims = claims
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = checked_pool()
         self._rotation = 0
 
     def handle(
@@ -169,7 +174,7 @@
         headers = {"Content-Type": "application/json", **headers}
         if HEADER_IDEMPOTENCY_KEY in headers:
             headers["Connection"] = "close"
-        pool = self._pool if method == "GET" else urllib3.PoolManager(retries=False)
+        pool = self._pool if method == "GET" else checked_pool()
         try:
             resp = pool.request(
                 method, url, body=body, headers=headers, timeout=timeout
@@ -178,6 +183,10 @@
             raise DispatchNotSent(f"{backend.name!r}: {exc}") from exc
         except (HTTPError, OSError) as exc:
             raise DispatchOutcomeUnknown(f"{backend.name!r}: {exc}") from exc
+        if not STATUS_MIN <= resp.status <= STATUS_MAX:
+            raise DispatchOutcomeUnknown(
+                f"{backend.name!r} answered with an invalid status: {resp.status}"
+            )
         content_type = resp.headers.get("Content-Type", "application/octet-stream")
         return Reply(resp.status, content_type, resp.data)
 
