--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -200,6 +200,32 @@
     assert len(server.requests) == 1
 
 
+# Guards against refusals in a cut in which connections live on and new ones fail.
+def test_requests_are_forwarded_while_only_old_connections_work(make):
+    go_on = Event()
+
+    def script(request):
+        if request.headers["request-id"] == "slow":
+            go_on.wait(3)
+        return [answer(request, body=b"old")]
+
+    old = make(ScriptedServer, script)
+    new = make(ScriptedServer, lambda request: [answer(request)])
+    cut = make(Gateway, old)
+    link(cut, make(Gateway, new))
+    assert cut.call(request_bytes(Request_Id="r0")).body == b"old"
+    sock = cut.connect()
+    sock.sendall(request_bytes(Request_Id="slow"))
+    wait_for(lambda: len(old.requests) == 2)
+    old._server.close()
+    assert cut.call(request_bytes(Request_Id="r1")).body == b"ok"
+    go_on.set()
+    assert read_answer(sock).body == b"old"
+    sock.close()
+    # The connection that lives on is of a server that is suspected.
+    assert cut.call(request_bytes(Request_Id="r2")).body == b"ok"
+
+
 # Guards against requests that go back and forth between nodes that are cut off.
 def test_a_forwarded_request_is_not_forwarded_again(make, cut):
     server = make(ScriptedServer, lambda request: [answer(request)])
