Decide in one place whether a node may lead the roll-out of weights

The field is named may_lead now, at the same position on the wire, and the coordinator decides for both.

--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -276,8 +276,8 @@
     unreachable: tuple[str, ...] = ()
     segment_updates: tuple[SegmentUpdate, ...] = ()
     cache_store_updates: tuple[CacheStoreUpdate, ...] = ()
-    # The node reads the store and reaches the engines, so it may lead the roll-out.
-    reads_store: bool = True
+    # The node may lead the roll-out of weights.
+    may_lead: bool = True
     up_s: Finite = 0.0
     leaving_servers: tuple[str, ...] = ()
     target_ages: tuple[TargetWeightsAge, ...] = ()
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -234,9 +234,7 @@
             leaving=self._relay.leaving,
             config_version=catalog.cfg.version if catalog else 0,
             fencing_token=self._weights.fencing_token,
-            # Tells whether this node may lead the roll-out of weights.
-            reads_store=self._fleet_state.has_recent_read(now)
-            and self._relay.forwarder.reaches_engines(now),
+            may_lead=self._weights.may_lead(now),
             up_s=now - self._started_at,
             loads=self._router.loads(),
             engine_statuses=self._weights.engine_statuses(now),
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -281,7 +281,7 @@
         the store itself and reaches the engines. A node that relies on peer reports may
         be cut off from the store.
         """
-        if not self._may_lead(now):
+        if not self.may_lead(now):
             return False
         holders = self._lease_holders(now)
         if self.fencing_token or holders:
@@ -290,7 +290,8 @@
             )
         return self._is_next_leader(now)
 
-    def _may_lead(self, now: float) -> bool:
+    def may_lead(self, now: float) -> bool:
+        """Return whether this node reads the store itself and reaches the engines."""
         return self._fleet_state.has_recent_read(now) and self._reaches_engines(now)
 
     def _lease_holders(self, now: float) -> list[Heartbeat]:
@@ -298,7 +299,7 @@
         return [
             heartbeat
             for heartbeat in alive
-            if heartbeat.fencing_token and heartbeat.reads_store
+            if heartbeat.fencing_token and heartbeat.may_lead
         ]
 
     def _succeeds_draining_holder(self, now: float) -> bool:
@@ -316,13 +317,13 @@
         Standby nodes come last, since only serving nodes receive reports of the
         prompts that wait at the engines.
         """
-        if not self._ready(now) or not self._may_lead(now):
+        if not self._ready(now) or not self.may_lead(now):
             return False
         own_key = self._succession_key(self._node, self._uptime_s(now), now)
         return all(
             own_key < self._succession_key(heartbeat.name, heartbeat.up_s, now)
             for heartbeat in self._peers.table.live_heartbeats(now)
-            if heartbeat.ready and heartbeat.reads_store
+            if heartbeat.ready and heartbeat.may_lead
         )
 
     def _succession_key(
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -259,9 +259,7 @@
     reported = Heartbeat(
         "n1", 1, 1, "a:1", "a:2", "z", "r", True, False, 1, first.weights.fencing_token
     )
-    second.peers.table.apply_heartbeat(
-        replace(reported, reads_store=False), clock.now()
-    )
+    second.peers.table.apply_heartbeat(replace(reported, may_lead=False), clock.now())
     first.weights.unload()
     second.set_target(2)
     wait_for(lambda: second.versions() == {2}, 12)
