Give listeners the memory budget, not either it or its limits

An Ingress took limits or a budget in one parameter and asked which it was. Both listeners of a node now get the budget that they share. tests/gateway/test_forwarding, test_memory, test_reachability, test_outdated_weights, fleet/test_target_ages and cli/test_node pass.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -10,6 +10,7 @@
 from arbutusyard.fleet.peers import PeerCoordinator
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.ingress import Ingress
+from arbutusyard.gateway.memory import MemoryBudget
 from arbutusyard.gateway.node import Node
 from arbutusyard.gateway.pool import ServerPool
 from arbutusyard.gateway.relay import Relay
@@ -66,12 +67,13 @@
     relay = Relay(
         cfg, fleet_state, peers.table, router, pool, metrics, origins, servers, quotas
     )
-    ingress = Ingress(cfg.callers_address, fleet_state, relay, cfg.client_limits)
+    memory = MemoryBudget(cfg.client_limits)
+    ingress = Ingress(cfg.callers_address, fleet_state, relay, memory)
     node_ingress = Ingress(
         cfg.peer_address,
         fleet_state,
         relay,
-        ingress.memory,
+        memory,
         lambda host: any(
             address.rsplit(":", 1)[0] == host for address in peers.known_addresses
         ),
--- a/arbutusyard/gateway/ingress.py
+++ b/arbutusyard/gateway/ingress.py
@@ -21,7 +21,7 @@
     GatewayError,
     Overloaded,
 )
-from arbutusyard.gateway.memory import EndReason, MemoryBudget, MemoryLimits
+from arbutusyard.gateway.memory import EndReason, MemoryBudget
 from arbutusyard.gateway.models import CallerRequest, IngressLimits, Refusal
 from arbutusyard.gateway.relay import Relay
 from arbutusyard.platform.headers import read_request, refusal_headers
@@ -62,7 +62,7 @@
         address: str,
         fleet_state: FleetState,
         relay: Relay,
-        limits: MemoryLimits | MemoryBudget,
+        memory: MemoryBudget,
         is_node: Callable[[str], bool] | None = None,
     ) -> None:
         self.name = "ingress" if is_node is None else "node_ingress"
@@ -72,8 +72,7 @@
         self._relay = relay
         # The budget limits the connections: a full pool would keep new clients out.
         self._tasks = Pool()
-        shared = isinstance(limits, MemoryBudget)
-        self.memory = limits if shared else MemoryBudget(limits)
+        self.memory = memory
         self.memory.on_end = self._count_ended
         # Time of the last log line about a connection that was not accepted.
         self._refused_at = float("-inf")
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -15,6 +15,7 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.const import NO_LINGER
 from arbutusyard.gateway.ingress import Ingress
+from arbutusyard.gateway.memory import MemoryBudget
 from arbutusyard.gateway.models import (
     Account,
     Configuration,
@@ -224,9 +225,8 @@
             servers=ServerClient(),
         )
         self.relay.update_share(FleetShare(recent=0, settled=True))
-        self.ingress = Ingress(
-            "127.0.0.1:0", self.fleet_state, self.relay, SETTINGS.client_limits
-        )
+        memory = MemoryBudget(SETTINGS.client_limits)
+        self.ingress = Ingress("127.0.0.1:0", self.fleet_state, self.relay, memory)
         self.ingress.setup(Application("test"))
         # IP addresses at which other nodes are known.
         self.nodes = {"127.0.0.1"}
@@ -234,7 +234,7 @@
             "127.0.0.1:0",
             self.fleet_state,
             self.relay,
-            self.ingress.memory,
+            memory,
             lambda host: host in self.nodes,
         )
         self.node_ingress.setup(Application("test"))
