Explain outdated, overdue and dated once where a reader meets them

The words were used in five modules and two logs; neither the class that decides by them nor the glossary said how they differ. Also says in plain words what the time of the store's answer may be, and that the check of a cut reports its change.

--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -36,8 +36,8 @@
 # seconds. An entry expires after three heartbeats of 1.2 s that the store did not get,
 # the first of them up to one interval after the store went away.
 STORE_GAP_MAX_S: Final = 2.4
-# Time from which an answer of the store is, at most, when it arrives, in seconds; reads
-# that follow each other within that time leave no gap.
+# Maximum time that an answer of the store takes to arrive, in seconds. A read that is
+# sent within that time after the answer before leaves no gap.
 ANSWER_DELAY_MAX_S: Final = 0.1
 # Time after a store outage during which missing servers are retained, in seconds.
 # Entries that expired during the outage are written again within about 2 s of the
--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -80,7 +80,7 @@
 class TargetWeightsAge(Struct, frozen=True, array_like=True):
     """Hold how many seconds ago operators set a version as a model's target weights.
 
-    Without `is_dated`, it was set at most so long ago.
+    Without `is_dated`, it was set at that time or later.
     """
 
     model: str
--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -378,7 +378,7 @@
         self.servers = ServerTable()
         self.weights: dict[str, int] = {}
         self.target_history: dict[str, list[tuple[int, float | None]]] = {}
-        # Targets of which only the earliest time is known.
+        # Targets of which only the earliest possible time is known: not dated ones.
         self._undated_targets: set[tuple[str, int]] = set()
         self.on_store_rollback: Callable[[], None] = lambda: None
         self.on_target_weights: Callable[[], None] = lambda: None
@@ -546,7 +546,7 @@
         )
 
     def is_target_dated(self, model: str, version: int) -> bool:
-        """Return whether the time of a target is its own, not just the earliest one."""
+        """Return whether a target was set at its known time, not at that or later."""
         return (model, version) not in self._undated_targets
 
     def apply_target_ages(
--- a/arbutusyard/gateway/outdated_weights.py
+++ b/arbutusyard/gateway/outdated_weights.py
@@ -13,7 +13,11 @@
 
 
 class OutdatedWeights:
-    """Tell by when a request must begin on a version of a model's weights."""
+    """Tell by when a request must begin on a version of a model's weights.
+
+    Weights are outdated once a later version is the target, and overdue once no request
+    may begin on them any more.
+    """
 
     __slots__ = ("_fleet_state", "_max_s", "_unknown_until")
 
--- a/arbutusyard/gateway/reachability.py
+++ b/arbutusyard/gateway/reachability.py
@@ -37,7 +37,7 @@
         return tuple(self._cut_off)
 
     def is_cut_off(self, service: str, now: float) -> bool:
-        """Tell whether this node is cut off from all servers of a service."""
+        """Tell whether this node is cut off from a service; report a change of that."""
         was_cut_off = service in self._cut_off
         known = self._fleet_state.servers.of_service(service)
         # Asked for each request, and a service may have thousands of servers.
