--- a/tests/entry/test_services.py
+++ b/tests/entry/test_services.py
@@ -47,6 +47,8 @@
         send(method, b"")
 
 
+# Guards against MIXED: a part of an answer without a length, reset while the call was
+# still being sent, counted as the whole.
 @pytest.mark.parametrize("body_bytes", [4, 200_000, 6_000_000])
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_an_answer_that_is_reset_has_an_unknown_outcome(service, framing, body_bytes):
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -299,6 +299,8 @@
         assert (got.status, got.body) == (200, event(1))
 
 
+# Guards against MIXED: an answer that was relayed as it arrived ended as a complete one
+# when its connection was reset.
 @pytest.mark.parametrize("end", ["reset", "fin"])
 def test_a_large_answer_that_is_reset_during_its_request_is_not_complete(breaking, end):
     def large(request):
@@ -309,6 +311,8 @@
     assert (got.status, got.complete) == (200, False)
 
 
+# Guards against MIXED: an end was trusted though the server had not read the request;
+# and against a wait for that until the deadline.
 def test_a_server_that_reads_no_more_of_its_request_is_given_up_soon(breaking):
     gateway, _ = breaking(two_events("close"), "hold", answer)
     with gevent.Timeout(2.0):
@@ -316,7 +320,8 @@
     assert (got.status, got.body) == (200, b"ok")
 
 
-# A server may end its own direction and read the rest of the request.
+# Guards against rejecting whole answers: a server may end its own direction and read
+# the rest of the request.
 @pytest.mark.parametrize("streaming", [False, True])
 def test_an_answer_that_ends_before_its_request_is_read_is_complete(
     breaking, streaming
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -39,6 +39,8 @@
         return self.reachability.is_cut_off("svc", now)
 
 
+# Guards against a service with few servers that never counts as out of reach, and one
+# that does while a server is left.
 @pytest.mark.parametrize("count", [1, 2, 3])
 def test_all_servers_that_cannot_be_connected_to(count):
     servers = make_servers(count)
@@ -48,6 +50,7 @@
     assert are_unreachable(servers)
 
 
+# Guards against forwarding requests to a service that has no servers at all.
 def test_a_service_without_servers_is_not_out_of_reach():
     assert not are_unreachable([])
 
@@ -61,6 +64,7 @@
     assert are_unreachable(servers)
 
 
+# Guards against a node that forwards requests though it reaches a server.
 @pytest.mark.parametrize("contact", ["last_byte_at", "reached_at", "connected_at"])
 def test_any_contact_ends_it(contact):
     servers = make_servers(40)
@@ -80,6 +84,7 @@
     assert not are_unreachable(servers)
 
 
+# Guards against a detection that waits for requests to find each failed server.
 def test_a_failure_in_silence_has_other_servers_checked():
     checks = Checks(9)
     checks.reachability.handle_failure(checks.servers[0], 10.0 + QUIET_S / 2)
--- a/tests/gateway/test_server_responses.py
+++ b/tests/gateway/test_server_responses.py
@@ -288,6 +288,7 @@
     assert gateway.call().status == 502
 
 
+# Guards against rejecting valid statuses together with the invalid ones.
 @pytest.mark.parametrize(
     ("status", "body"), [(204, b""), (205, b"bad"), (304, b""), (599, b"bad")]
 )
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -77,7 +77,7 @@
         return
 
 
-# A status that is none in the protocol is that of no answer.
+# Guards against MIXED: a status that is none in the protocol counts as an answer.
 @pytest.mark.parametrize(
     "status",
     ["000", "0", "1", "99", "100", "101", "150", "199"]
@@ -102,6 +102,7 @@
             call()
 
 
+# Guards against MIXED: a reset while an object is sent passes for the answer's end.
 def test_a_large_object_counts_as_written_only_with_a_whole_answer(server):
     set_answer(server, "close", 1.0, True, {})
     with pytest.raises(PlatformError):
