--- a/arbutusyard/fleet/messages.py
+++ b/arbutusyard/fleet/messages.py
@@ -80,7 +80,7 @@
 class TargetWeightsAge(Struct, frozen=True, array_like=True):
     """Hold how many seconds ago operators set a version as a model's target weights.
 
-    Without `is_dated`, it was set at most so long ago.
+    Without `is_dated`, it was set at that time or later.
     """
 
     model: str
@@ -276,8 +276,8 @@
     unreachable: tuple[str, ...] = ()
     segment_updates: tuple[SegmentUpdate, ...] = ()
     cache_store_updates: tuple[CacheStoreUpdate, ...] = ()
-    # The node reads the store and reaches the engines, so it may lead the roll-out.
-    reads_store: bool = True
+    # The node may lead the roll-out of weights.
+    may_lead: bool = True
     up_s: Finite = 0.0
     leaving_servers: tuple[str, ...] = ()
     target_ages: tuple[TargetWeightsAge, ...] = ()
