Define the range of HTTP statuses once; say when times are not recorded yet

The highest status stood in two packages. A record of targets' times that other nodes kept changing was given up for a second without a line in the log; nothing else changes there.

--- a/arbutusyard/const.py
+++ b/arbutusyard/const.py
@@ -20,3 +20,7 @@
 MS_PER_S: Final = 1000.0
 # Prefix of the environment variables that set command-line options.
 ENV_PREFIX: Final = "ARBUTUSYARD_"
+
+# Lowest and highest status of a final HTTP answer (RFC 9110, section 15).
+STATUS_FINAL_MIN: Final = 200
+STATUS_MAX: Final = 599
--- a/arbutusyard/entry/services.py
+++ b/arbutusyard/entry/services.py
@@ -1,7 +1,6 @@
 """Forward calls of plain services; calls that are not idempotent are claimed."""
 
 from hashlib import blake2b
-from typing import Final
 
 import bottle
 import urllib3
@@ -27,6 +26,8 @@
     HEADER_IDEMPOTENCY_KEY,
     HEADER_OUTCOME,
     HEADER_REQUEST_ID,
+    STATUS_FINAL_MIN,
+    STATUS_MAX,
 )
 from arbutusyard.entry.const import IDEMPOTENT_ATTEMPTS, NO_BACKEND_RETRY_AFTER_S
 from arbutusyard.entry.exceptions import Refused
@@ -36,9 +37,6 @@
 
 # HTTP statuses after which it is unknown whether the service executed the call.
 GATEWAY_STATUSES = frozenset({502, 503, 504})
-# Statuses of final answers (RFC 9110, section 15).
-STATUS_MIN: Final = 200
-STATUS_MAX: Final = 599
 
 
 class ServiceCaller:
@@ -183,7 +181,7 @@
             raise DispatchNotSent(f"{backend.name!r}: {exc}") from exc
         except (HTTPError, OSError) as exc:
             raise DispatchOutcomeUnknown(f"{backend.name!r}: {exc}") from exc
-        if not STATUS_MIN <= resp.status <= STATUS_MAX:
+        if not STATUS_FINAL_MIN <= resp.status <= STATUS_MAX:
             raise DispatchOutcomeUnknown(
                 f"{backend.name!r} answered with an invalid status: {resp.status}"
             )
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -105,8 +105,6 @@
 # responses.
 PRE_ANSWER_BYTES_MAX: Final = 262_144
 PRE_ANSWER_MESSAGES_MAX: Final = 32
-# Highest status of an answer (RFC 9110, section 15).
-STATUS_MAX: Final = 599
 # Maximum time from the first byte of an answer's head to its end, in seconds.
 ANSWER_HEAD_TIMEOUT_S: Final = 2.0
 # State of a connection that its peer has ended in order, in the kernel's numbering.
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -16,6 +16,7 @@
 from gevent import Greenlet
 
 from arbutusyard import clock
+from arbutusyard.const import STATUS_MAX
 from arbutusyard.fleet.servers import Server
 from arbutusyard.gateway.const import (
     ANSWER_HEAD_TIMEOUT_S,
@@ -37,7 +38,6 @@
     PROBES_OFF_S,
     READ_BYTES,
     SERVER_RECEIVE_BUFFER_BYTES,
-    STATUS_MAX,
     TCP_CLOSE_WAIT,
     TCP_USER_TIMEOUT_MS,
     UNRESPONSIVE_CHECK_INTERVAL_S,
--- a/arbutusyard/weights/target_times.py
+++ b/arbutusyard/weights/target_times.py
@@ -177,6 +177,11 @@
                     },
                 )
             return
+        _LOGGER.info(
+            "Other nodes keep changing the recorded times of %s; trying again later",
+            model,
+            extra={"model": model},
+        )
 
     def _apply(self, model: str, times: tuple[TargetTime, ...]) -> None:
         """Adopt recorded times that this node does not know."""
