Let the stand-ins of the review wait for ports and show evidence

The readiness check of a node may be answered before its port for clients is open, so the stand-ins wait for both; name look-ups of a starting node are cut short, as the scripts run without a network. A record ends with what broke the rule, and each script tells the stand-ins whether to bring the disruption about.

--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -117,6 +117,9 @@
             "ARBUTUSYARD_CONFIG": str(path),
             "ARBUTUSYARD_METRICS_PORT": str(self.metrics_port),
             "PYTHONPATH": str(ROOT / "target/deps"),
+            # A node looks up the names of its addresses as it starts; without a
+            # network that would take several seconds.
+            "RES_OPTIONS": "timeout:1 attempts:1",
         }
         log = (Path(self.stage.folder.name) / f"{self.name}.log").open("ab")
         self.process = subprocess.Popen(
@@ -175,6 +178,12 @@
         text = " ".join(str(word) for word in words)
         self._record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
 
+    def show(self, title, lines):
+        """Repeat at the end of the record what shows that the rule was broken."""
+        self.log(f"EVIDENCE, {title}:" if lines else f"EVIDENCE, {title}: none")
+        for line in lines:
+            self.log("   ", line)
+
     def say(self, *words):
         """Write a line to the record and to the output."""
         self.log(*words)
@@ -212,10 +221,10 @@
         await self.until_ready(self.nodes)
 
     async def until_ready(self, nodes):
-        """Wait until nodes answer the platform's readiness check."""
+        """Wait until nodes answer the readiness check and accept clients."""
         until = time.monotonic() + START_TIMEOUT_S
         for node in nodes:
-            while not await is_ready(node):
+            while not (await is_ready(node) and await _is_open(node.front)):
                 if time.monotonic() > until or not node.running:
                     raise NotRunnable(f"{node.name} is not ready: {node.log_text()}")
                 await asyncio.sleep(0.1)
@@ -239,6 +248,16 @@
     return answer is not None and answer.status == 200
 
 
+async def _is_open(address):
+    """Return whether an address accepts connections."""
+    try:
+        _, writer = await asyncio.open_connection(*address)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def call(address, method, path, headers=None, body=None, on_data=None):
     """Send one request on a new channel; return the answer, None without one."""
     reader, writer = await asyncio.open_connection(*address)
@@ -342,12 +361,12 @@
     return ports
 
 
-def run_case(folder, play):
-    """Play a case with its disruption unless TROUBLE=0; exit with its result."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(folder, play, trouble):
+    """Play a case, with its disruption if that is asked for; exit with its result."""
 
     async def main():
         stage = Stage(Path(folder) / "record.txt")
+        stage.log("with the disruption" if trouble else "TROUBLE=0: no disruption")
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, asyncio.current_task().cancel)
