Log what a node has relayed when it forwards a request or continues an answer

"Forwarding a request to a node failed" now says whether the answer had begun, the number of events and the last id, "Request ended" to which nodes the request went, and a new line after which event an answer goes on. No decision changes.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -248,6 +248,18 @@
             urgency=URGENCY_MAX if exchange.late else urgency(exchange.route, account),
             resume_after=exchange.sequence.last_id,
         )
+        if exchange.conn.sent_head:
+            _LOGGER.info(
+                "Continuing an answer at another server",
+                extra={
+                    "request_id": req.request_id,
+                    "server": dispatch.server_id,
+                    "events": exchange.events,
+                    "resume_after": dispatch.resume_after,
+                    "software_version": exchange.software_version,
+                    "forwarded_to": sorted(exchange.forwarded_to),
+                },
+            )
         headers = dispatch_headers(req, dispatch)
         conn.send(req.request_id, req.method, req.target, headers, req.body)
 
--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -284,6 +284,9 @@
                 "address": peer.peer_address,
                 "result": result.value,
                 "cause": str(cause),
+                "answer_begun": exchange.conn.sent_head,
+                "events": exchange.events,
+                "last_event_id": exchange.sequence.last_id,
                 "left_s": round(exchange.deadline - clock.now(), 3),
             },
         )
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -594,6 +594,7 @@
                 "origin_source": exchange.origin_source,
                 "resumed_id": req.resumed_id,
                 "resume_after": req.resume_after,
+                "forwarded_to": sorted(exchange.forwarded_to),
                 "incomplete_bytes": exchange.incomplete_bytes,
                 "tries": exchange.attempts,
                 "runs": exchange.executions,
