Connect to servers and other nodes from the node's own address

On a VM with several addresses a node that reached no server could not forward: the kernel chose the source address, the other node knew no node there and closed the connection ("Closed a connection from ... to the listener for nodes"), and callers got 503. Connections of the pools are now bound to the address under which the node is known, unless it listens on all. test_a_node_connects_to_others_from_its_own_address failed before (503) and passes.

--- a/arbutusyard/cli/node_daemon.py
+++ b/arbutusyard/cli/node_daemon.py
@@ -41,7 +41,7 @@
     app = Application(f"node.{cfg.name}")
     store = PlatformClient(cfg.store_address)
     fleet_state = FleetState(store)
-    pool = ServerPool()
+    pool = ServerPool(cfg.source_ip)
     metrics = DeferredMetrics()
     peers = PeerCoordinator(
         cfg.name,
--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -66,6 +66,7 @@
         dispatcher: Dispatcher,
         metrics: DeferredMetrics,
         failure_domain: str,
+        source_ip: str,
     ) -> None:
         self._fleet_state = fleet_state
         self._peers = peers
@@ -73,7 +74,7 @@
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._domain = failure_domain
-        self._pool = ServerPool()
+        self._pool = ServerPool(source_ip)
         # What is in flight at each node; to the pool a node is a server.
         self._nodes: dict[tuple[str, int], Server] = {}
 
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -56,6 +56,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Socket option of Linux, which Python 3.11 does not define.
+IP_BIND_ADDRESS_NO_PORT: Final = 24
 STATUS_LINE: Final = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}", re.ASCII)
 
 
@@ -435,11 +437,16 @@
 
 
 class ServerPool:
-    """Hold idle connections and the number of open ones, by server incarnation."""
+    """Hold idle connections and the number of open ones, by server incarnation.
 
-    __slots__ = ("_idle", "_open_counts", "opened")
+    Connections are opened from `source_ip`, without one from the address that the
+    kernel chooses.
+    """
+
+    __slots__ = ("_idle", "_open_counts", "_source_ip", "opened")
 
-    def __init__(self) -> None:
+    def __init__(self, source_ip: str = "") -> None:
+        self._source_ip = source_ip
         self._idle: dict[object, list[ServerConnection]] = {}
         self._open_counts: dict[object, int] = {}
         self.opened = 0
@@ -567,6 +574,8 @@
                 socket.SOL_SOCKET, socket.SO_RCVBUF, SERVER_RECEIVE_BUFFER_BYTES
             )
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._source_ip:
+                _bind_source(sock, self._source_ip)
             sock.connect((host, int(port)))
             set_timeouts(sock)
         except OSError as exc:
@@ -601,6 +610,14 @@
     return int.from_bytes(data, sys.byteorder)
 
 
+def _bind_source(sock: socket.socket, source_ip: str) -> None:
+    """Bind a socket to a source address; its port is chosen when it connects."""
+    with contextlib.suppress(OSError):
+        # Without it, each bound socket reserves a port for all destinations.
+        sock.setsockopt(socket.IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1)
+    sock.bind((source_ip, 0))
+
+
 def set_timeouts(sock: socket.socket) -> None:
     """Make the kernel close a connection whose peer is unresponsive.
 
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -125,6 +125,7 @@
             self._dispatcher,
             metrics,
             cfg.failure_domain,
+            cfg.source_ip,
         )
         self._hedged = HedgedDispatch(
             self._dispatcher,
--- a/arbutusyard/gateway/settings.py
+++ b/arbutusyard/gateway/settings.py
@@ -1,10 +1,15 @@
 """Define the settings of a node."""
 
+from typing import Final
+
 from msgspec import Struct
 
 from arbutusyard.gateway.memory import MAX_FDS, MEMORY_MB, MemoryLimits, make_limits
 from arbutusyard.limits.const import LIMIT_GRACE_S
 
+# Address of a listener that accepts connections on all interfaces.
+ANY_ADDRESS: Final = "0.0.0.0"
+
 
 class NodeSettings(Struct, frozen=True):
     """Hold settings read at start or reload; addresses as IP:port, times in seconds."""
@@ -43,3 +48,13 @@
     client_limits: MemoryLimits = make_limits(MEMORY_MB, MAX_FDS)
     # Fraction of a service's requests that may get an extra attempt; 0 is off.
     hedge_fraction: float = 0.0
+
+    @property
+    def source_ip(self) -> str:
+        """Return the address from which this node connects to others; empty for any.
+
+        Nodes accept forwarded requests only from addresses of nodes, and the kernel may
+        choose another address on a VM that has several.
+        """
+        host = self.peer_address.rsplit(":", 1)[0]
+        return "" if host == ANY_ADDRESS else host
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -185,7 +185,12 @@
     """Gateway that serves clients on a port of the test process."""
 
     def __init__(
-        self, *servers, retry_policy=RetryPolicy.ANY, streaming=False, **changes
+        self,
+        *servers,
+        retry_policy=RetryPolicy.ANY,
+        streaming=False,
+        peer_address=SETTINGS.peer_address,
+        **changes,
     ):
         route = {
             "name": "r",
@@ -216,7 +221,7 @@
         self.router = PlacementRouter(self.fleet_state, peers, "z", 6.5)
         self.pool = ServerPool()
         self.relay = Relay(
-            SETTINGS,
+            replace(SETTINGS, peer_address=peer_address),
             self.fleet_state,
             peers,
             self.router,
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -107,6 +107,17 @@
     return make(Gateway, RefusingServer(), RefusingServer())
 
 
+# Guards against forwarded requests that are refused as those of no node, on a VM with
+# several addresses.
+def test_a_node_connects_to_others_from_its_own_address(make):
+    server = make(ScriptedServer, lambda request: [answer(request)])
+    cut = make(Gateway, RefusingServer(), peer_address="127.0.0.2:0")
+    other = make(Gateway, server)
+    other.nodes = {"127.0.0.2"}
+    link(cut, other)
+    assert cut.call().status == 200
+
+
 # Guards against requests that change on their way through another node.
 def test_the_other_node_gets_the_request_as_the_client_sent_it(make, cut):
     server = make(ScriptedServer, lambda request: [answer(request)])
