--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -30,7 +30,7 @@
     WEIGHTS_LOAD_S,
 )
 from tests.soak.ledger import plain_body, stream_event
-from tests.soak.proxy import Link
+from tests.soak.proxy import Link, LinkMode
 from tests.soak.resumes import STREAM_PREFIX, software_event
 
 IDENTITY_HEADERS = "Response-Stamp: {0}\r\nInstance-Id: {0}\r\n"
@@ -67,6 +67,8 @@
         self._framing_rng = random.Random(f"framing {name} {service}")
         self._abuse_rng = random.Random(f"abuse {name} {service}")
         self._start_count = 0
+        # Modes of the link for connections from single nodes, by IP address.
+        self._cuts = {}
         self._link = None
         self._tasks = []
         self.start()
@@ -90,7 +92,7 @@
         self._connection_tasks = set()
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
-        self._link = Link(f"127.0.0.1:{self._server.server_port}")
+        self._link = Link(f"127.0.0.1:{self._server.server_port}", cuts=self._cuts)
         self._tasks = [gevent.spawn(self._write_periodically)]
 
     @property
@@ -98,6 +100,16 @@
         """Return the link through which the nodes reach this server."""
         return self._link
 
+    def cut_off(self, source, mode):
+        """Let the links of this and later starts treat one node's IP address so."""
+        self._cuts[source] = mode
+        if mode is LinkMode.RESET:
+            self._link.reset_from(source)
+
+    def reconnect(self, source):
+        """End a node's cut."""
+        self._cuts.pop(source, None)
+
     def name_limit(self, limit_s):
         """Name the requests per second that this server accepts from all nodes."""
         self._ledger.limits.name_limit(self.server_id, limit_s, self._ledger.now())
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -27,14 +27,19 @@
     RESET = "reset"  # resets open and new connections
     SILENT = "silent"  # accepts connections and forwards nothing
     ONE_WAY = "one_way"  # forwards requests and holds back answers
+    REFUSE = "refuse"  # resets new connections; open ones live on
 
 
 class Link:
-    """Forward connections to an address, as the current mode allows."""
+    """Forward connections to an address, as the current mode allows.
 
-    def __init__(self, target, slow_s=0.3):
+    `cuts` names modes for connections from single IP addresses.
+    """
+
+    def __init__(self, target, slow_s=0.3, cuts=None):
         self.target = target
         self.mode = LinkMode.OPEN
+        self._cuts = {} if cuts is None else cuts
         self._slow_s = slow_s
         self._connections = set()
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
@@ -47,6 +52,12 @@
         if mode is LinkMode.RESET:
             self._reset_all()
 
+    def reset_from(self, source):
+        """Reset the open connections from one IP address."""
+        for connection in list(self._connections):
+            if connection.source == source:
+                connection.reset()
+
     def stall_open_connections(self):
         """Stop forwarding on the connections that are open now, permanently."""
         for connection in self._connections:
@@ -59,11 +70,15 @@
 
     def _reset_all(self):
         for connection in list(self._connections):
-            for sock in connection.socks:
-                _reset_connection(sock)
+            connection.reset()
 
-    def _serve(self, client_sock, _):
-        if self.mode is LinkMode.RESET:
+    def _mode_for(self, source):
+        """Return the mode for connections from an IP address."""
+        return self._cuts.get(source, self.mode)
+
+    def _serve(self, client_sock, address):
+        source = address[0]
+        if self._mode_for(source) in (LinkMode.RESET, LinkMode.REFUSE):
             _reset_connection(client_sock)
             return
         host, port = self.target.rsplit(":", 1)
@@ -73,7 +88,7 @@
             _reset_connection(client_sock)
             return
         target_sock.settimeout(None)
-        connection = Connection(client_sock, target_sock)
+        connection = Connection(client_sock, target_sock, source)
         self._connections.add(connection)
         tasks = [
             gevent.spawn(self._forward, client_sock, target_sock, connection, True),
@@ -85,11 +100,12 @@
     def _forward(self, source, sink, connection, to_target):
         try:
             while data := source.recv(READ_BYTES):
-                while connection.stalled or self._is_blocked(to_target):
+                while connection.stalled or self._is_blocked(connection, to_target):
                     gevent.sleep(POLL_INTERVAL_S)
-                if self.mode is LinkMode.SLOW:
+                mode = self._mode_for(connection.source)
+                if mode is LinkMode.SLOW:
                     gevent.sleep(self._slow_s)
-                while self.mode is LinkMode.NARROW and len(data) > NARROW_BYTES:
+                while mode is LinkMode.NARROW and len(data) > NARROW_BYTES:
                     sink.sendall(data[:NARROW_BYTES])
                     data = data[NARROW_BYTES:]
                     gevent.sleep(NARROW_INTERVAL_S)
@@ -99,9 +115,9 @@
             _reset_connection(sink)
             _reset_connection(source)
 
-    def _is_blocked(self, to_target):
+    def _is_blocked(self, connection, to_target):
         """Return whether the mode holds back bytes in one direction."""
-        match self.mode:
+        match self._mode_for(connection.source):
             case LinkMode.SILENT:
                 return True
             case LinkMode.ONE_WAY:
@@ -113,12 +129,18 @@
 class Connection:
     """The two sockets of a forwarded connection."""
 
-    __slots__ = ("stalled", "socks")
+    __slots__ = ("socks", "source", "stalled")
 
-    def __init__(self, client_sock, target_sock):
+    def __init__(self, client_sock, target_sock, source):
         self.stalled = False
+        self.source = source
         self.socks = (client_sock, target_sock)
 
+    def reset(self):
+        """Reset both sides."""
+        for sock in self.socks:
+            _reset_connection(sock)
+
 
 def _reset_connection(sock):
     # No shutdown first: its FIN would complete an answer that ends with its connection.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -87,6 +87,13 @@
 # slow-downs, in seconds.
 FIRST_OVERLOAD_SEED = 7000
 SLOW_INTERVAL_S = 1.0
+# First seed in whose runs nodes are cut off from all engines, which the other nodes
+# reach, and clients resume streams; how long a cut lasts and the pause between two, in
+# seconds, and what the links of a node that is cut off do.
+FIRST_PARTITION_SEED = 8000
+PARTITION_S = (0.6, 2.5)
+PARTITION_INTERVAL_S = 0.6
+PARTITION_MODES = (LinkMode.RESET, LinkMode.RESET, LinkMode.REFUSE, LinkMode.SILENT)
 # Pauses between two such requests and between two such entries, in seconds.
 DEADLY_INTERVAL_S = 0.4
 FORGET_INTERVAL_S = 1.5
@@ -110,7 +117,9 @@
         self._has_removals = FIRST_REMOVAL_SEED <= seed < FIRST_SOFTWARE_SEED
         self._has_software = FIRST_SOFTWARE_SEED <= seed < FIRST_ABUSE_SEED
         self._has_abuse = FIRST_ABUSE_SEED <= seed < FIRST_OVERLOAD_SEED
-        self._has_overload = seed >= FIRST_OVERLOAD_SEED
+        self._has_overload = FIRST_OVERLOAD_SEED <= seed < FIRST_PARTITION_SEED
+        self._has_partitions = seed >= FIRST_PARTITION_SEED
+        self._partition_rng = random.Random(f"partition {seed}")
         # New nodes do not know for 8 s how many they are. Half of the seeds wait for
         # it, so that short runs test quotas, too; the others begin with the faults.
         self._awaits_quotas = self._has_overload and seed % 2 == 0
@@ -281,9 +290,10 @@
                 disturbances.append(gevent.spawn(self._remove_servers))
             if self._has_software:
                 disturbances.append(gevent.spawn(self._renew_software))
-                for number in range(RESUMING_CLIENTS):
-                    client = ResumingClient(self, number)
-                    self._tasks.append(gevent.spawn(client.run))
+            if self._has_partitions:
+                disturbances.append(gevent.spawn(self._partition_nodes))
+            if self._has_software or self._has_partitions:
+                self._tasks += self.start_resuming_clients()
             if self._has_abuse:
                 disturbances.append(gevent.spawn(self._abuse_nodes))
             if self._has_overload:
@@ -308,6 +318,7 @@
                 )
                 injector.run(duration_s, pause_s)
             self._has_removals = self._has_software = self._has_abuse = False
+            self._has_partitions = False
             self._are_servers_slow = False
             gevent.joinall(disturbances, raise_error=True)
             self._check_recovery(timed)
@@ -353,6 +364,33 @@
             backend.abuse = ""
             link.set_mode(LinkMode.OPEN)
 
+    def start_resuming_clients(self):
+        """Start clients that read streams and resume them; return their tasks."""
+        clients = [ResumingClient(self, number) for number in range(RESUMING_CLIENTS)]
+        return [gevent.spawn(client.run) for client in clients]
+
+    def _partition_nodes(self):
+        """Cut some nodes off from all engines, again and again."""
+        rng = self._partition_rng
+        while self._has_partitions:
+            gevent.sleep(rng.uniform(0, PARTITION_INTERVAL_S))
+            nodes = rng.sample(self.nodes, rng.randint(1, NODES - 1))
+            mode = rng.choice(PARTITION_MODES)
+            self.partition(nodes, mode, rng.uniform(*PARTITION_S))
+
+    def partition(self, nodes, mode, duration_s):
+        """Cut nodes off from all engines for a while; clients and nodes reach them."""
+        engines = [b for b in self.backends if b.is_engine]
+        names = [node.name for node in nodes]
+        self.ledger.log(f"{names} are cut off from the engines: {mode.value}")
+        for engine in engines:
+            for node in nodes:
+                engine.cut_off(node.ip, mode)
+        gevent.sleep(duration_s)
+        for engine in engines:
+            for node in nodes:
+                engine.reconnect(node.ip)
+
     def _slow_servers(self):
         """Let servers slow down for a while, one after another."""
         rng = random.Random("slow")
