Relay all answers through one place that records what the client has

Cause: answers were relayed in four places, and the one for answers of nodes copied bytes without recording the events, so the node took a stream that the client had in part for one that had not begun.

AnswerRelay now relays all bodies and keeps the record, a Delivery, of which races take the winner's as a whole. Answers of nodes are parsed as streams, so that only whole events reach the client, and plain ones are held until they are complete, so that another attempt can replace them.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -11,20 +11,17 @@
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.admission import Admission
+from arbutusyard.gateway.answer_relay import AnswerRelay, StreamObserver
 from arbutusyard.gateway.caller import CallerConnection
 from arbutusyard.gateway.const import (
-    GAP_MARGIN_S,
-    GAP_MIN_S,
-    GAP_OBJECTIVE_FACTOR,
-    GAP_TARGET_FACTOR,
     MISMATCH_PAUSE_S,
     REACHABILITY_RECHECK_S,
-    READ_BYTES,
     REFUSAL_BYTES_MAX,
     REFUSAL_PAUSE_S,
     REFUSAL_READ_TIMEOUT_S,
 )
-from arbutusyard.gateway.events import EventSequence, EventSplitter, StreamEvent
+from arbutusyard.gateway.delivery import Delivery
+from arbutusyard.gateway.events import EventSequence, StreamEvent
 from arbutusyard.gateway.exceptions import (
     AnswerBroken,
     AnswerLate,
@@ -38,7 +35,6 @@
     AnswerHead,
     CallerRequest,
     Dispatch,
-    Framing,
     RetryPolicy,
     Route,
 )
@@ -55,9 +51,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Size up to which an answer is buffered until it is complete, in bytes.
-BUFFERED_ANSWER_BYTES_MAX = 1_048_576
-
 
 class AttemptResult(enum.Enum):
     """Name how an attempt at a server ended without an answer for the client."""
@@ -91,18 +84,14 @@
     excluded: set[str] = field(default_factory=set)
     # The next attempt was taken from the retry budget as this one was given up.
     retry_is_paid: bool = False
-    sequence: EventSequence = field(default_factory=EventSequence)
-    first_event_at: float | None = None
-    # Number of events relayed to the client, over all attempts.
-    events: int = 0
+    # What the client has received, over all attempts and whoever made them.
+    delivery: Delivery = field(default_factory=lambda: Delivery(EventSequence()))
     # Software version that began the stream, the only one at which it may go on; None
     # before the first event of a new stream. And where that was learned.
     software_version: str | None = None
     origin_source: str = ""
     # Head of the newest answer that was relayed or is being read.
     head: AnswerHead | None = None
-    # Bytes after the last complete event of the newest stream.
-    incomplete_bytes: int = 0
     placement: Placement | None = None
     # The request can't be on time any more and goes behind all others.
     late: bool = False
@@ -129,14 +118,13 @@
             return True
         if self.route.retry_policy is not RetryPolicy.RESUME:
             return False
-        return not self.sequence.has_unnumbered
+        return self.delivery.can_resume()
 
 
 class Dispatcher:
     """Send requests to one server at a time and report how the attempt ended."""
 
     __slots__ = (
-        "_admission",
         "_fleet_state",
         "_incarnations",
         "_malformed_limit_ids",
@@ -145,6 +133,7 @@
         "_pool",
         "_quarantine",
         "_router",
+        "relay",
         "share",
         "spend_retry",
     )
@@ -159,13 +148,13 @@
         origins: OriginCoordinator,
         incarnations: IncarnationCheck,
     ) -> None:
-        self._admission = admission
         self._incarnations = incarnations
         self._origins = origins
         self._fleet_state = fleet_state
         self._router = router
         self._pool = pool
         self._quarantine = quarantine
+        self.relay = AnswerRelay(admission)
         self.share = FleetShare()
         self.spend_retry: Callable[[str, float], bool] = lambda service, now: True
         self._malformed_limit_ids: set[str] = set()
@@ -246,7 +235,7 @@
             cache_source=placement.fetch.address if placement.fetch else "",
             cache_sink=placement.save_to,
             urgency=URGENCY_MAX if exchange.late else urgency(exchange.route, account),
-            resume_after=exchange.sequence.last_id,
+            resume_after=exchange.delivery.sequence.last_id,
         )
         if exchange.conn.sent_head:
             _LOGGER.info(
@@ -254,7 +243,7 @@
                 extra={
                     "request_id": req.request_id,
                     "server": dispatch.server_id,
-                    "events": exchange.events,
+                    "events": exchange.delivery.events,
                     "resume_after": dispatch.resume_after,
                     "software_version": exchange.software_version,
                     "forwarded_to": sorted(exchange.forwarded_to),
@@ -411,19 +400,15 @@
             read_until = min(exchange.deadline, clock.now() + REFUSAL_READ_TIMEOUT_S)
             conn.discard_body(REFUSAL_BYTES_MAX, read_until)
             return self._process_not_run(exchange, placement, head)
-        if head.encoded:
-            raise AnswerBroken("answer has an encoded body")
-        if exchange.conn.sent_head and head.status >= 300:
-            raise AnswerBroken(f"status {head.status} does not continue the stream")
-        if head.status < 300 and not head.stamped:
-            raise AnswerBroken("answer has no Response-Stamp header")
+        self.relay.check_head(exchange, conn, head)
         if exchange.route.streaming and head.status < 300:
             self._check_software(exchange, server)
-            self._relay_stream(exchange, placement, conn, head)
+            observer = ServerStream(self, exchange, placement)
+            self.relay.relay_stream(exchange, conn, head, observer)
             server.count_outcome(False, clock.now())
             self._record_answer(exchange, clock.now())
             return None
-        body = self._read_or_relay_body(exchange, conn, head)
+        body = self.relay.read_or_relay_body(exchange, conn, head)
         server.count_outcome(head.status >= 500, clock.now())
         if head.stamped:
             self._record_answer(exchange, clock.now())
@@ -434,7 +419,7 @@
             return self._record_failure(
                 exchange, placement, AttemptResult.FAILED, f"status {head.status}"
             )
-        self.answer(exchange, head, body)
+        self.relay.answer(exchange, head, body)
         return None
 
     def _apply_server_headers(self, server: Server, head: AnswerHead) -> None:
@@ -499,105 +484,29 @@
             exchange, placement, AttemptResult.NOT_RUN, f"status {head.status}"
         )
 
-    def _read_or_relay_body(
-        self, exchange: Exchange, conn: ServerConnection, head: AnswerHead
-    ) -> bytes | None:
-        """Return a complete body; relay a large one as it arrives and return None.
-
-        As long as a body is buffered, another server's answer can replace it.
-        """
-        chunks: list[bytes] = []
-        size = 0
-        while (data := conn.read_data(exchange.deadline)) is not None:
-            size += len(data)
-            chunks.append(data)
-            is_short = not exchange.conn.hold_answer(size) and size > READ_BYTES
-            if is_short or size > BUFFERED_ANSWER_BYTES_MAX:
-                self._relay_large_body(exchange, conn, head, chunks)
-                return None
-        return b"".join(chunks)
-
-    def _relay_large_body(
-        self,
-        exchange: Exchange,
-        conn: ServerConnection,
-        head: AnswerHead,
-        buffered: list[bytes],
-    ) -> None:
-        caller = exchange.conn
-        headers = self.with_connection_header(head.headers)
-        if head.length is not None:
-            headers = [*headers, (b"content-length", b"%d" % head.length)]
-        caller.send_head(head.status, headers)
-        while buffered:
-            caller.send_data(buffered.pop(0))
-        caller.hold_answer(0)
-        while (data := conn.read_data(exchange.deadline)) is not None:
-            caller.send_data(data)
-        caller.end()
-
-    def _relay_stream(
-        self,
-        exchange: Exchange,
-        placement: Placement,
-        conn: ServerConnection,
-        head: AnswerHead,
+    def begin_stream(
+        self, exchange: Exchange, placement: Placement, now: float
     ) -> None:
-        """Relay complete events as they arrive.
+        """Record the first event of an attempt at a stream."""
+        placement.first_event_at = now
+        self._router.record_first_event(placement, now)
+        if exchange.software_version is None:
+            exchange.software_version = placement.server.entry.software_version
 
-        Raise AnswerBroken if the stream ends inside an event, however it is framed.
-        """
-        splitter = EventSplitter()
-        caller = exchange.conn
-        gap_limit_s = client_gap_s(exchange.route) + GAP_MARGIN_S
-        event_at = clock.now()
-        while True:
-            data = _read_event_data(conn, exchange.deadline, event_at + gap_limit_s)
-            if data is None:
-                break
-            events, gap = exchange.sequence.accept(splitter.feed(data))
-            if events:
-                event_at = clock.now()
-                self._relay_events(exchange, placement, head, events)
-            if gap:
-                raise AnswerBroken(f"{conn.address} sent {gap}")
-        exchange.incomplete_bytes = len(splitter.remaining())
-        if splitter.is_inside_event():
-            raise AnswerBroken(f"{conn.address} ended its stream inside an event")
-        if head.framing is Framing.CLOSE and placement.first_event_at is None:
-            raise AnswerBroken(f"{conn.address} ended its stream before an event")
-        if not caller.sent_head:
-            caller.send_head(head.status, self.with_connection_header(head.headers))
-        if splitter.remaining():
-            caller.send_data(splitter.remaining())
-        caller.end()
-
-    def _relay_events(
+    def record_events(
         self,
         exchange: Exchange,
         placement: Placement,
-        head: AnswerHead,
         events: list[StreamEvent],
+        now: float,
     ) -> None:
-        caller = exchange.conn
-        now = clock.now()
-        if placement.first_event_at is None:
-            placement.first_event_at = now
-            self._router.record_first_event(placement, now)
-        if exchange.first_event_at is None:
-            exchange.first_event_at = now
-        if not caller.sent_head:
-            caller.send_head(head.status, self.with_connection_header(head.headers))
-        if not exchange.events:
+        """Record events of a server that are sent to the client next."""
+        if not exchange.delivery.events:
             self._record_beginning(exchange, placement.server, now)
-        caller.send_data(b"".join(event.data for event in events))
-        exchange.events += len(events)
         self._record_weights(exchange, placement, events)
 
     def _record_beginning(self, exchange: Exchange, server: Server, now: float) -> None:
         """Record at which software version a stream begins, before its first event."""
-        if exchange.software_version is None:
-            exchange.software_version = server.entry.software_version
         if exchange.route.retry_policy is RetryPolicy.RESUME:
             account = exchange.account.name if exchange.account else ""
             self._origins.record_beginning(
@@ -644,20 +553,6 @@
             if version is not None and version > weights.get(exchange.req.model, 0):
                 weights[exchange.req.model] = version
 
-    def answer(self, exchange: Exchange, head: AnswerHead, body: bytes) -> None:
-        """Relay a complete answer."""
-        exchange.conn.answer(
-            head.status, self.with_connection_header(head.headers), body
-        )
-
-    def with_connection_header(
-        self, headers: list[tuple[bytes, bytes]]
-    ) -> list[tuple[bytes, bytes]]:
-        """Return the headers, with `Connection: close` if this node is draining."""
-        if not self._admission.leaving:
-            return headers
-        return [*headers, (b"connection", b"close")]
-
     def _record_failure(
         self,
         exchange: Exchange,
@@ -696,25 +591,22 @@
     return max(0, min(URGENCY_MAX, route.priority if override is None else override))
 
 
-def client_gap_s(route: Route) -> float:
-    """Return the longest gap between events, in seconds, that a client waits for."""
-    gaps = (
-        GAP_MIN_S,
-        GAP_OBJECTIVE_FACTOR * route.objective_s,
-        GAP_TARGET_FACTOR * route.gap_s,
-    )
-    return max(gaps)
+class ServerStream(StreamObserver):
+    """Observe the events of a server for its dispatcher."""
 
+    __slots__ = ("_dispatcher", "_exchange", "_placement")
 
-def _read_event_data(
-    conn: ServerConnection, deadline: float, event_until: float
-) -> bytes | None:
-    """Read the next bytes of a stream; raise AnswerBroken when it has stalled."""
-    try:
-        return conn.read_data(min(deadline, event_until))
-    except AnswerLate as exc:
-        if event_until < deadline:
-            raise AnswerBroken(
-                f"{conn.address} sent no complete event in time"
-            ) from exc
-        raise
+    def __init__(
+        self, dispatcher: Dispatcher, exchange: Exchange, placement: Placement
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._exchange = exchange
+        self._placement = placement
+
+    def begin(self, now: float) -> None:
+        """Record the time of the first event, and its software version."""
+        self._dispatcher.begin_stream(self._exchange, self._placement, now)
+
+    def relay(self, events: list[StreamEvent], now: float) -> None:
+        """Record where the stream began, and the weights that its events name."""
+        self._dispatcher.record_events(self._exchange, self._placement, events, now)
--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -8,6 +8,7 @@
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
+from arbutusyard.gateway.answer_relay import StreamObserver
 from arbutusyard.gateway.const import REFUSAL_BYTES_MAX, REFUSAL_READ_TIMEOUT_S
 from arbutusyard.gateway.exceptions import (
     AnswerBroken,
@@ -205,7 +206,7 @@
                     complete_head = head
                 raise NotSent(f"refused: {head.node_refusal or head.status}")
             exchange.head = head
-            self._relay(exchange, conn, head)
+            self._relay_answer(exchange, conn, head)
             complete_head = head
             node.count_outcome(False, clock.now())
             return None
@@ -234,28 +235,20 @@
         )
         conn.send(req.request_id, req.method, req.target, headers, req.body)
 
-    def _relay(
+    def _relay_answer(
         self, exchange: Exchange, conn: ServerConnection, head: AnswerHead
     ) -> None:
-        """Relay a node's answer as it arrives; raise AnswerBroken if it ends early."""
+        """Relay a node's answer; raise AnswerBroken if it is not complete."""
+        relay = self._dispatcher.relay
         if head.framing is Framing.CLOSE:
             raise AnswerBroken(f"{conn.address} did not say where its answer ends")
-        if head.status < 300 and not head.stamped:
-            raise AnswerBroken(f"{conn.address} sent an answer of no server")
-        caller = exchange.conn
-        headers = self._dispatcher.with_connection_header(head.headers)
-        data = conn.read_data(exchange.deadline)
-        if data is None:
-            caller.answer(head.status, headers, b"")
+        relay.check_head(exchange, conn, head)
+        if exchange.route.streaming and head.status < 300:
+            relay.relay_stream(exchange, conn, head, StreamObserver())
             return
-        exchange.first_event_at = clock.now()
-        if head.framing is Framing.LENGTH:
-            headers = [*headers, (b"content-length", b"%d" % head.length)]
-        caller.send_head(head.status, headers)
-        while data is not None:
-            caller.send_data(data)
-            data = conn.read_data(exchange.deadline)
-        caller.end()
+        body = relay.read_or_relay_body(exchange, conn, head)
+        if body is not None:
+            relay.answer(exchange, head, body)
 
     def _should_abandon(self, exchange: Exchange, peer: Heartbeat) -> bool:
         """Tell whether to give up on a node that has timed out.
@@ -286,8 +279,8 @@
                 "result": result.value,
                 "cause": str(cause),
                 "answer_begun": exchange.conn.sent_head,
-                "events": exchange.events,
-                "last_event_id": exchange.sequence.last_id,
+                "events": exchange.delivery.events,
+                "last_event_id": exchange.delivery.sequence.last_id,
                 "left_s": round(exchange.deadline - clock.now(), 3),
             },
         )
--- a/arbutusyard/gateway/race.py
+++ b/arbutusyard/gateway/race.py
@@ -1,6 +1,5 @@
 """Run attempts at one request side by side; only the first to respond is relayed."""
 
-import copy
 from collections.abc import Callable
 
 import gevent
@@ -101,7 +100,7 @@
             conn=AttemptConnection(origin.conn, self),
             executions=executions,
             excluded=set(origin.excluded),
-            sequence=copy.copy(origin.sequence),
+            delivery=origin.delivery.fork(),
             placement=placement,
         )
         self.task: Greenlet | None = None
@@ -238,11 +237,8 @@
         exchange.head = branch.head
         if self.winner is None:
             return
-        exchange.sequence = branch.sequence
-        exchange.first_event_at = branch.first_event_at
-        exchange.events = branch.events
+        exchange.delivery = branch.delivery
         exchange.software_version = branch.software_version
-        exchange.incomplete_bytes = branch.incomplete_bytes
 
 
 def _count_failure(exchange: Exchange, attempt: Attempt) -> None:
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -22,6 +22,7 @@
     SERVER_WAIT_FRACTION,
     SERVER_WAIT_INTERVAL_S,
 )
+from arbutusyard.gateway.delivery import Delivery
 from arbutusyard.gateway.events import EventSequence
 from arbutusyard.gateway.exchange import (
     AttemptResult,
@@ -293,7 +294,7 @@
             return f"cut_{reason}"
         retry_after_s = None if is_final else RETRY_AFTER_S
         refusal = Refusal(503, reason, retry_after_s)
-        headers = self._dispatcher.with_connection_header(
+        headers = self._dispatcher.relay.with_connection_header(
             refusal_headers(exchange.req, refusal)
         )
         body = RESUME_REFUSED if is_final else b""
@@ -516,7 +517,7 @@
             # The client sees that its answer is incomplete.
             return f"cut_{reason}"
         if exchange.fallback_answer is not None:
-            self._dispatcher.answer(exchange, *exchange.fallback_answer)
+            self._dispatcher.relay.answer(exchange, *exchange.fallback_answer)
             return "failed_by_server"
         if exchange.executions == 0:
             retry_after_s = retry_after_s or self._router.retry_after_s(
@@ -527,7 +528,7 @@
             refusal = Refusal(
                 504 if reason == AttemptResult.LATE.value else 502, reason
             )
-        headers = self._dispatcher.with_connection_header(
+        headers = self._dispatcher.relay.with_connection_header(
             refusal_headers(exchange.req, refusal)
         )
         exchange.conn.answer(refusal.status, headers, b"")
@@ -542,7 +543,9 @@
         now: float,
     ) -> None:
         """Refuse a request that was sent to no server."""
-        headers = self._dispatcher.with_connection_header(refusal_headers(req, refusal))
+        headers = self._dispatcher.relay.with_connection_header(
+            refusal_headers(req, refusal)
+        )
         conn.answer(refusal.status, headers, b"")
         self._metrics.count_refusal(refusal.reason)
         catalog = self._fleet_state.catalog
@@ -564,7 +567,7 @@
         req = exchange.req
         account = exchange.account.name if exchange.account else ""
         whole_s = now - req.arrived_at
-        first_s = (exchange.first_event_at or now) - req.arrived_at
+        first_s = (exchange.delivery.first_event_at or now) - req.arrived_at
         self._metrics.count_request(account, exchange.route.name, outcome)
         if exchange.attempts:
             self._metrics.count_retries(exchange.attempts)
@@ -589,14 +592,14 @@
                 **_placement_fields(exchange.placement),
                 "limit_s": self._known_limit_s(exchange.placement),
                 "framing": exchange.head.framing.value if exchange.head else "",
-                "events": exchange.events,
-                "last_event_id": exchange.sequence.last_id,
+                "events": exchange.delivery.events,
+                "last_event_id": exchange.delivery.sequence.last_id,
                 "software_version": exchange.software_version,
                 "origin_source": exchange.origin_source,
                 "resumed_id": req.resumed_id,
                 "resume_after": req.resume_after,
                 "forwarded_to": sorted(exchange.forwarded_to),
-                "incomplete_bytes": exchange.incomplete_bytes,
+                "incomplete_bytes": exchange.delivery.incomplete_bytes,
                 "tries": exchange.attempts,
                 "runs": exchange.executions,
                 "config": catalog.cfg.version if catalog else None,
@@ -624,7 +627,7 @@
         admitted.service,
         req.arrived_at + admitted.time_limit_s,
         shared_keys(req.model, req.segments) if req.model else (),
-        sequence=EventSequence(req.resume_after),
+        delivery=Delivery(EventSequence(req.resume_after)),
     )
 
 
--- a/arbutusyard/gateway/tickets.py
+++ b/arbutusyard/gateway/tickets.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from arbutusyard.admission.models import Ticket
-from arbutusyard.gateway.exchange import Exchange, client_gap_s, urgency
+from arbutusyard.gateway.answer_relay import client_gap_s
+from arbutusyard.gateway.exchange import Exchange, urgency
 
 
 def make_ticket(exchange: Exchange, wake: Callable[[], None] = lambda: None) -> Ticket:
