Do not let a stream follow a part of an error body

Where a resumable stream's server answers an error with a body that is too large to be held and breaks it off, its client got a part of that body and then the events of another server's stream, in one answer. Cause: that the head had been sent was taken for events having been relayed. The record of what the client has now tells a part of a body from events, and such an answer ends where it broke off. test_a_stream_does_not_follow_a_part_of_an_error_body failed before.

--- a/arbutusyard/gateway/answer_relay.py
+++ b/arbutusyard/gateway/answer_relay.py
@@ -150,6 +150,7 @@
         headers = self.with_connection_header(head.headers)
         if head.length is not None:
             headers = [*headers, (b"content-length", b"%d" % head.length)]
+        exchange.delivery.has_body = True
         caller.send_head(head.status, headers)
         while buffered:
             caller.send_data(buffered.pop(0))
--- a/arbutusyard/gateway/delivery.py
+++ b/arbutusyard/gateway/delivery.py
@@ -14,12 +14,14 @@
     # Number of events relayed.
     events: int = 0
     first_event_at: float | None = None
+    # A part of a body was relayed that has no events after which it could go on.
+    has_body: bool = False
     # Bytes after the last complete event of the newest stream.
     incomplete_bytes: int = 0
 
     def can_resume(self) -> bool:
         """Tell whether the ids of the relayed events say where the answer goes on."""
-        return not self.sequence.has_unnumbered
+        return not self.has_body and not self.sequence.has_unnumbered
 
     def fork(self) -> "Delivery":
         """Return a copy for one of several attempts that run side by side."""
--- a/tests/gateway/test_answer_ends.py
+++ b/tests/gateway/test_answer_ends.py
@@ -183,3 +183,21 @@
     )
     assert not got.complete
     assert servers[1].requests == []
+
+
+# Guards against a stream whose events follow a part of another server's error body.
+def test_a_stream_does_not_follow_a_part_of_an_error_body(run):
+    def break_off(request):
+        request.last = True
+        head, body = framed_answer(request, "length", [b"x" * 1_500_000])
+        yield head.replace(b"200 OK", b"500 Error") + body[:-9]
+
+    got, servers = relay_two(
+        run,
+        break_off,
+        breaking("chunked", [event(1), event(2)], 0),
+        retry_policy=RetryPolicy.RESUME,
+        streaming=True,
+    )
+    assert (got.status, got.complete, event(1) in got.body) == (500, False, False)
+    assert servers[1].requests == []
