Continue a broken forwarded stream through another node or by its own version

Cause: a request was forwarded only while nothing had been sent, and the first node did not know where the stream had begun.

A node now names the service and the software version of a stream to the node that forwarded it, in headers that Connection lists, which drops; without them the first node looks for the origin as for a client that resumes. What is left of a stream is forwarded as a client's resume, which serves. A node that times out in the middle of such a stream is given up. A quota refusal after a part of the answer ends it instead of writing a second head.

--- a/arbutusyard/gateway/answer_relay.py
+++ b/arbutusyard/gateway/answer_relay.py
@@ -15,7 +15,7 @@
 from arbutusyard.gateway.exceptions import AnswerBroken, AnswerLate
 from arbutusyard.gateway.models import AnswerHead, Framing, Route
 from arbutusyard.gateway.pool import ServerConnection
-from arbutusyard.platform.headers import Headers
+from arbutusyard.platform.headers import Headers, stream_headers
 
 if TYPE_CHECKING:
     from arbutusyard.gateway.exchange import Exchange
@@ -99,11 +99,19 @@
         if head.framing is Framing.CLOSE and not has_events:
             raise AnswerBroken(f"{conn.address} ended its stream before an event")
         if not caller.sent_head:
-            caller.send_head(head.status, self.with_connection_header(head.headers))
+            caller.send_head(head.status, self._stream_headers(exchange, head))
         if splitter.remaining():
             caller.send_data(splitter.remaining())
         caller.end()
 
+    def _stream_headers(self, exchange: "Exchange", head: AnswerHead) -> Headers:
+        """Return the headers of a stream; another node is told where it began."""
+        headers = head.headers
+        version = exchange.software_version
+        if exchange.req.from_node and version is not None:
+            headers = [*headers, *stream_headers(exchange.service, version)]
+        return self.with_connection_header(headers)
+
     def _relay_events(
         self,
         exchange: "Exchange",
@@ -116,7 +124,7 @@
         if delivery.first_event_at is None:
             delivery.first_event_at = now
         if not caller.sent_head:
-            caller.send_head(head.status, self.with_connection_header(head.headers))
+            caller.send_head(head.status, self._stream_headers(exchange, head))
         observer.relay(events, now)
         caller.send_data(b"".join(event.data for event in events))
         delivery.events += len(events)
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -120,6 +120,20 @@
             return False
         return self.delivery.can_resume()
 
+    def account_name(self) -> str:
+        """Return the name of the client account; empty if the request has none."""
+        return self.account.name if self.account else ""
+
+    def began_id(self) -> str:
+        """Return the id of the attempt that brought the stream's first event.
+
+        Empty if there is none, or if a client that resumes a stream did not name it.
+        """
+        req = self.req
+        if req.resumed_id or not self.delivery.events:
+            return req.resumed_id
+        return req.request_id
+
 
 class Dispatcher:
     """Send requests to one server at a time and report how the attempt ended."""
@@ -508,9 +522,8 @@
     def _record_beginning(self, exchange: Exchange, server: Server, now: float) -> None:
         """Record at which software version a stream begins, before its first event."""
         if exchange.route.retry_policy is RetryPolicy.RESUME:
-            account = exchange.account.name if exchange.account else ""
             self._origins.record_beginning(
-                account,
+                exchange.account_name(),
                 exchange.req.request_id,
                 server,
                 exchange.software_version,
--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.answer_relay import StreamObserver
 from arbutusyard.gateway.const import REFUSAL_BYTES_MAX, REFUSAL_READ_TIMEOUT_S
+from arbutusyard.gateway.events import StreamEvent
 from arbutusyard.gateway.exceptions import (
     AnswerBroken,
     AnswerLate,
@@ -28,7 +29,8 @@
 from arbutusyard.gateway.pool import ServerConnection, ServerPool
 from arbutusyard.gateway.reachability import Reachability
 from arbutusyard.metrics.deferred import DeferredMetrics
-from arbutusyard.platform.headers import peer_headers
+from arbutusyard.origins.coordinator import SOURCE_PEER, OriginCoordinator
+from arbutusyard.platform.headers import NOT_RUN_STATUSES, peer_headers
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -54,6 +56,7 @@
         "_fleet_state",
         "_metrics",
         "_nodes",
+        "_origins",
         "_peers",
         "_pool",
         "_reachability",
@@ -65,6 +68,7 @@
         peers: PeerTable,
         reachability: Reachability,
         dispatcher: Dispatcher,
+        origins: OriginCoordinator,
         metrics: DeferredMetrics,
         failure_domain: str,
         source_ip: str,
@@ -73,6 +77,7 @@
         self._peers = peers
         self._reachability = reachability
         self._dispatcher = dispatcher
+        self._origins = origins
         self._metrics = metrics
         self._domain = failure_domain
         self._pool = ServerPool(source_ip)
@@ -86,7 +91,7 @@
         """
         return (
             not exchange.req.from_node
-            and not exchange.conn.sent_head
+            and exchange.can_continue()
             and len(exchange.forwarded_to) < FORWARD_NODES_MAX
             and self._reachability.is_cut_off(exchange.service, now)
             and self._choose(exchange, now) is not None
@@ -198,7 +203,7 @@
                 raise CallerGone("client disconnected before its request was forwarded")
             self._send_request(exchange, conn)
             head = conn.read_head(request_id, exchange.deadline)
-            if _is_refusal(head):
+            if _is_refusal(exchange, head):
                 read_until = min(
                     exchange.deadline, clock.now() + REFUSAL_READ_TIMEOUT_S
                 )
@@ -228,10 +233,24 @@
     def _send_request(self, exchange: Exchange, conn: ServerConnection) -> None:
         req = exchange.req
         catalog = self._fleet_state.catalog
+        sequence = exchange.delivery.sequence
+        if exchange.conn.sent_head:
+            _LOGGER.info(
+                "Continuing an answer through another node",
+                extra={
+                    "request_id": req.request_id,
+                    "events": exchange.delivery.events,
+                    "resume_after": sequence.last_id,
+                    "software_version": exchange.software_version,
+                    "forwarded_to": sorted(exchange.forwarded_to),
+                },
+            )
         headers = peer_headers(
             req,
             exchange.deadline - clock.now(),
             catalog.cfg.version if catalog else 0,
+            sequence.last_id,
+            exchange.began_id(),
         )
         conn.send(req.request_id, req.method, req.target, headers, req.body)
 
@@ -244,7 +263,8 @@
             raise AnswerBroken(f"{conn.address} did not say where its answer ends")
         relay.check_head(exchange, conn, head)
         if exchange.route.streaming and head.status < 300:
-            relay.relay_stream(exchange, conn, head, StreamObserver())
+            stream = NodeStream(self._origins, exchange, head)
+            relay.relay_stream(exchange, conn, head, stream)
             return
         body = relay.read_or_relay_body(exchange, conn, head)
         if body is not None:
@@ -253,9 +273,10 @@
     def _should_abandon(self, exchange: Exchange, peer: Heartbeat) -> bool:
         """Tell whether to give up on a node that has timed out.
 
-        A request that can't be repeated waits for its answer until its deadline.
+        A request that can't be repeated or continued waits for its answer until its
+        deadline.
         """
-        if exchange.conn.sent_head:
+        if not exchange.can_continue():
             return False
         if exchange.route.retry_policy is RetryPolicy.ONCE:
             return False
@@ -287,11 +308,60 @@
         return result
 
 
-def _is_refusal(head: AnswerHead) -> bool:
+class NodeStream(StreamObserver):
+    """Record where a stream began that another node relays."""
+
+    __slots__ = ("_exchange", "_head", "_origins")
+
+    def __init__(
+        self, origins: OriginCoordinator, exchange: Exchange, head: AnswerHead
+    ) -> None:
+        self._origins = origins
+        self._exchange = exchange
+        self._head = head
+
+    def begin(self, now: float) -> None:
+        """Adopt the service and the software version of the stream.
+
+        Raise AnswerBroken if its version is not the one that began it.
+        """
+        exchange, head = self._exchange, self._head
+        if not head.stream_software:
+            return
+        if exchange.software_version is None:
+            exchange.software_version = head.stream_software
+            exchange.origin_source = SOURCE_PEER
+            if any(s.service == head.stream_service for s in exchange.route.shares):
+                exchange.service = head.stream_service
+        elif exchange.software_version != head.stream_software:
+            raise AnswerBroken(
+                f"software version {head.stream_software} cannot continue a stream of "
+                f"version {exchange.software_version}"
+            )
+
+    def relay(self, events: list[StreamEvent], now: float) -> None:
+        """Record where the stream began, for clients that resume it."""
+        exchange = self._exchange
+        if exchange.delivery.events or exchange.software_version is None:
+            return
+        if exchange.route.retry_policy is RetryPolicy.RESUME:
+            self._origins.record_forwarded(
+                exchange.account_name(),
+                exchange.req.request_id,
+                exchange.service,
+                exchange.software_version,
+                now,
+            )
+
+
+def _is_refusal(exchange: Exchange, head: AnswerHead) -> bool:
     """Tell whether a node refused a request for reasons that others may not have.
 
-    A node that is short of memory refuses a request before it has read its ID.
+    A node that is short of memory refuses a request before it has read its ID. The rest
+    of a stream may be asked of the next node after any refusal.
     """
+    if exchange.conn.sent_head and head.status in NOT_RUN_STATUSES:
+        return not head.stamped
     return bool(head.node_refusal) or (
         head.status in (408, 503) and not head.stamped and not head.request_id
     )
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -225,6 +225,10 @@
     limit_text: str = ""
     # Why a node refused a request that another one may be able to serve.
     node_refusal: str = ""
+    # Service and software version that began a stream that a node relays; empty if it
+    # does not say.
+    stream_service: str = ""
+    stream_software: str = ""
 
 
 class Refusal(Struct, frozen=True):
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -124,6 +124,7 @@
             peers,
             self.reachability,
             self._dispatcher,
+            self.origins,
             metrics,
             cfg.failure_domain,
             cfg.source_ip,
@@ -201,23 +202,27 @@
                 # The node to which it is forwarded charges it.
                 if self._serve_forwarded(exchange, now):
                     return
-                match self._charges.charge(req, admitted, now):
+                match self._charges.charge(req, admitted, clock.now()):
                     case Refusal() as refusal:
-                        self._refuse(req, conn, refusal, clock.now())
+                        self._refuse_further_run(exchange, refusal)
                     case grant:
                         exchange.grant = grant
                         self._serve_admitted(exchange, clock.now())
 
     def _serve_forwarded(self, exchange: Exchange, now: float) -> bool:
-        """Serve a request through another node if that is due; return whether it is."""
-        if not self.forwarder.is_due(exchange, now):
-            return False
-        outcome = "caller_gone"
-        try:
-            outcome = self._forward(exchange, now)
-        finally:
-            if outcome:
-                self._record_outcome(exchange, outcome, clock.now())
+        """Serve a request through other nodes while that is due; return whether it is.
+
+        A request that could not be served so goes on at this node.
+        """
+        outcome = ""
+        while not outcome and self.forwarder.is_due(exchange, now):
+            outcome = "caller_gone"
+            try:
+                outcome = self._forward(exchange, now)
+            finally:
+                if outcome:
+                    self._record_outcome(exchange, outcome, clock.now())
+            now = clock.now()
         return bool(outcome)
 
     def _forward(self, exchange: Exchange, now: float) -> str:
@@ -233,7 +238,7 @@
                 self._retry_budget.give_back(exchange.service)
             return ""
         if self._may_retry(exchange, result):
-            return ""
+            return self._find_origin(exchange)
         return self._answer_failure(exchange, result.value)
 
     def _serve_admitted(self, exchange: Exchange, now: float) -> None:
@@ -249,18 +254,23 @@
             self._record_outcome(exchange, outcome, clock.now())
 
     def _find_origin(self, exchange: Exchange) -> str:
-        """Find the software version that began a stream that a client resumes.
+        """Find the software version that began a stream which is to go on.
 
         Refuse the request if that cannot be proven, as servers do not check it; return
         the outcome's name then.
         """
         req = exchange.req
-        is_resumable = exchange.route.retry_policy is RetryPolicy.RESUME
-        if not is_resumable or not (req.resume_after or req.resumed_id):
+        has_begun = exchange.delivery.events or req.resume_after or req.resumed_id
+        if (
+            exchange.route.retry_policy is not RetryPolicy.RESUME
+            or exchange.software_version is not None
+            or not has_begun
+        ):
             return ""
-        account = exchange.account.name if exchange.account else ""
+        # A stream that began at another node may be newer than its request.
+        since = clock.now() if exchange.delivery.events else req.arrived_at
         match self.origins.find(
-            account, req.resumed_id, exchange.service, req.arrived_at
+            exchange.account_name(), exchange.began_id(), exchange.service, since
         ):
             case Began(service=service, version=version, source=source):
                 if any(share.service == service for share in exchange.route.shares):
@@ -416,6 +426,12 @@
             self._control.pause(ticket, False)
         return refusal
 
+    def _refuse_further_run(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Refuse a request that may have run, or been answered in part, elsewhere."""
+        outcome = self._refuse_charged(exchange, refusal)
+        if exchange.forwarded_to:
+            self._record_outcome(exchange, outcome, clock.now())
+
     def _refuse_charged(self, exchange: Exchange, refusal: Refusal) -> str:
         """Refuse a request whose run could not be charged anew."""
         if exchange.executions or exchange.conn.sent_head:
@@ -565,7 +581,7 @@
 
     def _record_outcome(self, exchange: Exchange, outcome: str, now: float) -> None:
         req = exchange.req
-        account = exchange.account.name if exchange.account else ""
+        account = exchange.account_name()
         whole_s = now - req.arrived_at
         first_s = (exchange.delivery.first_event_at or now) - req.arrived_at
         self._metrics.count_request(account, exchange.route.name, outcome)
--- a/arbutusyard/origins/coordinator.py
+++ b/arbutusyard/origins/coordinator.py
@@ -150,17 +150,27 @@
         self, account: str, request_id: str, server: Server, version: str, now: float
     ) -> None:
         """Record that a server's first event of a stream is being relayed."""
-        if not request_id:
-            return
-        digest = stream_digest(account, request_id)
-        service = server.entry.service
         record = OriginRecord(
-            service,
+            server.entry.service,
             version,
             now + self.versions.life_s,
             SOURCE_OWN,
             server.incarnation,
         )
+        self._record(account, request_id, record)
+
+    def record_forwarded(
+        self, account: str, request_id: str, service: str, version: str, now: float
+    ) -> None:
+        """Record that a stream is being relayed that began at another node."""
+        record = OriginRecord(service, version, now + self.versions.life_s, SOURCE_PEER)
+        self._record(account, request_id, record)
+
+    def _record(self, account: str, request_id: str, record: OriginRecord) -> None:
+        if not request_id:
+            return
+        digest = stream_digest(account, request_id)
+        service = record.service
         if self.records.add(digest, record) and service in self._mixed:
             self._pending.append(digest)
 
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -32,6 +32,8 @@
 # A prompt's segments as ID:TOKENS, not a hash of its whole prefix.
 PROMPT_SEGMENTS: Final = b"prefix-hash"
 LAST_EVENT_ID: Final = b"last-event-id"
+# The id of the attempt that brought the first event of a stream that is resumed.
+RESUMED_ID: Final = b"resumes"
 # The ID of the server incarnation that the request is for.
 EXPECT_SERVER: Final = b"expect-instance"
 # The weights version that the request is for.
@@ -57,6 +59,13 @@
 # why another node refused it.
 CONFIG_VERSION: Final = b"arbutusyard-config-version"
 NODE_REFUSAL: Final = b"arbutusyard-refusal"
+# Between nodes only: the service and the software version that began a stream. They are
+# listed in Connection, so that nodes that do not know them drop them.
+STREAM_SERVICE: Final = b"arbutusyard-stream-service"
+STREAM_SOFTWARE: Final = b"arbutusyard-stream-software"
+NODE_HEADERS: Final = frozenset({NODE_REFUSAL, STREAM_SERVICE, STREAM_SOFTWARE})
+# Text that a header can carry unchanged.
+HEADER_TEXT: Final = re.compile(r"[!-~]+", re.ASCII)
 # Reasons for refusals that may not apply to other nodes.
 NODE_REFUSAL_REASONS: Final = frozenset(
     {
@@ -194,21 +203,48 @@
 
 
 def peer_headers(
-    req: CallerRequest, time_left_s: float, config_version: int
+    req: CallerRequest,
+    time_left_s: float,
+    config_version: int,
+    resume_after: str,
+    resumed_id: str,
 ) -> Headers:
-    """Return the headers of a request to another node, as the client sent them."""
-    headers = [(CONFIG_VERSION, b"%d" % config_version), *req.headers]
+    """Return the headers of a request to another node, as the client sent them.
+
+    A stream that the client has in part goes on after an event, as if the client
+    resumed it.
+    """
+    headers = [(CONFIG_VERSION, b"%d" % config_version)]
+    headers += [item for item in req.headers if item[0] != RESUMED_ID]
     time_left_ms = max(1, int(time_left_s * MS_PER_S))
     headers.append((DEADLINE_MS, b"%d" % time_left_ms))
-    for name, text in ((ACCOUNT_KEY, req.key), (LAST_EVENT_ID, req.resume_after)):
+    for name, text in (
+        (ACCOUNT_KEY, req.key),
+        (LAST_EVENT_ID, resume_after),
+        (RESUMED_ID, resumed_id),
+    ):
         if text:
             headers.append((name, text.encode("latin-1")))
     return headers
 
 
+def stream_headers(service: str, software_version: str) -> Headers:
+    """Return the headers that tell another node where a stream began.
+
+    None if they cannot carry the names.
+    """
+    if not all(map(HEADER_TEXT.fullmatch, (service, software_version))):
+        return []
+    return [
+        (b"connection", STREAM_SERVICE + b", " + STREAM_SOFTWARE),
+        (STREAM_SERVICE, service.encode()),
+        (STREAM_SOFTWARE, software_version.encode()),
+    ]
+
+
 def read_answer(status: int, raw: Headers) -> AnswerHead:
     """Decode the head of a backend server's answer."""
-    dropped = HOP_BY_HOP_HEADERS | _connection_listed_headers(raw) | {NODE_REFUSAL}
+    dropped = HOP_BY_HOP_HEADERS | _connection_listed_headers(raw) | NODE_HEADERS
     head = AnswerHead(status, [item for item in raw if item[0] not in dropped])
     for name, value in raw:
         match name:
@@ -229,7 +265,7 @@
             case b"content-encoding":
                 head.encoded = value.strip().lower() not in (b"", b"identity")
             case b"connection":
-                head.closes = b"close" in value.lower()
+                head.closes = head.closes or b"close" in value.lower()
             case b"keep-alive":
                 head.keep_s = _keep_alive_timeout_s(value)
             case b"content-length":
@@ -241,6 +277,10 @@
                 head.framing = Framing.CHUNKED
             case b"arbutusyard-refusal":
                 head.node_refusal = _decode_text(value)
+            case b"arbutusyard-stream-service":
+                head.stream_service = _decode_text(value)
+            case b"arbutusyard-stream-software":
+                head.stream_software = _decode_text(value)
             case b"server-leaving":
                 head.leaving = _decode_text(value) == "1"
             case b"server-limit":
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -16,9 +16,11 @@
     Account,
     EngineTraits,
     IngressLimits,
+    Refusal,
     RetryPolicy,
 )
 from tests.gateway.support import (
+    STAMP,
     Gateway,
     ScriptedServer,
     answer,
@@ -338,9 +340,9 @@
     server = make(ScriptedServer, go_on)
     cut = make(Gateway, server, **route)
     # The cut is over by the time of the second attempt.
-    cut_off = iter([True, False])
+    cut_off = iter([True])
     cut.relay.forwarder._reachability = SimpleNamespace(
-        is_cut_off=lambda service, now: next(cut_off)
+        is_cut_off=lambda service, now: next(cut_off, False)
     )
     link(cut, make(FakeNode, break_off))
     got = cut.call()
@@ -348,6 +350,104 @@
     assert [r.headers["last-event-id"] for r in server.requests] == ["2"]
 
 
+STREAM_ROUTE = {"streaming": True, "retry_policy": RetryPolicy.RESUME}
+ALL_EVENTS = b"".join(map(event, range(1, 5)))
+
+
+def break_off_after(*numbers, headers=STAMP):
+    """Return the script of a server whose stream breaks off after some events."""
+
+    def script(request):
+        request.last = True
+        yield stream_head(request, headers)
+        yield chunk(b"".join(map(event, numbers)))
+
+    return script
+
+
+def stream_on(request):
+    """Send the events after the last one that the client has."""
+    first = int(request.headers.get("last-event-id", 0)) + 1
+    yield stream_head(request)
+    yield chunk(b"".join(map(event, range(first, 5)))) + b"0\r\n\r\n"
+
+
+# Guards against streams that are broken off although another node can go on with them.
+def test_a_forwarded_stream_goes_on_through_a_third_node(make):
+    server = make(ScriptedServer, stream_on)
+    cut = make(Gateway, RefusingServer(), **STREAM_ROUTE)
+    assert cut.call().status == 503
+    second = make(FakeNode, break_off_after(1, 2))
+    third = make(Gateway, server, **STREAM_ROUTE)
+    link(cut, second, third)
+    got = cut.call(request_bytes(Request_Id="r2"))
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
+    (request,) = server.requests
+    assert request.headers["last-event-id"] == "2"
+    # As if the client resumed it, so that the third node looks for where it began.
+    assert request.headers["resumes"] == "r2"
+
+
+# Guards against a stream of two software versions, and against headers between nodes
+# that reach clients.
+@pytest.mark.parametrize("version", ["v1", "v2"])
+def test_a_forwarded_stream_goes_on_at_the_version_that_began_it(make, version):
+    names = "arbutusyard-stream-service, arbutusyard-stream-software"
+    headers = (
+        f"{STAMP}Connection: {names}\r\nArbutusyard-Stream-Service: svc\r\n"
+        f"Arbutusyard-Stream-Software: v1\r\n"
+    )
+    server = make(ScriptedServer, stream_on)
+    cut = make(Gateway, server, **STREAM_ROUTE)
+    known = cut.fleet_state.servers.get("s0")
+    known.entry = replace(known.entry, software_version=version)
+    cut_off = iter([True])
+    cut.relay.forwarder._reachability = SimpleNamespace(
+        is_cut_off=lambda service, now: next(cut_off, False)
+    )
+    link(cut, make(FakeNode, break_off_after(1, 2, headers=headers)))
+    got = cut.call()
+    assert not {"arbutusyard-stream-service", "connection"} & got.headers.keys()
+    expected = ALL_EVENTS if version == "v1" else event(1) + event(2)
+    assert (got.complete, got.body) == (version == "v1", expected)
+
+
+# Guards against a node that does not say where the stream that it relays began.
+def test_the_other_node_says_where_a_stream_began(make):
+    server = make(ScriptedServer, stream_on)
+    other = make(Gateway, server, **STREAM_ROUTE)
+    known = other.fleet_state.servers.get("s0")
+    known.entry = replace(known.entry, software_version="v7")
+    assert "arbutusyard-stream-software" not in other.call().headers
+    host, port = other.node_ingress.address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=5) as sock:
+        sock.sendall(request_bytes())
+        headers = read_answer(sock).headers
+    assert headers["arbutusyard-stream-software"] == "v7"
+    # Nodes that do not know the headers drop those that Connection lists.
+    listed = {name.strip() for name in headers["connection"].split(",")}
+    assert listed == {"arbutusyard-stream-service", "arbutusyard-stream-software"}
+
+
+# Guards against a second head within an answer when no quota is left to go on.
+def test_a_forwarded_stream_ends_where_it_broke_off_without_quota(make, caplog):
+    class Charges(QuotaCharges):
+        def charge(self, req, admitted, now):
+            return Refusal(429, "quota", 1.0)
+
+    server = make(ScriptedServer, stream_on)
+    cut = make(Gateway, server, **STREAM_ROUTE)
+    cut.relay._charges = Charges(None)
+    cut_off = iter([True])
+    cut.relay.forwarder._reachability = SimpleNamespace(
+        is_cut_off=lambda service, now: next(cut_off, False)
+    )
+    link(cut, make(FakeNode, break_off_after(1, 2)))
+    got = cut.call()
+    assert (got.complete, got.body) == (False, event(1) + event(2))
+    assert "failed unexpectedly" not in caplog.text
+
+
 # Guards against work that goes on for a client that has left.
 def test_a_client_that_leaves_ends_its_request_at_the_server(make, cut):
     server = make(ScriptedServer, lambda request: [None])
