Do not count events of another software version as relayed

Callers missed events of a stream in an answer that looked whole: a forwarded stream broke off, the next node answered at another software version, which was refused, and the node after that was asked to go on after events that nobody had relayed. Cause: the version was checked once the events had been accepted into the record of what the client has. It is now checked on the head of the answer, before any event is read.

--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -263,6 +263,7 @@
             raise AnswerBroken(f"{conn.address} did not say where its answer ends")
         relay.check_head(exchange, conn, head)
         if exchange.route.streaming and head.status < 300:
+            _check_software(exchange, head)
             stream = NodeStream(self._origins, exchange, head)
             relay.relay_stream(exchange, conn, head, stream)
             return
@@ -321,23 +322,14 @@
         self._head = head
 
     def begin(self, now: float) -> None:
-        """Adopt the service and the software version of the stream.
-
-        Raise AnswerBroken if its version is not the one that began it.
-        """
+        """Adopt the service and the software version of a stream that begins."""
         exchange, head = self._exchange, self._head
-        if not head.stream_software:
+        if not head.stream_software or exchange.software_version is not None:
             return
-        if exchange.software_version is None:
-            exchange.software_version = head.stream_software
-            exchange.origin_source = SOURCE_PEER
-            if any(s.service == head.stream_service for s in exchange.route.shares):
-                exchange.service = head.stream_service
-        elif exchange.software_version != head.stream_software:
-            raise AnswerBroken(
-                f"software version {head.stream_software} cannot continue a stream of "
-                f"version {exchange.software_version}"
-            )
+        exchange.software_version = head.stream_software
+        exchange.origin_source = SOURCE_PEER
+        if any(s.service == head.stream_service for s in exchange.route.shares):
+            exchange.service = head.stream_service
 
     def relay(self, events: list[StreamEvent], now: float) -> None:
         """Record where the stream began, for clients that resume it."""
@@ -354,6 +346,21 @@
             )
 
 
+def _check_software(exchange: Exchange, head: AnswerHead) -> None:
+    """Raise AnswerBroken if a node's answer is of another version than its stream.
+
+    Before its events are read, as those that are accepted count as relayed.
+    """
+    if head.stream_software and exchange.software_version not in (
+        None,
+        head.stream_software,
+    ):
+        raise AnswerBroken(
+            f"software version {head.stream_software} cannot continue a stream of "
+            f"version {exchange.software_version}"
+        )
+
+
 def _is_refusal(exchange: Exchange, head: AnswerHead) -> bool:
     """Tell whether a node refused a request for reasons that others may not have.
 
--- /dev/null
+++ b/tests/gateway/test_broken_forwarding.py
@@ -0,0 +1,59 @@
+"""Streams and requests that go on after another node broke them off."""
+
+from types import SimpleNamespace
+
+from tests.gateway.support import (
+    STAMP,
+    Gateway,
+    chunk,
+    event,
+    request_bytes,
+    stream_head,
+)
+from tests.gateway.test_forwarding import (
+    ALL_EVENTS,
+    STREAM_ROUTE,
+    FakeNode,
+    RefusingServer,
+    break_off_after,
+    link,
+    make,
+    stream_on,
+)
+
+__all__ = ["make"]
+
+
+def stream_names(service, version):
+    """Return the headers of a node that tells where a stream began."""
+    names = "arbutusyard-stream-service, arbutusyard-stream-software"
+    return (
+        f"{STAMP}Connection: {names}\r\nArbutusyard-Stream-Service: {service}\r\n"
+        f"Arbutusyard-Stream-Software: {version}\r\n"
+    )
+
+
+def cut_off_times(gateway, times):
+    """Let a gateway be cut off at a number of its next checks."""
+    checks = iter([True] * times)
+    gateway.relay.forwarder._reachability = SimpleNamespace(
+        is_cut_off=lambda service, now: next(checks, False)
+    )
+
+
+# Guards against events that are missing from an answer that looks complete: those of an
+# answer of another software version were refused, but recorded as relayed.
+def test_events_of_another_version_are_not_taken_for_relayed_ones(make):
+    def other_version(request):
+        request.last = True
+        yield stream_head(request, stream_names("svc", "v2"))
+        yield chunk(event(3))
+
+    third = make(FakeNode, stream_on)
+    cut = make(Gateway, RefusingServer(), **STREAM_ROUTE, max_attempts=4)
+    assert cut.call().status == 503
+    first = make(FakeNode, break_off_after(1, 2, headers=stream_names("svc", "v1")))
+    link(cut, first, make(FakeNode, other_version), third)
+    got = cut.call(request_bytes(Request_Id="r2"))
+    assert [r.headers["last-event-id"] for r in third.requests] == ["2"]
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
