Do not refuse a resume as not run when another node may have run it

Clients whose resume was forwarded, and broke off before its first event, got 503 when the first node could not prove the stream's origin afterwards. 503 promises that the request has not run. Cause: that refusal did not ask whether the request may have run; it used to come before any attempt. It now answers 502, as other failures after a run.

--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -300,8 +300,9 @@
                 "serving_versions": sorted(versions),
             },
         )
-        if exchange.conn.sent_head:
-            return f"cut_{reason}"
+        if exchange.executions or exchange.conn.sent_head:
+            # The refusal below promises that the request has not run.
+            return self._answer_failure(exchange, reason)
         retry_after_s = None if is_final else RETRY_AFTER_S
         refusal = Refusal(503, reason, retry_after_s)
         headers = self._dispatcher.relay.with_connection_header(
--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -2,9 +2,11 @@
 
 from types import SimpleNamespace
 
+from arbutusyard.origins.models import UnknownOrigin
 from tests.gateway.support import (
     STAMP,
     Gateway,
+    ScriptedServer,
     chunk,
     event,
     request_bytes,
@@ -57,3 +59,23 @@
     got = cut.call(request_bytes(Request_Id="r2"))
     assert [r.headers["last-event-id"] for r in third.requests] == ["2"]
     assert (got.complete, got.body) == (True, ALL_EVENTS)
+
+
+# Guards against a refusal that promises that a request has not run, though the node to
+# which it was forwarded may have run it.
+def test_a_resume_that_may_have_run_elsewhere_is_not_refused_as_not_run(make):
+    def script(request):
+        request.last = True
+        return []
+
+    server = make(ScriptedServer, stream_on)
+    cut = make(Gateway, server, **STREAM_ROUTE)
+    cut_off_times(cut, 1)
+    cut.relay.origins = SimpleNamespace(
+        find=lambda *args: UnknownOrigin("store_unreadable", is_final=False),
+        versions=SimpleNamespace(of_service=lambda service, now: set()),
+    )
+    link(cut, make(FakeNode, script))
+    got = cut.call(request_bytes(Last_Event_Id="2", Resumes="r0"))
+    assert server.requests == []
+    assert got.status == 502
