Charge no run of this node's for one that another node charged

A request whose forwarded stream broke off, and went on at servers of the first node, was charged twice there for one run: an account near its quota had its stream broken off without need, and paid for three runs of two. Cause: the first node compared its charges with all executions, those at other nodes among them, which they charge themselves.

--- a/arbutusyard/gateway/charges.py
+++ b/arbutusyard/gateway/charges.py
@@ -34,7 +34,7 @@
     def charge_further_run(self, exchange: Exchange, now: float) -> bool:
         """Charge a run that follows one which may have taken place."""
         grant = exchange.grant
-        if grant is None or len(grant.charges) > exchange.executions:
+        if grant is None or len(grant.charges) > exchange.own_executions():
             return True
         return self._quotas.charge_again(grant, now)
 
@@ -44,14 +44,14 @@
 
     def renew(self, exchange: Exchange, now: float) -> Refusal | None:
         """Charge a run anew; return a refusal if there is no quota left for it."""
-        return self._quotas.renew(exchange.grant, exchange.executions, now)
+        return self._quotas.renew(exchange.grant, exchange.own_executions(), now)
 
     def give_back(self, exchange: Exchange, outcome: str) -> None:
         """Take back the quota of runs for which no server was found, or that failed.
 
         A server may have run the request of a client that disconnected.
         """
-        runs = exchange.executions + (outcome == "answered")
+        runs = exchange.own_executions() + (outcome == "answered")
         if outcome == "caller_gone" and exchange.may_run:
             return
         if exchange.grant is not None:
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -99,8 +99,10 @@
     fallback_answer: tuple[AnswerHead, bytes] | None = None
     # What was charged to the account's quota; None if it has none.
     grant: Grant | None = None
-    # Nodes to which the request was forwarded.
+    # Nodes to which the request was forwarded, and the failed attempts that they may
+    # have executed; they charge those themselves.
     forwarded_to: set[str] = field(default_factory=set)
+    forwarded_executions: int = 0
     # An attempt is under way, so that a server may run the request.
     may_run: bool = False
 
@@ -120,6 +122,10 @@
             return False
         return self.delivery.can_resume()
 
+    def own_executions(self) -> int:
+        """Return the failed attempts at this node that a server may have executed."""
+        return self.executions - self.forwarded_executions
+
     def account_name(self) -> str:
         """Return the name of the client account; empty if the request has none."""
         return self.account.name if self.account else ""
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -237,6 +237,7 @@
             if is_retry:
                 self._retry_budget.give_back(exchange.service)
             return ""
+        exchange.forwarded_executions += 1
         if self._may_retry(exchange, result):
             return self._find_origin(exchange)
         return self._answer_failure(exchange, result.value)
--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -2,6 +2,8 @@
 
 from types import SimpleNamespace
 
+from arbutusyard.gateway.charges import QuotaCharges
+from arbutusyard.gateway.models import Account, AccountQuota
 from arbutusyard.origins.models import UnknownOrigin
 from tests.gateway.support import (
     STAMP,
@@ -79,3 +81,33 @@
     got = cut.call(request_bytes(Last_Event_Id="2", Resumes="r0"))
     assert server.requests == []
     assert got.status == 502
+
+
+# Guards against a run of a node's own that is charged twice because another node, which
+# charges its own runs, ran the request before.
+def test_a_run_that_follows_a_forwarded_one_is_charged_once(make):
+    charged = []
+
+    class Quotas:
+        def acquire(self, account, req, time_limit_s, now):
+            charged.append("first")
+            return SimpleNamespace(charges=[1.0], charged_at=now)
+
+        def charge_again(self, grant, now):
+            charged.append("again")
+            grant.charges.append(1.0)
+            return True
+
+        def give_back_unused(self, grant, runs):
+            pass
+
+    server = make(ScriptedServer, stream_on)
+    cut = make(Gateway, server, **STREAM_ROUTE)
+    cut.relay._charges = QuotaCharges(Quotas())
+    account = Account("acc", ("key",), None, False, AccountQuota(1.0, 10.0))
+    cut.configure(*cut.fleet_state.catalog.cfg.routes, accounts=(account,))
+    cut_off_times(cut, 1)
+    link(cut, make(FakeNode, break_off_after(1, 2)))
+    got = cut.call()
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
+    assert charged == ["first"]
