Continue a stream through a third node where the cut began after its request

Clients' streams ended with cut_no_server although another node could go on with them: the node had begun a stream itself, was cut off, forwarded it, and the second node broke off in its turn. Cause: once a request is admitted it was forwarded once, then a server was looked for, of which a node that is cut off has none; requests that come during a cut are forwarded until none is left to take them.

--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -336,7 +336,7 @@
             now = clock.now()
             if now >= exchange.deadline:
                 return self._answer_failure(exchange, "late")
-            if self.forwarder.is_due(exchange, now):
+            while self.forwarder.is_due(exchange, now):
                 if ticket:
                     self._control.pause(ticket, True)
                 outcome = self._forward(exchange, now)
--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -2,11 +2,14 @@
 
 from types import SimpleNamespace
 
+import gevent
+
 from arbutusyard.gateway.charges import QuotaCharges
 from arbutusyard.gateway.models import Account, AccountQuota
 from arbutusyard.origins.models import UnknownOrigin
 from tests.gateway.support import (
     STAMP,
+    CrashingServer,
     Gateway,
     ScriptedServer,
     chunk,
@@ -111,3 +114,29 @@
     got = cut.call()
     assert (got.complete, got.body) == (True, ALL_EVENTS)
     assert charged == ["first"]
+
+
+# Guards against streams that are broken off although another node can go on with them,
+# where the cut began after the request had come.
+def test_a_stream_goes_on_through_a_third_node_after_an_own_attempt(make):
+    def crash_after_one(request):
+        yield stream_head(request)
+        yield chunk(event(1))
+        server.crash()
+        yield chunk(event(9))
+
+    server = make(CrashingServer, crash_after_one)
+
+    def break_off_late(request):
+        request.last = True
+        yield stream_head(request)
+        gevent.sleep(0.3)
+        yield chunk(event(2))
+
+    cut = make(Gateway, server, **STREAM_ROUTE, max_attempts=4)
+    second = make(FakeNode, break_off_late)
+    third = make(FakeNode, stream_on)
+    link(cut, second, third)
+    got = cut.call()
+    assert [r.headers["last-event-id"] for r in second.requests] == ["1"]
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
