Count a stream that another node began as begun in admission under load

A stream that a node had forwarded, of which its client had a part, could be rejected or kept waiting for load when it went on at the node itself. Cause: the request's ticket learned that the answer had begun only from attempts of the node's own.

--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -342,6 +342,7 @@
                 outcome = self._forward(exchange, now)
                 if ticket:
                     self._control.pause(ticket, False)
+                    ticket.begun = exchange.conn.sent_head
                 if outcome:
                     return outcome
                 now = clock.now()
--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from arbutusyard.admission.coordinator import AdmissionControl
 from arbutusyard.gateway.charges import QuotaCharges
 from arbutusyard.gateway.models import Account, AccountQuota
 from arbutusyard.origins.models import UnknownOrigin
@@ -140,3 +141,28 @@
     got = cut.call()
     assert [r.headers["last-event-id"] for r in second.requests] == ["1"]
     assert (got.complete, got.body) == (True, ALL_EVENTS)
+
+
+# Guards against streams that are rejected for load after their clients have a part of
+# them, which another node relayed.
+def test_a_forwarded_stream_that_goes_on_here_counts_as_begun(make, monkeypatch):
+    begun = []
+    enter = AdmissionControl.enter
+
+    def spy(self, ticket, now):
+        begun.append(ticket.begun)
+        return enter(self, ticket, now)
+
+    monkeypatch.setattr(AdmissionControl, "enter", spy)
+    cut = make(Gateway, make(ScriptedServer, stream_on), **STREAM_ROUTE)
+    cut.relay._control.enabled = True
+    cut.relay._set_hooks()
+    # The cut is noticed once the request has been admitted.
+    checks = iter([False, True])
+    cut.relay.forwarder._reachability = SimpleNamespace(
+        is_cut_off=lambda service, now: next(checks, False)
+    )
+    link(cut, make(FakeNode, break_off_after(1, 2)))
+    got = cut.call()
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
+    assert begun == [True]
