Give up a hung stream when its node can forward it

Cause: an attempt at an unresponsive server was only given up if this node itself had another server to try.

An attempt is now also given up if the request can be forwarded.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -153,6 +153,7 @@
         "_pool",
         "_quarantine",
         "_router",
+        "can_forward",
         "relay",
         "share",
         "spend_retry",
@@ -177,6 +178,7 @@
         self.relay = AnswerRelay(admission)
         self.share = FleetShare()
         self.spend_retry: Callable[[str, float], bool] = lambda service, now: True
+        self.can_forward: Callable[[Exchange, float], bool] = lambda *_: False
         self._malformed_limit_ids: set[str] = set()
         self._malformed_pause_ids: set[str] = set()
 
@@ -368,18 +370,16 @@
             )
             if may_be_prefilling:
                 return False
-        if exchange.route.retry_policy is RetryPolicy.ONCE:
+        route = exchange.route
+        if route.retry_policy is RetryPolicy.ONCE or not exchange.can_continue():
             return False
-        if exchange.executions + 1 >= exchange.route.max_attempts:
+        if exchange.executions + 1 >= route.max_attempts:
             return False
-        if not exchange.can_continue():
-            return False
-        others = self._fleet_state.servers.of_service(exchange.service)
-        has_other = any(
+        has_other = self.can_forward(exchange, now) or any(
             other is not server
             and exchange.software_version in (None, other.entry.software_version)
             and self._router.accepts(other, now)
-            for other in others
+            for other in self._fleet_state.servers.of_service(exchange.service)
         )
         # Only an attempt that can follow is a reason not to wait any longer.
         exchange.retry_is_paid = has_other and self.spend_retry(exchange.service, now)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -4,6 +4,7 @@
 import socket
 from types import SimpleNamespace
 
+import gevent
 import pytest
 from gevent.event import Event
 from msgspec.structs import replace
@@ -240,6 +241,36 @@
     assert cut.call(request_bytes(Request_Id="r2")).body == b"ok"
 
 
+# Guards against streams that wait on a hung connection until their deadline though
+# another node reaches servers.
+@pytest.mark.parametrize("count", [0, 2])
+def test_a_stream_on_a_hung_connection_goes_on_through_another_node(make, count):
+    ended = Event()
+
+    def hang(request):
+        hung._server.close()
+        if count:
+            yield stream_head(request)
+            yield chunk(b"".join(map(event, range(1, count + 1))))
+        ended.wait(8)
+
+    hung = make(ScriptedServer, hang)
+    cut = make(Gateway, hung, timeout_s=4.0, **STREAM_ROUTE)
+    cut.router.on_check = lambda server: gevent.spawn(cut.pool.probe, server)
+    other = make(Gateway, make(ScriptedServer, stream_on), **STREAM_ROUTE)
+
+    def send_heartbeats():
+        for seq in range(1, 20):
+            link(cut, other, seq=seq)
+            gevent.sleep(0.2)
+
+    task = gevent.spawn(send_heartbeats)
+    got = cut.call(request_bytes(Deadline_Ms="4000"))
+    task.kill()
+    ended.set()
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
+
+
 # Guards against requests that go back and forth between nodes that are cut off.
 def test_a_forwarded_request_is_not_forwarded_again(make, cut):
     server = make(ScriptedServer, lambda request: [answer(request)])
