Keep a forwarded stream while nothing else can go on with it

Streams were broken off between two events though they came through: where a node that is cut off from the servers hears no heartbeats either, the node to which it had forwarded a stream counted as timed out, and was given up without another node or server to go on. Cause: unlike for servers, whether an attempt can follow was not asked.

test_a_stream_is_not_broken_off_when_nothing_can_go_on_with_it failed before (3 of 3 runs) and passed in 3 of 3.

--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -281,10 +281,18 @@
             return False
         if exchange.route.retry_policy is RetryPolicy.ONCE:
             return False
-        live = self._peers.live_heartbeats(clock.now())
-        return all(
-            (other.name, other.incarnation) != (peer.name, peer.incarnation)
+        if exchange.executions + 1 >= exchange.route.max_attempts:
+            return False
+        now = clock.now()
+        live = self._peers.live_heartbeats(now)
+        if any(
+            (other.name, other.incarnation) == (peer.name, peer.incarnation)
             for other in live
+        ):
+            return False
+        # Only an attempt that can follow is a reason not to wait any longer.
+        return self.is_due(exchange, now) or not self._reachability.is_cut_off(
+            exchange.service, now
         )
 
     @staticmethod
--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -166,3 +166,20 @@
     got = cut.call()
     assert (got.complete, got.body) == (True, ALL_EVENTS)
     assert begun == [True]
+
+
+# Guards against streams that are broken off because heartbeats are lost, while their
+# events come and no other node or server could go on with them.
+def test_a_stream_is_not_broken_off_when_nothing_can_go_on_with_it(make):
+    def script(request):
+        yield stream_head(request)
+        yield chunk(event(1) + event(2))
+        cut.peers.peers.clear()
+        gevent.sleep(0.6)
+        yield chunk(event(3) + event(4)) + b"0\r\n\r\n"
+
+    cut = make(Gateway, RefusingServer(), **STREAM_ROUTE)
+    assert cut.call().status == 503
+    link(cut, make(FakeNode, script))
+    got = cut.call(request_bytes(Request_Id="r2"))
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
