Retry a stream that did not begin at a server that may have started again

Clients got 502 for a resumable stream whose first attempt broke off before its first event, though other servers could serve it. Cause: where a server could not be verified to be the one of its entry, the request's software version was marked as unprovable before any event came, so that no server and no node's answer matched it afterwards. It is marked with the first event now, as a known version is.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -422,8 +422,8 @@
             return self._process_not_run(exchange, placement, head)
         self.relay.check_head(exchange, conn, head)
         if exchange.route.streaming and head.status < 300:
-            self._check_software(exchange, server)
-            observer = ServerStream(self, exchange, placement)
+            is_current = self._check_software(exchange, server)
+            observer = ServerStream(self, exchange, placement, is_current)
             self.relay.relay_stream(exchange, conn, head, observer)
             server.count_outcome(False, clock.now())
             self._record_answer(exchange, clock.now())
@@ -505,13 +505,17 @@
         )
 
     def begin_stream(
-        self, exchange: Exchange, placement: Placement, now: float
+        self, exchange: Exchange, placement: Placement, is_current: bool, now: float
     ) -> None:
-        """Record the first event of an attempt at a stream."""
+        """Record the first event of an attempt at a stream.
+
+        A new stream of a server that may have started again cannot be resumed.
+        """
         placement.first_event_at = now
         self._router.record_first_event(placement, now)
         if exchange.software_version is None:
-            exchange.software_version = placement.server.entry.software_version
+            version = placement.server.entry.software_version
+            exchange.software_version = version if is_current else AMBIGUOUS
 
     def record_events(
         self,
@@ -536,12 +540,11 @@
                 now,
             )
 
-    def _check_software(self, exchange: Exchange, server: Server) -> None:
-        """Raise AnswerBroken if a server may not continue a stream.
+    def _check_software(self, exchange: Exchange, server: Server) -> bool:
+        """Return whether a server still has its version; raise AnswerBroken if needed.
 
         It may have started again under its id since it was chosen, or before, with
-        another software version. A new stream that may have begun there cannot be
-        resumed.
+        another software version, and must not continue a stream then.
         """
         version = exchange.software_version
         is_current = (
@@ -550,9 +553,7 @@
             or self._incarnations.is_current(server)
         )
         if version is None:
-            if not is_current:
-                exchange.software_version = AMBIGUOUS
-            return
+            return is_current
         if not is_current:
             raise AnswerBroken("the server may have started again with other software")
         current = self._fleet_state.servers.get(server.entry.server_id) or server
@@ -561,6 +562,7 @@
                 f"software version {current.entry.software_version} cannot continue a "
                 f"stream of version {version}"
             )
+        return True
 
     @staticmethod
     def _record_weights(
@@ -613,18 +615,25 @@
 class ServerStream(StreamObserver):
     """Observe the events of a server for its dispatcher."""
 
-    __slots__ = ("_dispatcher", "_exchange", "_placement")
+    __slots__ = ("_dispatcher", "_exchange", "_is_current", "_placement")
 
     def __init__(
-        self, dispatcher: Dispatcher, exchange: Exchange, placement: Placement
+        self,
+        dispatcher: Dispatcher,
+        exchange: Exchange,
+        placement: Placement,
+        is_current: bool,
     ) -> None:
+        self._is_current = is_current
         self._dispatcher = dispatcher
         self._exchange = exchange
         self._placement = placement
 
     def begin(self, now: float) -> None:
         """Record the time of the first event, and its software version."""
-        self._dispatcher.begin_stream(self._exchange, self._placement, now)
+        self._dispatcher.begin_stream(
+            self._exchange, self._placement, self._is_current, now
+        )
 
     def relay(self, events: list[StreamEvent], now: float) -> None:
         """Record where the stream began, and the weights that its events name."""
--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -6,6 +6,7 @@
 
 from arbutusyard.admission.coordinator import AdmissionControl
 from arbutusyard.gateway.charges import QuotaCharges
+from arbutusyard.gateway.incarnations import IncarnationCheck
 from arbutusyard.gateway.models import Account, AccountQuota
 from arbutusyard.origins.models import UnknownOrigin
 from tests.gateway.support import (
@@ -183,3 +184,26 @@
     link(cut, make(FakeNode, script))
     got = cut.call(request_bytes(Request_Id="r2"))
     assert (got.complete, got.body) == (True, ALL_EVENTS)
+
+
+# Guards against a new stream that is not retried because the server at which it broke
+# off before its first event may have started again.
+def test_a_stream_that_did_not_begin_is_retried_after_an_unproven_server(
+    make, monkeypatch
+):
+    current = iter([False])
+    monkeypatch.setattr(
+        IncarnationCheck, "is_current", lambda self, server: next(current, True)
+    )
+
+    def script(request):
+        if len(first.requests) + len(second.requests) > 1:
+            yield from stream_on(request)
+        else:
+            request.last = True
+            yield stream_head(request)
+
+    first, second = make(ScriptedServer, script), make(ScriptedServer, script)
+    gateway = make(Gateway, first, second, **STREAM_ROUTE)
+    got = gateway.call(request_bytes(Model="m"))
+    assert (got.status, got.complete, got.body) == (200, True, ALL_EVENTS)
