Do not count a refused event as relayed at an entry

Callers of an entry missed the usage of an answer that looked complete when the engine's usage event was malformed: the answer went on at another engine after that event, which had not been relayed. Cause: the next index was advanced before the event was checked.

--- a/arbutusyard/entry/relay.py
+++ b/arbutusyard/entry/relay.py
@@ -188,7 +188,6 @@
         raise BackendAnswerLost("the stream ended without its closing event")
 
     def _record_event(self, event: StreamEvent) -> None:
-        self._next_index = event.index + 1
         if event.kind is EventKind.TOKEN:
             self._relayed_tokens.append(event.raw)
             self.last_token_at = clock.now()
@@ -196,6 +195,8 @@
             self._record_usage(event)
         else:
             self._done = True
+        # A refused event is not relayed, so another engine has to send it.
+        self._next_index = event.index + 1
 
     def _first_event(self) -> StreamEvent:
         for event in self._iterator:
