Release the charge for a buffered answer that broke off

A client whose answer broke off while it was buffered was charged for up to 1 MiB that no longer existed, for as long as the stream that replaced it ran, so that others were refused for memory early. Cause: the charge was only set anew by a next buffered answer.

--- a/arbutusyard/gateway/answer_relay.py
+++ b/arbutusyard/gateway/answer_relay.py
@@ -138,13 +138,17 @@
         """
         chunks: list[bytes] = []
         size = 0
-        while (data := conn.read_data(exchange.deadline)) is not None:
-            size += len(data)
-            chunks.append(data)
-            is_short = not exchange.conn.hold_answer(size) and size > READ_BYTES
-            if is_short or size > BUFFERED_ANSWER_BYTES_MAX:
-                self._relay_large_body(exchange, conn, head, chunks)
-                return None
+        try:
+            while (data := conn.read_data(exchange.deadline)) is not None:
+                size += len(data)
+                chunks.append(data)
+                is_short = not exchange.conn.hold_answer(size) and size > READ_BYTES
+                if is_short or size > BUFFERED_ANSWER_BYTES_MAX:
+                    self._relay_large_body(exchange, conn, head, chunks)
+                    return None
+        except (AnswerBroken, AnswerLate):
+            exchange.conn.hold_answer(0)
+            raise
         return b"".join(chunks)
 
     def _relay_large_body(
--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import gevent
+from gevent.event import Event
 
 from arbutusyard.admission.coordinator import AdmissionControl
 from arbutusyard.gateway.charges import QuotaCharges
@@ -16,8 +17,10 @@
     ScriptedServer,
     chunk,
     event,
+    read_answer,
     request_bytes,
     stream_head,
+    wait_for,
 )
 from tests.gateway.test_forwarding import (
     ALL_EVENTS,
@@ -207,3 +210,33 @@
     gateway = make(Gateway, first, second, **STREAM_ROUTE)
     got = gateway.call(request_bytes(Model="m"))
     assert (got.status, got.complete, got.body) == (200, True, ALL_EVENTS)
+
+
+# Guards against buffered bytes that stay charged to a client after they were dropped.
+def test_a_replaced_answer_is_not_charged_to_its_client(make):
+    go_on = Event()
+
+    def script(request):
+        if len(server.requests) == 1:
+            request.last = True
+            yield (
+                b"HTTP/1.1 500 Oops\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n"
+                b"Content-Length: 900000\r\n\r\n" + b"x" * 500_000
+            )
+        else:
+            yield stream_head(request)
+            yield chunk(event(1))
+            go_on.wait(3)
+            yield chunk(event(2)) + b"0\r\n\r\n"
+
+    server = make(ScriptedServer, script)
+    gateway = make(Gateway, server, server, **STREAM_ROUTE)
+    sock = gateway.connect()
+    sock.sendall(request_bytes())
+    wait_for(lambda: len(server.requests) == 2)
+    gevent.sleep(0.1)
+    used = gateway.ingress.memory.used
+    go_on.set()
+    assert read_answer(sock).complete
+    sock.close()
+    assert used < 200_000
