Wait for a server for a stream from when it broke off

Streams whose servers had all failed once, by resets of a short cut, ended with cut_no_server although the servers were reachable again. Cause: servers that failed are asked again only within a time that began with the request, which is over when a stream breaks off later. For a stream of which the client has a part it begins with the break.

--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -329,7 +329,8 @@
         self, exchange: Exchange, ticket: Ticket | None, turn: Event | None
     ) -> str:
         """Try servers as admission under load allows it, without a ticket at once."""
-        wait_until = clock.now() + SERVER_WAIT_FRACTION * exchange.route.objective_s
+        wait_s = SERVER_WAIT_FRACTION * exchange.route.objective_s
+        wait_until = clock.now() + wait_s
         while True:
             if not self._charges.charge_further_run(exchange, clock.now()):
                 return self._answer_failure(exchange, "quota")
@@ -346,6 +347,8 @@
                 if outcome:
                     return outcome
                 now = clock.now()
+                if exchange.conn.sent_head:
+                    wait_until = now + wait_s
             suspect_key = b""
             keys = exchange.keys(with_request=self.quarantine.judges_requests)
             match self.quarantine.judge(keys, now):
@@ -417,6 +420,9 @@
                 self._retry_budget.give_back(exchange.service)
             if not self._may_retry(exchange, result):
                 return self._answer_failure(exchange, result.value)
+            if exchange.conn.sent_head:
+                # A stream may break off at any time after its request came.
+                wait_until = clock.now() + wait_s
 
     def _renew_charge(
         self, exchange: Exchange, ticket: Ticket | None, now: float
--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -240,3 +240,27 @@
     assert read_answer(sock).complete
     sock.close()
     assert used < 200_000
+
+
+# Guards against streams that are broken off because the only server that can go on with
+# them is one whose connection was reset before.
+def test_a_stream_goes_on_at_a_server_that_is_reachable_again(make):
+    def script(request):
+        if len(server.requests) == 1:
+            request.last = request.reset = True
+            yield stream_head(request)
+            gevent.sleep(0.3)
+            yield chunk(event(1))
+        else:
+            yield from stream_on(request)
+
+    server = make(ScriptedServer, script)
+    cut = make(Gateway, server, **STREAM_ROUTE, max_attempts=4)
+    # Cut off only as the first attempt has broken off.
+    checks = iter([False, False, True])
+    cut.relay.forwarder._reachability = SimpleNamespace(
+        is_cut_off=lambda service, now: next(checks, False)
+    )
+    link(cut, make(FakeNode, break_off_after(2)))
+    got = cut.call()
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
