Show three ways in which forwarded streams still break their bounds

Nodes together send a stream to more servers than its route allows, as each counts its own (on the stream ended instead); the node that forwarded a stream keeps its origin when that is withdrawn; and a stream of a split route goes on at a service drawn anew where its beginning is unknown. No code changes.

--- a/tests/gateway/test_broken_forwarding.py
+++ b/tests/gateway/test_broken_forwarding.py
@@ -4,11 +4,13 @@
 
 import gevent
 from gevent.event import Event
+from msgspec.structs import replace
 
+from arbutusyard import clock
 from arbutusyard.admission.coordinator import AdmissionControl
 from arbutusyard.gateway.charges import QuotaCharges
 from arbutusyard.gateway.incarnations import IncarnationCheck
-from arbutusyard.gateway.models import Account, AccountQuota
+from arbutusyard.gateway.models import Account, AccountQuota, ServiceShare
 from arbutusyard.origins.models import UnknownOrigin
 from tests.gateway.support import (
     STAMP,
@@ -264,3 +266,50 @@
     link(cut, make(FakeNode, break_off_after(2)))
     got = cut.call()
     assert (got.complete, got.body) == (True, ALL_EVENTS)
+
+
+# Guards against more servers than a route allows, where each node counts its own only.
+def test_nodes_together_send_a_stream_to_no_more_servers_than_allowed(make):
+    servers = [make(ScriptedServer, break_off_after(n)) for n in (1, 2, 3, 4, 5, 6)]
+    cut = make(Gateway, RefusingServer(), **STREAM_ROUTE, max_attempts=3)
+    assert cut.call().status == 503
+    second = make(Gateway, *servers[:3], **STREAM_ROUTE, max_attempts=3)
+    third = make(Gateway, *servers[3:], **STREAM_ROUTE, max_attempts=3)
+    link(cut, second, third)
+    cut.call(request_bytes(Request_Id="r2"))
+    assert sum(len(server.requests) for server in servers) <= 3
+
+
+# Guards against a resume at the version that a server was thought to have, at the node
+# to which the stream came from another one.
+def test_the_origin_of_a_forwarded_stream_is_withdrawn_with_its_server(make):
+    server = make(ScriptedServer, stream_on)
+    cut = make(Gateway, RefusingServer(), **STREAM_ROUTE)
+    assert cut.call().status == 503
+    other = make(Gateway, server, **STREAM_ROUTE)
+    known = other.fleet_state.servers.get("s0")
+    known.entry = replace(known.entry, software_version="v7")
+    link(cut, other)
+    assert cut.call(request_bytes(Request_Id="r2")).body == ALL_EVENTS
+    for gateway in (other, cut):
+        gateway.relay.origins._revoke(known)
+        found = gateway.relay.origins.find("acc", "r2", "svc", clock.now())
+        assert isinstance(found, UnknownOrigin)
+
+
+# Guards against a stream of two services, where a node that does not say where a
+# stream began drew another service of a split route.
+def test_a_stream_of_a_split_route_does_not_go_on_at_a_service_drawn_anew(make):
+    server = make(ScriptedServer, stream_on)
+    shares = (ServiceShare("svc", 1.0), ServiceShare("other", 1e-9))
+    cut = make(Gateway, server, server, **STREAM_ROUTE, shares=shares)
+    for server_id, service, version in (("s0", "svc", "v1"), ("s1", "other", "v2")):
+        known = cut.fleet_state.servers.get(server_id)
+        known.entry = replace(known.entry, service=service, software_version=version)
+    entries = {s: cut.fleet_state.servers.get(s).entry for s in ("s0", "s1")}
+    cut.fleet_state.servers.replace(entries, clock.now())
+    cut_off_times(cut, 1)
+    link(cut, make(FakeNode, break_off_after(1, 2)))
+    got = cut.call()
+    assert server.requests == []
+    assert (got.complete, got.body) == (False, event(1) + event(2))
