--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -11,6 +11,7 @@
 from arbutusyard import clock
 from arbutusyard.app import Application
 from arbutusyard.fleet.catalog import Catalog
+from arbutusyard.fleet.messages import Heartbeat
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.const import NO_LINGER
@@ -33,6 +34,7 @@
 from arbutusyard.gateway.settings import NodeSettings
 from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.metrics.deferred import DeferredMetrics
+from arbutusyard.origins.coordinator import OriginCoordinator
 from arbutusyard.platform.servers import ServerClient
 
 STAMP = "Response-Stamp: s\r\n"
@@ -190,6 +192,7 @@
         retry_policy=RetryPolicy.ANY,
         streaming=False,
         peer_address=SETTINGS.peer_address,
+        origins=OriginCoordinator,
         **changes,
     ):
         route = {
@@ -227,7 +230,8 @@
             self.router,
             self.pool,
             METRICS,
-            servers=ServerClient(),
+            origins("n1", self.fleet_state),
+            ServerClient(),
         )
         self.relay.update_share(FleetShare(recent=0, settled=True))
         memory = MemoryBudget(SETTINGS.client_limits)
@@ -338,3 +342,48 @@
     with gevent.Timeout(timeout_s):
         while not condition():
             gevent.sleep(0.005)
+
+
+class RefusingServer:
+    """Address at which nothing listens."""
+
+    def __init__(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def heartbeat_of(gateway, name="n2", seq=1, **fields):
+    fields = {"ready": True, "leaving": False, "config_version": 1, **fields}
+    return Heartbeat(
+        name=name,
+        incarnation=1,
+        seq=seq,
+        peer_address=gateway.node_ingress.address,
+        callers_address=gateway.ingress.address,
+        failure_domain="z",
+        region="r",
+        fencing_token=0,
+        **fields,
+    )
+
+
+class FakeNode:
+    """Scripted server that other nodes take for a node."""
+
+    def __init__(self, script):
+        self.node_ingress = self.ingress = ScriptedServer(script)
+
+    @property
+    def requests(self):
+        return self.ingress.requests
+
+    def stop(self):
+        self.ingress.stop()
+
+
+def link(gateway, *others, **fields):
+    """Let a gateway receive heartbeats of other nodes; the first is preferred."""
+    for number, other in enumerate(others):
+        name = f"n{number + 2}"
+        gateway.peers.apply_heartbeat(heartbeat_of(other, name, **fields), clock.now())
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -10,7 +10,6 @@
 
 from arbutusyard import clock
 from arbutusyard.fleet.catalog import Catalog
-from arbutusyard.fleet.messages import Heartbeat
 from arbutusyard.gateway.charges import QuotaCharges
 from arbutusyard.gateway.models import (
     Account,
@@ -21,11 +20,15 @@
 )
 from tests.gateway.support import (
     STAMP,
+    FakeNode,
     Gateway,
+    RefusingServer,
     ScriptedServer,
     answer,
     chunk,
     event,
+    heartbeat_of,
+    link,
     read_answer,
     request_bytes,
     stream_head,
@@ -33,51 +36,6 @@
 )
 
 
-class RefusingServer:
-    """Address at which nothing listens."""
-
-    def __init__(self):
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            self.address = f"127.0.0.1:{sock.getsockname()[1]}"
-
-
-def heartbeat_of(gateway, name="n2", seq=1, **fields):
-    fields = {"ready": True, "leaving": False, "config_version": 1, **fields}
-    return Heartbeat(
-        name=name,
-        incarnation=1,
-        seq=seq,
-        peer_address=gateway.node_ingress.address,
-        callers_address=gateway.ingress.address,
-        failure_domain="z",
-        region="r",
-        fencing_token=0,
-        **fields,
-    )
-
-
-class FakeNode:
-    """Scripted server that other nodes take for a node."""
-
-    def __init__(self, script):
-        self.node_ingress = self.ingress = ScriptedServer(script)
-
-    @property
-    def requests(self):
-        return self.ingress.requests
-
-    def stop(self):
-        self.ingress.stop()
-
-
-def link(gateway, *others, **fields):
-    """Let a gateway receive heartbeats of other nodes; the first is preferred."""
-    for number, other in enumerate(others):
-        name = f"n{number + 2}"
-        gateway.peers.apply_heartbeat(heartbeat_of(other, name, **fields), clock.now())
-
-
 @pytest.fixture
 def make():
     started = []
