--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -237,6 +237,7 @@
             if is_retry:
                 self._retry_budget.give_back(exchange.service)
             return ""
+        exchange.forwarded_executions += 1
         if self._may_retry(exchange, result):
             return self._find_origin(exchange)
         return self._answer_failure(exchange, result.value)
@@ -300,8 +301,9 @@
                 "serving_versions": sorted(versions),
             },
         )
-        if exchange.conn.sent_head:
-            return f"cut_{reason}"
+        if exchange.executions or exchange.conn.sent_head:
+            # The refusal below promises that the request has not run.
+            return self._answer_failure(exchange, reason)
         retry_after_s = None if is_final else RETRY_AFTER_S
         refusal = Refusal(503, reason, retry_after_s)
         headers = self._dispatcher.relay.with_connection_header(
@@ -334,12 +336,13 @@
             now = clock.now()
             if now >= exchange.deadline:
                 return self._answer_failure(exchange, "late")
-            if self.forwarder.is_due(exchange, now):
+            while self.forwarder.is_due(exchange, now):
                 if ticket:
                     self._control.pause(ticket, True)
                 outcome = self._forward(exchange, now)
                 if ticket:
                     self._control.pause(ticket, False)
+                    ticket.begun = exchange.conn.sent_head
                 if outcome:
                     return outcome
                 now = clock.now()
