Let the soak run nodes of an older build beside those of this one

Until now the soak ran one build only, so nothing showed what nodes of two builds do to each other while they are replaced one by one.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,25 +8,34 @@
 import shutil
 import subprocess
 import sys
+from pathlib import Path
 
 from gevent.pool import Pool
 
+from tests.soak.builds import Builds
 from tests.soak.world import soak
 
 
 def run_one(seed, args):
-    """Run a seed in this process; keep its logs only if a guarantee was violated.
+    """Run a seed in this process; keep its logs if a guarantee was violated.
 
     Return the exit code: 1 after a violation, else 0.
     """
-    ledger, folder = soak(seed, args.seconds, args.pause)
+    builds = None
+    if args.old_build:
+        builds = Builds(args.old_build, args.old_starts, args.roll_back)
+    folder = args.logs / str(seed) if args.logs else None
+    if folder:
+        folder.mkdir(parents=True, exist_ok=True)
+    ledger, folder = soak(seed, args.seconds, args.pause, folder=folder, builds=builds)
     print(f"seed {seed}: {ledger.log_lines[-1]}; {len(ledger.violations)} violations")
     for text in ledger.violations:
         print(f"seed {seed}: {text}")
     if ledger.violations:
         print(f"seed {seed}: logs in {folder}")
         return 1
-    shutil.rmtree(folder)
+    if not args.logs:
+        shutil.rmtree(folder)
     return 0
 
 
@@ -36,6 +45,12 @@
     def run(seed):
         command = [sys.executable, "-m", "tests.soak", "--seed", str(seed)]
         command += ["--seconds", str(args.seconds), "--pause", str(args.pause)]
+        if args.logs:
+            command += ["--logs", str(args.logs)]
+        if args.old_build:
+            command += ["--old-build", str(args.old_build)]
+            command += ["--old-starts", str(args.old_starts)]
+            command += ["--roll-back"] * args.roll_back
         result = subprocess.run(command, capture_output=True, text=True)
         print(result.stdout + result.stderr, end="", flush=True)
         return result.returncode != 0
@@ -53,6 +68,24 @@
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--pause", type=float, default=1.0)
+    parser.add_argument("--logs", type=Path, help="keep all logs in this folder")
+    parser.add_argument(
+        "--old-build",
+        type=lambda text: Path(text).resolve(),
+        help="run nodes of the checkout in this folder first, and replace them one by "
+        "one by nodes of this build",
+    )
+    parser.add_argument(
+        "--old-starts",
+        type=int,
+        default=1,
+        help="number of a node's first starts that are of the old build",
+    )
+    parser.add_argument(
+        "--roll-back",
+        action="store_true",
+        help="return to the old build for one start after the first of this build",
+    )
     args = parser.parse_args()
     if args.seed is not None:
         sys.exit(run_one(args.seed, args))
