Take the software version of a forwarded stream from nodes only

Callers saw nothing of it yet: found by a test. An older second node passes headers of a server's answer on that it does not know. If a server sent Arbutusyard-Stream-Software, the first node took it for the node's word on where the stream began, and cut the stream off for a version that does not exist.

tests/gateway/test_other_builds.py: test_only_a_node_says_where_a_stream_began failed before, each time; the client got 2 of 4 events.

The headers count only where Connection lists them, as nodes do; an older node drops what a server lists there.

--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -244,7 +244,8 @@
 
 def read_answer(status: int, raw: Headers) -> AnswerHead:
     """Decode the head of a backend server's answer."""
-    dropped = HOP_BY_HOP_HEADERS | _connection_listed_headers(raw) | NODE_HEADERS
+    listed = _connection_listed_headers(raw)
+    dropped = HOP_BY_HOP_HEADERS | listed | NODE_HEADERS
     head = AnswerHead(status, [item for item in raw if item[0] not in dropped])
     for name, value in raw:
         match name:
@@ -277,9 +278,10 @@
                 head.framing = Framing.CHUNKED
             case b"arbutusyard-refusal":
                 head.node_refusal = _decode_text(value)
-            case b"arbutusyard-stream-service":
+            # An older node passes such headers of a server on without listing them.
+            case b"arbutusyard-stream-service" if name in listed:
                 head.stream_service = _decode_text(value)
-            case b"arbutusyard-stream-software":
+            case b"arbutusyard-stream-software" if name in listed:
                 head.stream_software = _decode_text(value)
             case b"server-leaving":
                 head.leaving = _decode_text(value) == "1"
--- a/tests/gateway/test_other_builds.py
+++ b/tests/gateway/test_other_builds.py
@@ -276,3 +276,23 @@
     sock.close()
     assert (got.status, got.body, got.headers["response-stamp"]) == (200, b"whole", "s")
     assert not re.search("arbutusyard", str(got.headers))
+
+
+# Guards against a software version that a server states in an answer which an older
+# node relays: it drops these headers only if Connection lists them.
+def test_only_a_node_says_where_a_stream_began(make):
+    headers = f"{STAMP}Arbutusyard-Stream-Software: v9\r\n"
+
+    def claim(request):
+        request.last = True
+        yield stream_head(request, headers)
+        yield chunk(event(1) + event(2))
+
+    server = make(ScriptedServer, stream_on)
+    cut = make(Gateway, server, **STREAM_ROUTE)
+    set_version(cut, "v1")
+    cut_off_once(cut)
+    link(cut, make(FakeNode, claim))
+    got = cut.call()
+    assert not [name for name in got.headers if name.startswith("arbutusyard")]
+    assert (got.complete, got.body) == (True, ALL_EVENTS)
