--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,7 @@
 
 from gevent.pool import Pool
 
-from tests.soak.builds import Builds
+from tests.soak.builds import RollingUpdate
 from tests.soak.world import soak
 
 
@@ -21,13 +21,13 @@
 
     Return the exit code: 1 after a violation, else 0.
     """
-    builds = None
+    update = None
     if args.old_build:
-        builds = Builds(args.old_build, args.old_starts, args.roll_back)
+        update = RollingUpdate(args.old_build, args.roll_back)
     folder = args.logs / str(seed) if args.logs else None
     if folder:
         folder.mkdir(parents=True, exist_ok=True)
-    ledger, folder = soak(seed, args.seconds, args.pause, folder=folder, builds=builds)
+    ledger, folder = soak(seed, args.seconds, args.pause, folder=folder, update=update)
     print(f"seed {seed}: {ledger.log_lines[-1]}; {len(ledger.violations)} violations")
     for text in ledger.violations:
         print(f"seed {seed}: {text}")
@@ -49,7 +49,6 @@
             command += ["--logs", str(args.logs)]
         if args.old_build:
             command += ["--old-build", str(args.old_build)]
-            command += ["--old-starts", str(args.old_starts)]
             command += ["--roll-back"] * args.roll_back
         result = subprocess.run(command, capture_output=True, text=True)
         print(result.stdout + result.stderr, end="", flush=True)
@@ -72,19 +71,13 @@
     parser.add_argument(
         "--old-build",
         type=lambda text: Path(text).resolve(),
-        help="run nodes of the checkout in this folder first, and replace them one by "
+        help="begin with nodes of the checkout in this folder, and replace them one by "
         "one by nodes of this build",
     )
-    parser.add_argument(
-        "--old-starts",
-        type=int,
-        default=1,
-        help="number of a node's first starts that are of the old build",
-    )
     parser.add_argument(
         "--roll-back",
         action="store_true",
-        help="return to the old build for one start after the first of this build",
+        help="return to the old build, then replace the nodes once more",
     )
     args = parser.parse_args()
     if args.seed is not None:
--- a/tests/soak/builds.py
+++ b/tests/soak/builds.py
@@ -9,30 +9,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Builds:
-    """Choose the build of each start of a node.
+class RollingUpdate:
+    """Replace nodes of the build in the folder `old` by nodes of this build.
 
-    Each node's first `old_starts` starts are of the build in the folder `old`, later
-    ones of this build; with `rolls_back` the second of these is of the old one again.
+    With `rolls_back` all nodes return to the old build, and are replaced once more.
     """
 
     old: Path
-    old_starts: int = 1
     rolls_back: bool = False
 
-    def choose(self, start_count):
-        """Return the folder with the build of a node's start, counted from 1."""
-        is_rollback = self.rolls_back and start_count == self.old_starts + 2
-        return self.old if start_count <= self.old_starts or is_rollback else ROOT
+    def install_old(self, nodes):
+        """Let nodes start with the old build."""
+        for node in nodes:
+            node.build = self.old
 
     def replace_nodes(self, world, duration_s):
-        """Stop and start all nodes one by one, until each runs this build."""
-        rounds = self.old_starts + (2 if self.rolls_back else 0)
-        interval_s = duration_s / (rounds * len(world.nodes) + 1)
-        for _ in range(rounds):
+        """Replace all nodes one by one; a restart by a fault keeps a node's build."""
+        rounds = [ROOT, self.old, ROOT] if self.rolls_back else [ROOT]
+        interval_s = duration_s / (len(rounds) * len(world.nodes) + 1)
+        for build in rounds:
             for node in world.nodes:
                 gevent.sleep(interval_s)
                 world.ledger.log(f"{node.name} is replaced")
                 world.ledger.mark_disturbed(node.name)
+                node.build = build
                 node.terminate()
                 world.start(node)
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -21,17 +21,16 @@
 class NodeProcess:
     """Run one node on its own loopback address, with its own link to the store."""
 
-    def __init__(
-        self, number, folder, ledger, store_address, changes=None, builds=None
-    ):
+    def __init__(self, number, folder, ledger, store_address, changes=None):
         self.name = f"n{number}"
         # The address depends on the process id, so that concurrent soaks don't collide.
         ip_byte = os.getpid() % 250
         self.ip = f"127.{100 + os.getpid() // 250 % 100}.{ip_byte}.{number + 1}"
         self.link = Link(store_address)
         self.start_count = 0
+        # The folder whose code the next process runs.
+        self.build = ROOT
         self._ledger = ledger
-        self._builds = builds
         self._terminated_pids = set()
         # Faults overlap; only one at a time may start or kill the process.
         self._lock = RLock()
@@ -78,8 +77,7 @@
 
     def _start(self):
         self.start_count += 1
-        build = self._builds.choose(self.start_count) if self._builds else ROOT
-        self._ledger.log(f"{self.name} starts, build {build.name}")
+        self._ledger.log(f"{self.name} starts, build {self.build.name}")
         self._write_settings()
         env_vars = {
             **os.environ,
@@ -89,7 +87,7 @@
         with self._log_path.open("a") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "arbutusyard.cli.node_start"],
-                cwd=build,
+                cwd=self.build,
                 env=env_vars,
                 stdout=output,
                 stderr=subprocess.STDOUT,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -104,9 +104,9 @@
 class World:
     """Run a whole system under the faults that one seed draws."""
 
-    def __init__(self, seed, folder, max_think_time_s=MAX_THINK_TIME_S, builds=None):
+    def __init__(self, seed, folder, max_think_time_s=MAX_THINK_TIME_S, update=None):
         self._max_think_time_s = max_think_time_s
-        self._builds = builds
+        self._update = update
         self.rng = random.Random(seed)
         self._rollback_rng = (
             random.Random(f"return {seed}") if seed >= FIRST_ROLLBACK_SEED else None
@@ -153,9 +153,11 @@
         ]
         changes = OVERLOAD_SETTINGS if self._has_overload else {}
         self.nodes = [
-            NodeProcess(n, folder, self.ledger, self.store.address, changes, builds)
+            NodeProcess(n, folder, self.ledger, self.store.address, changes)
             for n in range(NODES)
         ]
+        if update:
+            update.install_old(self.nodes)
         self._tasks = []
         self._are_servers_slow = self._has_overload
 
@@ -287,9 +289,9 @@
                 self._tasks.append(gevent.spawn(self._run_deadly_client))
                 self._tasks.append(gevent.spawn(self._forget_entries))
             disturbances = []
-            if self._builds:
+            if self._update:
                 disturbances.append(
-                    gevent.spawn(self._builds.replace_nodes, self, duration_s)
+                    gevent.spawn(self._update.replace_nodes, self, duration_s)
                 )
             if self._has_removals:
                 disturbances.append(gevent.spawn(self._remove_servers))
@@ -691,10 +693,10 @@
     }
 
 
-def soak(seed, duration_s, pause_s=1.0, timed=True, folder=None, builds=None):
+def soak(seed, duration_s, pause_s=1.0, timed=True, folder=None, update=None):
     """Run one seed; return the ledger and the folder with the nodes' logs."""
     folder = Path(folder or tempfile.mkdtemp(prefix="soak-"))
-    world = World(seed, folder, builds=builds)
+    world = World(seed, folder, update=update)
     ledger = world.run(duration_s, pause_s, timed)
     for path in sorted(folder.glob("*.log")):
         for line in path.read_text(errors="replace").splitlines():
