Repeat unanswered orders after an exponential delay

Cause: after an unanswered order the report shows at once that the engine is not loading, and the order was repeated without a pause.

--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -386,6 +386,7 @@
 
     def _order_until_done(self, model: str, server: Server) -> bool:
         give_up_at = clock.now() + LOAD_TIMEOUT_S
+        unanswered = 0
         while clock.now() < give_up_at and not server.dead:
             version = self._fleet_state.target_version(model)
             if server.weights.get(model, 0) >= version:
@@ -397,6 +398,8 @@
             outcome = self._order(model, version, server)
             if outcome in (OrderOutcome.FENCED, OrderOutcome.OTHER_SERVER):
                 return False
+            unanswered = unanswered + 1 if outcome is None else 0
+            gevent.sleep(self._order_pause_s(server, unanswered))
             if outcome is None and self._read_report(server) is None:
                 return False
             if outcome is OrderOutcome.REFUSED:
@@ -407,6 +410,16 @@
                 self._wait_loaded(model, version, server, outcome)
         return False
 
+    def _order_pause_s(self, server: Server, unanswered: int) -> float:
+        """Return the exponential delay, in seconds, after unanswered orders in a row.
+
+        The first one is repeated at once unless the engine's report shows its outcome.
+        """
+        if unanswered < 2:
+            return 0.0
+        delay_s = min(RETRY_DELAY_S, REPORT_POLL_S * 2 ** (unanswered - 2))
+        return max(delay_s, self._limits.poll_interval_s(server.incarnation))
+
     def _order(self, model: str, version: int, server: Server) -> OrderOutcome | None:
         order = LoadOrder(
             server_id=server.entry.server_id,
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -189,6 +189,19 @@
     assert engine.orders == 1
 
 
+# Guards against LIMIT: an engine that answers no order got over a hundred per second.
+def test_an_engine_that_answers_no_order_is_asked_less_often(make_nodes):
+    engine = Engine()
+    engine.faults = ["lost"] * 10_000
+    (node,) = make_nodes([engine], "n1")
+    node.set_target(2)
+    wait_for(lambda: len(engine.faults) < 10_000, 8)
+    gevent.sleep(2.0)
+    assert len(engine.faults) >= 10_000 - 10
+    engine.faults.clear()
+    wait_for(lambda: node.versions() == {2}, 2)
+
+
 def test_the_report_is_read_before_the_first_order_to_an_engine(make_nodes):
     engine = Engine()
     engine.orders = 4
