Forward requests that wait for a silent server while a node is cut off

Callers of a node that was cut off by silence waited until their deadline (504) although another node could serve them. Cause: an unresponsive server's request was given up only if another server of this node's could take it.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -163,6 +163,7 @@
         admission: Admission,
         fleet_state: FleetState,
         router: PlacementRouter,
+        "can_forward",
         pool: ServerPool,
         quarantine: RequestQuarantine,
         origins: OriginCoordinator,
@@ -186,6 +187,9 @@
         """Send a request to one server; return None once its client has an answer."""
         server = placement.server
         now = clock.now()
+        self.can_forward: Callable[[Exchange, float], bool] = lambda exchange, now: (
+            False
+        )
         cap = self.connection_cap(exchange.service)
         conn: ServerConnection | None = None
         complete_head: AnswerHead | None = None
@@ -392,6 +396,7 @@
         return placement.prompt is not None and self._router.outdated.is_overdue(
             placement.server, exchange.req.model, now
         )
+        has_other = has_other or self.can_forward(exchange, now)
 
     def connection_cap(self, service: str) -> int:
         """Return how many connections this node may open to a server of a service."""
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -129,6 +129,7 @@
             cfg.failure_domain,
             cfg.source_ip,
         )
+        self._dispatcher.can_forward = self.forwarder.is_due
         self._hedged = HedgedDispatch(
             self._dispatcher,
             fleet_state,
