Do not relay another node's refusal once a request may have run

Callers got 429 or 503, which promise that a request has not run, after another node may have run it. Cause: a refusal of the node that was asked next was relayed whatever came before. The next node is asked instead, and the request ends with 502 if none is left.

--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -375,7 +375,8 @@
     A node that is short of memory refuses a request before it has read its ID. The rest
     of a stream may be asked of the next node after any refusal.
     """
-    if exchange.conn.sent_head and head.status in NOT_RUN_STATUSES:
+    may_have_run = exchange.executions or exchange.conn.sent_head
+    if may_have_run and head.status in NOT_RUN_STATUSES | {408}:
         return not head.stamped
     return bool(head.node_refusal) or (
         head.status in (408, 503) and not head.stamped and not head.request_id
