Withdraw the origin of a forwarded stream with its server

A node that had forwarded a stream went on naming its software version after the server turned out to have started again with another one, so that a client's resume could join two versions. Cause: its record did not name the server.

--- a/arbutusyard/gateway/answer_relay.py
+++ b/arbutusyard/gateway/answer_relay.py
@@ -107,9 +107,10 @@
     def _stream_headers(self, exchange: "Exchange", head: AnswerHead) -> Headers:
         """Return the headers of a stream; another node is told where it began."""
         headers = head.headers
-        version = exchange.software_version
-        if exchange.req.from_node and version is not None:
-            headers = [*headers, *stream_headers(exchange.service, version)]
+        version, placement = exchange.software_version, exchange.placement
+        if exchange.req.from_node and version is not None and placement is not None:
+            server = placement.server.incarnation
+            headers = [*headers, *stream_headers(exchange.service, version, server)]
         return self.with_connection_header(headers)
 
     def _relay_events(
--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -30,6 +30,7 @@
 from arbutusyard.gateway.reachability import Reachability
 from arbutusyard.metrics.deferred import DeferredMetrics
 from arbutusyard.origins.coordinator import SOURCE_PEER, OriginCoordinator
+from arbutusyard.origins.models import Began
 from arbutusyard.platform.headers import NOT_RUN_STATUSES, peer_headers
 
 _LOGGER = logging.getLogger(__name__)
@@ -348,8 +349,8 @@
             self._origins.record_forwarded(
                 exchange.account_name(),
                 exchange.req.request_id,
-                exchange.service,
-                exchange.software_version,
+                began,
+                self._head.stream_server,
                 now,
             )
 
@@ -371,6 +372,7 @@
 
 def _is_refusal(exchange: Exchange, head: AnswerHead) -> bool:
     """Tell whether a node refused a request for reasons that others may not have.
+            began = Began(exchange.service, exchange.software_version, SOURCE_PEER)
 
     A node that is short of memory refuses a request before it has read its ID. The rest
     of a stream may be asked of the next node after any refusal.
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -231,6 +231,7 @@
     stream_software: str = ""
 
 
+    stream_server: tuple[str, int] | None = None
 class Refusal(Struct, frozen=True):
     """Hold a refusal that this node answers itself."""
 
--- a/arbutusyard/origins/coordinator.py
+++ b/arbutusyard/origins/coordinator.py
@@ -160,7 +160,12 @@
         self._record(account, request_id, record)
 
     def record_forwarded(
-        self, account: str, request_id: str, service: str, version: str, now: float
+        self,
+        account: str,
+        request_id: str,
+        began: Began,
+        server: tuple[str, int] | None,
+        now: float,
     ) -> None:
         """Record that a stream is being relayed that began at another node."""
         record = OriginRecord(service, version, now + self.versions.life_s, SOURCE_PEER)
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -63,7 +63,14 @@
 # listed in Connection, so that nodes that do not know them drop them.
 STREAM_SERVICE: Final = b"arbutusyard-stream-service"
 STREAM_SOFTWARE: Final = b"arbutusyard-stream-software"
-NODE_HEADERS: Final = frozenset({NODE_REFUSAL, STREAM_SERVICE, STREAM_SOFTWARE})
+STREAM_SERVER: Final = b"arbutusyard-stream-server"
+# Between nodes only: to how many servers the other node may send a forwarded request.
+ATTEMPTS_MAX: Final = b"arbutusyard-attempts"
+NODE_HEADERS: Final = frozenset(
+    {NODE_REFUSAL, STREAM_SERVICE, STREAM_SOFTWARE, STREAM_SERVER}
+)
+# Maximum number of digits of a time in milliseconds.
+MS_DIGITS_MAX: Final = 16
 # Text that a header can carry unchanged.
 HEADER_TEXT: Final = re.compile(r"[!-~]+", re.ASCII)
 # Reasons for refusals that may not apply to other nodes.
@@ -228,18 +235,29 @@
     return headers
 
 
-def stream_headers(service: str, software_version: str) -> Headers:
+def stream_headers(
+    service: str, software_version: str, server: tuple[str, int]
+) -> Headers:
     """Return the headers that tell another node where a stream began.
 
     None if they cannot carry the names.
     """
     if not all(map(HEADER_TEXT.fullmatch, (service, software_version))):
         return []
-    return [
-        (b"connection", STREAM_SERVICE + b", " + STREAM_SOFTWARE),
-        (STREAM_SERVICE, service.encode()),
-        (STREAM_SOFTWARE, software_version.encode()),
-    ]
+    values = {
+        STREAM_SERVICE: service.encode(),
+        STREAM_SOFTWARE: software_version.encode(),
+        STREAM_SERVER: b"%d %s" % (started_at_ms, server_id.encode()),
+    }
+    return [(b"connection", b", ".join(values)), *values.items()]
+
+
+def _read_incarnation(value: bytes) -> tuple[str, int] | None:
+    """Read a server's start in ms and its id; return None if they are malformed."""
+    started_at_ms, _, server_id = _decode_text(value).partition(" ")
+    if not started_at_ms.isdecimal() or len(started_at_ms) > MS_DIGITS_MAX:
+        return None
+    return server_id, int(started_at_ms)
 
 
 def read_answer(status: int, raw: Headers) -> AnswerHead:
@@ -300,6 +318,8 @@
 
 def _read_limit(head: AnswerHead, value: bytes) -> None:
     """Set the request rate that a server accepts; the lowest of several counts."""
+            case b"arbutusyard-stream-server" if name in listed:
+                head.stream_server = _read_incarnation(value)
     head.limit_text = _decode_text(value)
     if DECIMAL_NUMBER.fullmatch(head.limit_text) is None:
         return
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -384,7 +384,8 @@
     assert headers["arbutusyard-stream-software"] == "v7"
     # Nodes that do not know the headers drop those that Connection lists.
     listed = {name.strip() for name in headers["connection"].split(",")}
-    assert listed == {"arbutusyard-stream-service", "arbutusyard-stream-software"}
+    names = {f"arbutusyard-stream-{name}" for name in ("service", "software", "server")}
+    assert listed == names <= headers.keys()
 
 
 # Guards against a second head within an answer when no quota is left to go on.
