Count the servers that a forwarded request may reach over all nodes

Cause: the limit was not handed on. A node now grants the next one half of what is left, in a header that Connection lists and drops, and counts all of it as used if the answer breaks off.

--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -103,6 +103,9 @@
     # have executed; they charge those themselves.
     forwarded_to: set[str] = field(default_factory=set)
     forwarded_executions: int = 0
+    # Nodes that refused the request or could not be reached, and how often it was sent.
+    unusable_nodes: set[str] = field(default_factory=set)
+    forwards: int = 0
     # An attempt is under way, so that a server may run the request.
     may_run: bool = False
 
@@ -122,6 +125,13 @@
             return False
         return self.delivery.can_resume()
 
+    def attempts_left(self) -> int:
+        """Return to how many more servers the request may be sent."""
+        allowed = self.route.max_attempts
+        if self.req.attempts_max is not None:
+            allowed = min(allowed, self.req.attempts_max)
+        return allowed - self.executions
+
     def own_executions(self) -> int:
         """Return the failed attempts at this node that a server may have executed."""
         return self.executions - self.forwarded_executions
@@ -153,6 +163,7 @@
         "_pool",
         "_quarantine",
         "_router",
+        "can_forward",
         "relay",
         "share",
         "spend_retry",
@@ -163,7 +174,6 @@
         admission: Admission,
         fleet_state: FleetState,
         router: PlacementRouter,
-        "can_forward",
         pool: ServerPool,
         quarantine: RequestQuarantine,
         origins: OriginCoordinator,
@@ -177,6 +187,9 @@
         self._quarantine = quarantine
         self.relay = AnswerRelay(admission)
         self.share = FleetShare()
+        self.can_forward: Callable[[Exchange, float], bool] = lambda exchange, now: (
+            False
+        )
         self.spend_retry: Callable[[str, float], bool] = lambda service, now: True
         self._malformed_limit_ids: set[str] = set()
         self._malformed_pause_ids: set[str] = set()
@@ -187,9 +200,6 @@
         """Send a request to one server; return None once its client has an answer."""
         server = placement.server
         now = clock.now()
-        self.can_forward: Callable[[Exchange, float], bool] = lambda exchange, now: (
-            False
-        )
         cap = self.connection_cap(exchange.service)
         conn: ServerConnection | None = None
         complete_head: AnswerHead | None = None
@@ -374,7 +384,7 @@
                 return False
         if exchange.route.retry_policy is RetryPolicy.ONCE:
             return False
-        if exchange.executions + 1 >= exchange.route.max_attempts:
+        if exchange.attempts_left() <= 1:
             return False
         if not exchange.can_continue():
             return False
@@ -386,6 +396,7 @@
             for other in others
         )
         # Only an attempt that can follow is a reason not to wait any longer.
+        has_other = has_other or self.can_forward(exchange, now)
         exchange.retry_is_paid = has_other and self.spend_retry(exchange.service, now)
         return exchange.retry_is_paid
 
@@ -396,7 +407,6 @@
         return placement.prompt is not None and self._router.outdated.is_overdue(
             placement.server, exchange.req.model, now
         )
-        has_other = has_other or self.can_forward(exchange, now)
 
     def connection_cap(self, service: str) -> int:
         """Return how many connections this node may open to a server of a service."""
--- a/arbutusyard/gateway/forwarding.py
+++ b/arbutusyard/gateway/forwarding.py
@@ -93,7 +93,7 @@
         return (
             not exchange.req.from_node
             and exchange.can_continue()
-            and len(exchange.forwarded_to) < FORWARD_NODES_MAX
+            and exchange.forwards < FORWARD_NODES_MAX
             and self._reachability.is_cut_off(exchange.service, now)
             and self._choose(exchange, now) is not None
         )
@@ -103,16 +103,25 @@
 
         NOT_SENT if no node has taken it, so that no server has it either.
         """
-        while len(exchange.forwarded_to) < FORWARD_NODES_MAX:
+        while exchange.forwards < FORWARD_NODES_MAX:
             now = clock.now()
             peer = self._choose(exchange, now)
             if peer is None:
                 break
+            exchange.forwards += 1
             exchange.forwarded_to.add(peer.name)
-            result = self._send(exchange, peer, now)
+            granted = _grant_attempts(exchange)
+            result = self._send(exchange, peer, granted, now)
             self._metrics.count_forward(result.value if result else "answered")
-            if result is not AttemptResult.NOT_SENT:
-                return result
+            match result:
+                case AttemptResult.NOT_SENT:
+                    exchange.unusable_nodes.add(peer.name)
+                    continue
+                case AttemptResult.BROKEN | AttemptResult.FAILED:
+                    # The node does not say how many servers it asked.
+                    exchange.executions += granted - 1
+                    exchange.forwarded_executions += granted
+            return result
         return AttemptResult.NOT_SENT
 
     def reaches_engines(self, now: float) -> bool:
@@ -157,7 +166,7 @@
         usable = []
         for peer in self._candidates(exchange.service, now):
             node = self._node(peer)
-            if peer.name in exchange.forwarded_to or (
+            if peer.name in exchange.unusable_nodes or (
                 node.suspected and now < node.suspect_until
             ):
                 continue
@@ -167,8 +176,10 @@
             if peer.failure_domain != self._domain:
                 cost += OWN_DOMAIN_PREFERENCE
             # A heartbeat may be older than the configuration that its node has by now.
-            usable.append((peer.config_version < version, cost, peer.name, peer))
-        return min(usable, key=lambda item: item[:3])[3] if usable else None
+            is_outdated = peer.config_version < version
+            was_asked = peer.name in exchange.forwarded_to
+            usable.append((was_asked, is_outdated, cost, peer.name, peer))
+        return min(usable, key=lambda item: item[:4])[4] if usable else None
 
     def _node(self, peer: Heartbeat) -> Server:
         incarnation = (peer.name, peer.incarnation)
@@ -187,7 +198,7 @@
         return node
 
     def _send(
-        self, exchange: Exchange, peer: Heartbeat, now: float
+        self, exchange: Exchange, peer: Heartbeat, granted: int, now: float
     ) -> AttemptResult | None:
         """Send a request to one node and relay its answer."""
         node = self._node(peer)
@@ -202,7 +213,7 @@
             conn.should_abandon = lambda: self._should_abandon(exchange, peer)
             if exchange.conn.has_disconnected():
                 raise CallerGone("client disconnected before its request was forwarded")
-            self._send_request(exchange, conn)
+            self._send_request(exchange, conn, granted)
             head = conn.read_head(request_id, exchange.deadline)
             if _is_refusal(exchange, head):
                 read_until = min(
@@ -212,10 +223,13 @@
                     complete_head = head
                 raise NotSent(f"refused: {head.node_refusal or head.status}")
             exchange.head = head
-            self._relay_answer(exchange, conn, head)
+            is_relayed = self._relay_answer(exchange, conn, head)
             complete_head = head
             node.count_outcome(False, clock.now())
-            return None
+            if is_relayed:
+                return None
+            cause = f"status {head.status}"
+            return self._record_failure(exchange, peer, AttemptResult.FAILED, cause)
         except NotSent as exc:
             if isinstance(exc, Unreachable):
                 node.suspect(clock.now())
@@ -231,7 +245,9 @@
             elif conn is not None:
                 self._pool.abort(conn)
 
-    def _send_request(self, exchange: Exchange, conn: ServerConnection) -> None:
+    def _send_request(
+        self, exchange: Exchange, conn: ServerConnection, granted: int
+    ) -> None:
         req = exchange.req
         catalog = self._fleet_state.catalog
         sequence = exchange.delivery.sequence
@@ -250,6 +266,7 @@
             req,
             exchange.deadline - clock.now(),
             catalog.cfg.version if catalog else 0,
+            granted,
             sequence.last_id,
             exchange.began_id(),
         )
@@ -257,20 +274,29 @@
 
     def _relay_answer(
         self, exchange: Exchange, conn: ServerConnection, head: AnswerHead
-    ) -> None:
-        """Relay a node's answer; raise AnswerBroken if it is not complete."""
+    ) -> bool:
+        """Relay a node's answer; return False for an error that may be retried.
+
+        Raise AnswerBroken if there is no complete answer.
+        """
         relay = self._dispatcher.relay
         if head.framing is Framing.CLOSE:
             raise AnswerBroken(f"{conn.address} did not say where its answer ends")
+        if head.status == 502 and not head.stamped:
+            raise AnswerBroken(f"{conn.address} got no answer from a server")
         relay.check_head(exchange, conn, head)
         if exchange.route.streaming and head.status < 300:
             _check_software(exchange, head)
             stream = NodeStream(self._origins, exchange, head)
             relay.relay_stream(exchange, conn, head, stream)
-            return
+            return True
         body = relay.read_or_relay_body(exchange, conn, head)
+        if body is not None and head.status >= 500 and head.stamped:
+            exchange.fallback_answer = (head, body)
+            return False
         if body is not None:
             relay.answer(exchange, head, body)
+        return True
 
     def _should_abandon(self, exchange: Exchange, peer: Heartbeat) -> bool:
         """Tell whether to give up on a node that has timed out.
@@ -282,7 +308,7 @@
             return False
         if exchange.route.retry_policy is RetryPolicy.ONCE:
             return False
-        if exchange.executions + 1 >= exchange.route.max_attempts:
+        if exchange.attempts_left() <= 1:
             return False
         now = clock.now()
         live = self._peers.live_heartbeats(now)
@@ -298,7 +324,7 @@
 
     @staticmethod
     def _record_failure(
-        exchange: Exchange, peer: Heartbeat, result: AttemptResult, cause: Exception
+        exchange: Exchange, peer: Heartbeat, result: AttemptResult, cause: object
     ) -> AttemptResult:
         _LOGGER.info(
             "Forwarding a request to a node failed",
@@ -346,6 +372,7 @@
         if exchange.delivery.events or exchange.software_version is None:
             return
         if exchange.route.retry_policy is RetryPolicy.RESUME:
+            began = Began(exchange.service, exchange.software_version, SOURCE_PEER)
             self._origins.record_forwarded(
                 exchange.account_name(),
                 exchange.req.request_id,
@@ -355,6 +382,18 @@
             )
 
 
+def _grant_attempts(exchange: Exchange) -> int:
+    """Return to how many servers another node may send a request.
+
+    Half of them are kept back for the case that the node itself fails, if the request
+    may be repeated.
+    """
+    left = exchange.attempts_left()
+    if exchange.route.retry_policy is RetryPolicy.ONCE:
+        return left
+    return max(1, left // 2)
+
+
 def _check_software(exchange: Exchange, head: AnswerHead) -> None:
     """Raise AnswerBroken if a node's answer is of another version than its stream.
 
@@ -372,10 +411,9 @@
 
 def _is_refusal(exchange: Exchange, head: AnswerHead) -> bool:
     """Tell whether a node refused a request for reasons that others may not have.
-            began = Began(exchange.service, exchange.software_version, SOURCE_PEER)
 
-    A node that is short of memory refuses a request before it has read its ID. The rest
-    of a stream may be asked of the next node after any refusal.
+    A node that is short of memory refuses a request before it has read its ID. No
+    refusal is relayed once the request may have run, as it promises the contrary.
     """
     may_have_run = exchange.executions or exchange.conn.sent_head
     if may_have_run and head.status in NOT_RUN_STATUSES | {408}:
--- a/arbutusyard/gateway/hedged_dispatch.py
+++ b/arbutusyard/gateway/hedged_dispatch.py
@@ -165,10 +165,8 @@
         """
         exchange = race.exchange
         service = exchange.service
-        max_attempts = exchange.route.max_attempts
-        refusal = self.policy.refusal(
-            service, exchange.executions + 1, max_attempts, now
-        )
+        # The first attempt, which runs, is not among the failed ones.
+        refusal = self.policy.refusal(service, 1, exchange.attempts_left(), now)
         if refusal is not None:
             return refusal
         # A request that may crash servers is sent to one at a time.
--- a/arbutusyard/gateway/models.py
+++ b/arbutusyard/gateway/models.py
@@ -172,6 +172,8 @@
     # Another node has forwarded it, and that node's version of the configuration.
     from_node: bool = False
     config_version: int = 0
+    # Number of servers to which the node that forwarded it lets it be sent.
+    attempts_max: int | None = None
 
 
 class Dispatch(Struct, frozen=True):
@@ -225,13 +227,13 @@
     limit_text: str = ""
     # Why a node refused a request that another one may be able to serve.
     node_refusal: str = ""
-    # Service and software version that began a stream that a node relays; empty if it
-    # does not say.
+    # Service, software version and incarnation that began a stream that a node relays;
+    # empty if it does not say.
     stream_service: str = ""
     stream_software: str = ""
+    stream_server: tuple[str, int] | None = None
 
 
-    stream_server: tuple[str, int] | None = None
 class Refusal(Struct, frozen=True):
     """Hold a refusal that this node answers itself."""
 
--- a/arbutusyard/gateway/relay.py
+++ b/arbutusyard/gateway/relay.py
@@ -238,7 +238,6 @@
             if is_retry:
                 self._retry_budget.give_back(exchange.service)
             return ""
-        exchange.forwarded_executions += 1
         if self._may_retry(exchange, result):
             return self._find_origin(exchange)
         return self._answer_failure(exchange, result.value)
@@ -499,7 +498,7 @@
                     return False
                 if not exchange.can_continue():
                     return False
-                return exchange.executions < exchange.route.max_attempts
+                return exchange.attempts_left() > 0
             case AttemptResult.LATE:
                 exchange.executions += 1
                 return False
--- a/arbutusyard/origins/coordinator.py
+++ b/arbutusyard/origins/coordinator.py
@@ -167,8 +167,14 @@
         server: tuple[str, int] | None,
         now: float,
     ) -> None:
-        """Record that a stream is being relayed that began at another node."""
-        record = OriginRecord(service, version, now + self.versions.life_s, SOURCE_PEER)
+        """Record that a stream is being relayed that began at another node.
+
+        `server` is the id and start of its server; None if they are not known.
+        """
+        expires_at = now + self.versions.life_s
+        record = OriginRecord(
+            began.service, began.version, expires_at, began.source, server
+        )
         self._record(account, request_id, record)
 
     def _record(self, account: str, request_id: str, record: OriginRecord) -> None:
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -59,8 +59,9 @@
 # why another node refused it.
 CONFIG_VERSION: Final = b"arbutusyard-config-version"
 NODE_REFUSAL: Final = b"arbutusyard-refusal"
-# Between nodes only: the service and the software version that began a stream. They are
-# listed in Connection, so that nodes that do not know them drop them.
+# Between nodes only: the service, the software version and the incarnation of a server
+# that began a stream. Connection lists them, so that nodes that do not know them drop
+# them.
 STREAM_SERVICE: Final = b"arbutusyard-stream-service"
 STREAM_SOFTWARE: Final = b"arbutusyard-stream-software"
 STREAM_SERVER: Final = b"arbutusyard-stream-server"
@@ -119,6 +120,7 @@
         URGENCY,
         DEADLINE_MS,
         LAST_EVENT_ID,
+        ATTEMPTS_MAX,
         b"hold",
         b"pin-ms",
         b"kv-backup",
@@ -131,9 +133,11 @@
     """Set a request's fields from its headers; drop headers that are not forwarded."""
     if req.from_node:
         _take_config_version(req)
-    dropped = (
-        HOP_BY_HOP_HEADERS | RESERVED_HEADERS | _connection_listed_headers(req.headers)
-    )
+    listed = _connection_listed_headers(req.headers)
+    dropped = HOP_BY_HOP_HEADERS | RESERVED_HEADERS | listed
+    # Nodes list it; what an older one passes on from its client is not listed.
+    if req.from_node and ATTEMPTS_MAX in listed:
+        _read_attempts_max(req)
     forwarded: Headers = []
     for name, value in req.headers:
         _read_request_header(req, name, value)
@@ -152,6 +156,13 @@
             return
 
 
+def _read_attempts_max(req: CallerRequest) -> None:
+    for name, value in req.headers:
+        if name == ATTEMPTS_MAX:
+            number = _parse_number(value)
+            req.attempts_max = None if number is None else max(1, int(number))
+
+
 def _read_request_header(req: CallerRequest, name: bytes, value: bytes) -> None:
     match name:
         case b"request-id":
@@ -213,6 +224,7 @@
     req: CallerRequest,
     time_left_s: float,
     config_version: int,
+    attempts_max: int,
     resume_after: str,
     resumed_id: str,
 ) -> Headers:
@@ -221,7 +233,11 @@
     A stream that the client has in part goes on after an event, as if the client
     resumed it.
     """
-    headers = [(CONFIG_VERSION, b"%d" % config_version)]
+    headers = [
+        (CONFIG_VERSION, b"%d" % config_version),
+        (b"connection", ATTEMPTS_MAX),
+        (ATTEMPTS_MAX, b"%d" % attempts_max),
+    ]
     headers += [item for item in req.headers if item[0] != RESUMED_ID]
     time_left_ms = max(1, int(time_left_s * MS_PER_S))
     headers.append((DEADLINE_MS, b"%d" % time_left_ms))
@@ -240,9 +256,10 @@
 ) -> Headers:
     """Return the headers that tell another node where a stream began.
 
-    None if they cannot carry the names.
+    `server` is an id and a start in ms. None if headers cannot carry the names.
     """
-    if not all(map(HEADER_TEXT.fullmatch, (service, software_version))):
+    server_id, started_at_ms = server
+    if not all(map(HEADER_TEXT.fullmatch, (service, software_version, server_id))):
         return []
     values = {
         STREAM_SERVICE: service.encode(),
@@ -301,6 +318,8 @@
                 head.stream_service = _decode_text(value)
             case b"arbutusyard-stream-software" if name in listed:
                 head.stream_software = _decode_text(value)
+            case b"arbutusyard-stream-server" if name in listed:
+                head.stream_server = _read_incarnation(value)
             case b"server-leaving":
                 head.leaving = _decode_text(value) == "1"
             case b"server-limit":
@@ -318,8 +337,6 @@
 
 def _read_limit(head: AnswerHead, value: bytes) -> None:
     """Set the request rate that a server accepts; the lowest of several counts."""
-            case b"arbutusyard-stream-server" if name in listed:
-                head.stream_server = _read_incarnation(value)
     head.limit_text = _decode_text(value)
     if DECIMAL_NUMBER.fullmatch(head.limit_text) is None:
         return
