Log when and from whom a node learns of target weights

The logs did not tell whether a node dated a target by its own read, a heartbeat or a row of the store, nor how late a waiting request was withdrawn, nor that one began after that. No logic changes; the check of a waiting request moves to a module of its own.

--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 from functools import partial
+from typing import Final
 
 import gevent
 from gevent.event import Event
@@ -58,6 +59,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# Difference from the known time of a target at which a reported one is logged, in
+# seconds. The ages in heartbeats differ by the time that datagrams take.
+TARGET_SHIFT_LOGGED_S: Final = 0.1
+
 
 class TableWatcher:
     """Keep a copy of one table up to date by long polls.
@@ -550,12 +555,13 @@
         return (model, version) not in self._undated_targets
 
     def apply_target_ages(
-        self, reported: tuple[TargetWeightsAge, ...], now: float
+        self, reported: tuple[TargetWeightsAge, ...], now: float, source: str = ""
     ) -> None:
         """Adopt reported ages that are higher than this node's own, or unknown to it.
 
         A node that has just started, or relied on the reads of others, does not know
         when targets were set. Of two earliest times of a target, the later one counts.
+        `source` names the node that reported them, or the store.
         """
         for item in reported:
             known = dict(self.target_history.get(item.model, ()))
@@ -573,6 +579,10 @@
                 self._undated_targets.add(target)
             known[item.version] = target_at
             self.target_history[item.model] = sorted(known.items())
+            if known_at is None or abs(known_at - target_at) >= TARGET_SHIFT_LOGGED_S:
+                _log_target_time(
+                    item, source, None if known_at is None else now - known_at
+                )
 
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
@@ -621,6 +631,9 @@
                 "model": target.model,
                 "weights": target.version,
                 "age_s": None if target_at is None else round(now - target_at, 3),
+                "dated": self._config_watcher.is_change_dated,
+                "era": row.era,
+                "store_version": row.version,
             },
         )
         self.on_target_weights()
@@ -659,6 +672,23 @@
             _LOGGER.warning("Ignored malformed row %s of table %s: %s", key, table, exc)
 
 
+def _log_target_time(
+    item: TargetWeightsAge, source: str, age_before_s: float | None
+) -> None:
+    _LOGGER.info(
+        "Learned when target weights of %s were set",
+        item.model,
+        extra={
+            "model": item.model,
+            "weights": item.version,
+            "age_s": round(item.age_s, 3),
+            "age_before_s": None if age_before_s is None else round(age_before_s, 3),
+            "dated": item.is_dated,
+            "source": source,
+        },
+    )
+
+
 def _confirm_to_peers(
     watcher: TableWatcher,
     confirm: Callable[[str, bytes, list[Heartbeat]], None],
--- /dev/null
+++ b/arbutusyard/gateway/begin_deadline.py
@@ -0,0 +1,69 @@
+"""Withdraw requests that wait too long at a server with superseded weights."""
+
+import logging
+
+from arbutusyard.gateway.outdated_weights import OutdatedWeights
+from arbutusyard.gateway.router import Placement
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def is_overdue(
+    outdated: OutdatedWeights, placement: Placement, model: str, now: float
+) -> bool:
+    """Tell whether a request must not begin any more where it was placed."""
+    return placement.prompt is not None and outdated.is_overdue(
+        placement.server, model, now
+    )
+
+
+def should_withdraw(
+    outdated: OutdatedWeights,
+    placement: Placement,
+    model: str,
+    request_id: str,
+    now: float,
+) -> bool:
+    """Tell whether to withdraw a request that has not begun at its server."""
+    if not is_overdue(outdated, placement, model, now):
+        return False
+    _LOGGER.info(
+        "Withdrew a request that can't begin before its weights are overdue",
+        extra=_log_fields(outdated, placement, model, request_id, now),
+    )
+    return True
+
+
+def log_late_beginning(
+    outdated: OutdatedWeights,
+    placement: Placement,
+    model: str,
+    request_id: str,
+    now: float,
+) -> None:
+    """Log the first event of a request whose weights are overdue by then."""
+    if is_overdue(outdated, placement, model, now):
+        _LOGGER.warning(
+            "A request began on overdue weights",
+            extra=_log_fields(outdated, placement, model, request_id, now),
+        )
+
+
+def _log_fields(
+    outdated: OutdatedWeights,
+    placement: Placement,
+    model: str,
+    request_id: str,
+    now: float,
+) -> dict[str, object]:
+    server = placement.server
+    begin_by = outdated.begin_by(model, server.weights.get(model, 0))
+    return {
+        "request_id": request_id,
+        "server": server.entry.server_id,
+        "weights": placement.weights_version,
+        "server_weights": server.weights.get(model, 0),
+        "superseded_s": placement.superseded_s,
+        "since_sent_s": round(now - placement.sent_at, 3),
+        "overdue_s": round(now - begin_by, 3),
+    }
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -12,6 +12,11 @@
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.admission import Admission
 from arbutusyard.gateway.answer_relay import AnswerRelay, StreamObserver
+from arbutusyard.gateway.begin_deadline import (
+    is_overdue,
+    log_late_beginning,
+    should_withdraw,
+)
 from arbutusyard.gateway.caller import CallerConnection
 from arbutusyard.gateway.const import (
     MISMATCH_PAUSE_S,
@@ -189,7 +194,8 @@
             conn = self._pool.acquire(server, exchange.req.request_id, cap, now)
             if not server.is_staying:
                 raise NotSent(f"{conn.address} left while its connection opened")
-            if self._has_overdue_weights(exchange, placement, clock.now()):
+            outdated = self._router.outdated
+            if is_overdue(outdated, placement, exchange.req.model, clock.now()):
                 raise NotSent(f"{conn.address} has weights that are overdue")
             conn.should_abandon = lambda: self._should_abandon(exchange, placement)
             if exchange.conn.has_disconnected():
@@ -330,17 +336,11 @@
             return True
         # Whether a request without a stream has begun is not known before its answer.
         has_begun = placement.first_event_at is not None or not exchange.route.streaming
-        if not has_begun and self._has_overdue_weights(exchange, placement, now):
+        req = exchange.req
+        if not has_begun and should_withdraw(
+            self._router.outdated, placement, req.model, req.request_id, now
+        ):
             placement.given_up = True
-            _LOGGER.info(
-                "Gave up a request that can't begin before its weights are overdue",
-                extra={
-                    "request_id": exchange.req.request_id,
-                    "server": server.entry.server_id,
-                    "weights": placement.weights_version,
-                    "since_sent_s": round(now - placement.sent_at, 3),
-                },
-            )
             return True
         if not self._router.is_unresponsive(server, now):
             return False
@@ -379,14 +379,6 @@
         exchange.retry_is_paid = has_other and self.spend_retry(exchange.service, now)
         return exchange.retry_is_paid
 
-    def _has_overdue_weights(
-        self, exchange: Exchange, placement: Placement, now: float
-    ) -> bool:
-        """Tell whether a request must not begin any more at its server's weights."""
-        return placement.prompt is not None and self._router.outdated.is_overdue(
-            placement.server, exchange.req.model, now
-        )
-
     def connection_cap(self, service: str) -> int:
         """Return how many connections this node may open to a server of a service."""
         catalog = self._fleet_state.catalog
@@ -504,6 +496,10 @@
         """Record the first event of an attempt at a stream."""
         placement.first_event_at = now
         self._router.record_first_event(placement, now)
+        req = exchange.req
+        log_late_beginning(
+            self._router.outdated, placement, req.model, req.request_id, now
+        )
         if exchange.software_version is None:
             exchange.software_version = placement.server.entry.software_version
 
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -276,7 +276,7 @@
         self._router.apply_segment_updates(heartbeat.segment_updates, now)
         self._caches.apply_updates(heartbeat.cache_store_updates, now)
         self._router.apply_unreachable(heartbeat.unreachable, now)
-        self._fleet_state.apply_target_ages(heartbeat.target_ages, now)
+        self._fleet_state.apply_target_ages(heartbeat.target_ages, now, heartbeat.name)
         self._fleet_state.servers.apply_leaving(
             heartbeat.leaving_servers, heartbeat.name, now
         )
--- a/arbutusyard/weights/target_times.py
+++ b/arbutusyard/weights/target_times.py
@@ -33,6 +33,10 @@
 WRITE_ATTEMPTS: Final = 3
 
 
+# Source of recorded times in the log.
+SOURCE_STORE: Final = "store"
+
+
 class TargetTime(Struct, frozen=True, array_like=True):
     """Hold since when a version has been the target, in the store's seconds.
 
@@ -193,7 +197,7 @@
             # A time to come is of another clock of the store and says nothing.
             if item.set_s <= store_s
         )
-        self._fleet_state.apply_target_ages(ages, now)
+        self._fleet_state.apply_target_ages(ages, now, SOURCE_STORE)
 
 
 def merge_times(
