Judge superseded weights by versions, not by the order of reports

Cause, one class with three forms: what a node learned first decided. A target that its own read returned was appended after a later one that a heartbeat had reported before, and the weights before both counted as superseded by the later one; an own read did not correct the time of a target whose first report had waited in the socket's buffer; a late report of one target counted although the target after it is known to be older.

Now own reads, heartbeats and rows of the store go through one merge, the history is sorted by version, and a version was superseded no later than any dated target above it was set.

--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -1,6 +1,7 @@
 """Watch the store's tables and track how old the known state may be."""
 
 import logging
+import math
 from collections.abc import Callable
 from functools import partial
 from typing import Final
@@ -531,6 +532,29 @@
         """Return the version of a model's target weights; 0 if there are none."""
         return self.weights.get(model, 0)
 
+    def superseded_at(self, model: str, version: int) -> float:
+        """Return the earliest time at which a version can have been superseded.
+
+        -inf if nothing is known of it, inf if no later target is known.
+        """
+        earliest_at = -math.inf
+        next_target: int | None = None
+        for target, target_at in self.target_history.get(model, ()):
+            is_dated = target_at is not None and self.is_target_dated(model, target)
+            if next_target is None:
+                if target > version:
+                    next_target = target
+                if is_dated and target > version:
+                    earliest_at = target_at
+                elif target_at is not None:
+                    # Later versions were set later, even if it is not known when.
+                    earliest_at = max(earliest_at, target_at)
+            elif is_dated:
+                earliest_at = min(earliest_at, target_at)
+        if next_target is None:
+            return math.inf
+        return earliest_at
+
     def superseded_s(self, model: str, version: int, now: float) -> float | None:
         """Return how many seconds ago the next target version superseded a version.
 
@@ -538,7 +562,11 @@
         """
         for target, target_at in self.target_history.get(model, ()):
             if target > version:
-                return None if target_at is None else now - target_at
+                return (
+                    None
+                    if target_at is None
+                    else now - self.superseded_at(model, version)
+                )
         return 0.0
 
     def target_ages(self, now: float) -> tuple[TargetWeightsAge, ...]:
@@ -557,33 +585,53 @@
     def apply_target_ages(
         self, reported: tuple[TargetWeightsAge, ...], now: float, source: str = ""
     ) -> None:
-        """Adopt reported ages that are higher than this node's own, or unknown to it.
+        """Adopt reported ages that are better than this node's own.
 
         A node that has just started, or relied on the reads of others, does not know
-        when targets were set. Of two earliest times of a target, the later one counts.
-        `source` names the node that reported them, or the store.
+        when targets were set. `source` names the node that reported them, or the store.
         """
         for item in reported:
             known = dict(self.target_history.get(item.model, ()))
             known_at = known.get(item.version)
-            target = (item.model, item.version)
             target_at = now - item.age_s
-            is_undated = known_at is None or target in self._undated_targets
-            if item.is_dated:
-                if not is_undated and target_at >= known_at:
-                    continue
-                self._undated_targets.discard(target)
-            else:
-                if not is_undated or (known_at is not None and target_at <= known_at):
-                    continue
-                self._undated_targets.add(target)
-            known[item.version] = target_at
-            self.target_history[item.model] = sorted(known.items())
+            if not self._merge_target(
+                item.model, item.version, target_at, item.is_dated
+            ):
+                continue
             if known_at is None or abs(known_at - target_at) >= TARGET_SHIFT_LOGGED_S:
                 _log_target_time(
                     item, source, None if known_at is None else now - known_at
                 )
 
+    def _merge_target(
+        self, model: str, version: int, target_at: float | None, is_dated: bool
+    ) -> bool:
+        """Adopt a time of a target if it is better; return whether it is.
+
+        A dated time is better than an earliest one, the earlier one of two dated times,
+        and the later one of two earliest times, wherever they come from.
+        """
+        known = dict(self.target_history.get(model, ()))
+        known_at = known.get(version)
+        target = (model, version)
+        is_known_dated = known_at is not None and target not in self._undated_targets
+        match target_at:
+            case None:
+                if version in known:
+                    return False
+            case _ if is_dated:
+                if is_known_dated and target_at >= known_at:
+                    return False
+                self._undated_targets.discard(target)
+            case _:
+                if is_known_dated or (known_at is not None and target_at <= known_at):
+                    return False
+                self._undated_targets.add(target)
+        known[version] = target_at
+        # Nodes learn of targets in any order.
+        self.target_history[model] = sorted(known.items())
+        return True
+
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             self._newest_version = max(self._newest_version, row.version)
@@ -616,12 +664,8 @@
         self.weights[target.model] = target.version
         # The age of a target that was set before this node started is unknown.
         target_at = self._config_watcher.changed_at
-        history = self.target_history.setdefault(target.model, [])
-        # A peer may have reported it first.
-        if target.version not in dict(history):
-            history.append((target.version, target_at))
-            if not self._config_watcher.is_change_dated:
-                self._undated_targets.add((target.model, target.version))
+        is_dated = self._config_watcher.is_change_dated
+        self._merge_target(target.model, target.version, target_at, is_dated)
         now = clock.now()
         _LOGGER.info(
             "Target weights are now version %d of %s",
@@ -631,7 +675,7 @@
                 "model": target.model,
                 "weights": target.version,
                 "age_s": None if target_at is None else round(now - target_at, 3),
-                "dated": self._config_watcher.is_change_dated,
+                "dated": is_dated,
                 "era": row.era,
                 "store_version": row.version,
             },
--- a/arbutusyard/gateway/outdated_weights.py
+++ b/arbutusyard/gateway/outdated_weights.py
@@ -33,25 +33,11 @@
 
         Weights that were superseded at an unknown time may be overdue already.
         """
-        superseded_at = self._earliest_superseded_at(model, version)
+        superseded_at = self._fleet_state.superseded_at(model, version)
         if superseded_at == -math.inf:
             return self._unknown_until
         return superseded_at + self._max_s
 
-    def _earliest_superseded_at(self, model: str, version: int) -> float:
-        """Return the earliest time at which a version can have been superseded.
-
-        -inf if nothing is known of it, inf if no later target is known.
-        """
-        earliest = -math.inf
-        for target, target_at in self._fleet_state.target_history.get(model, ()):
-            if target_at is not None:
-                # Later versions were set later, even if it is not known when.
-                earliest = max(earliest, target_at)
-            if target > version:
-                return earliest
-        return math.inf
-
     def without_overdue(
         self,
         servers: list[Server],
