Do not date a target that nobody saw by the next one

A node that was away while two targets were set reads only the second.

Now the start of the gap between the node's reads bounds the time of a target that may have come in between, on this node only: the others may have seen that there was none.

--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -8,6 +8,7 @@
 
 import gevent
 from gevent.event import Event
+from msgspec import Struct
 from msgspec.structs import replace
 
 from arbutusyard import clock
@@ -357,6 +358,13 @@
         self.unreachable = True
 
 
+class ReadGap(Struct, frozen=True):
+    """Hold the target that was known before a gap between reads, and its start."""
+
+    previous: int
+    since: float
+
+
 class FleetState:
     """Hold the configuration, the target weights and the backend servers."""
 
@@ -367,6 +375,7 @@
         "_config_watcher",
         "_malformed_rows",
         "_newest_version",
+        "_targets_read_after_gap",
         "_undated_targets",
         "_server_watcher",
         "_supervisor",
@@ -386,6 +395,8 @@
         self.target_history: dict[str, list[tuple[int, float | None]]] = {}
         # Targets of which only the earliest possible time is known: not dated ones.
         self._undated_targets: set[tuple[str, int]] = set()
+        # Targets that this node read after a time in which it did not read the table.
+        self._targets_read_after_gap: dict[tuple[str, int], ReadGap] = {}
         self.on_store_rollback: Callable[[], None] = lambda: None
         self.on_target_weights: Callable[[], None] = lambda: None
         self._malformed_rows: set[tuple[str, str]] = set()
@@ -553,6 +564,10 @@
                 earliest_at = min(earliest_at, target_at)
         if next_target is None:
             return math.inf
+        away = self._targets_read_after_gap.get((model, next_target))
+        if away is not None and away.previous <= version < next_target - 1:
+            # Another target may have come between, which no node has reported.
+            earliest_at = min(earliest_at, away.since)
         return earliest_at
 
     def superseded_s(self, model: str, version: int, now: float) -> float | None:
@@ -661,11 +676,16 @@
         target = read_weights(row.value)
         if target.version <= self.weights.get(target.model, 0):
             return
+        previous = self.weights.get(target.model, 0)
         self.weights[target.model] = target.version
         # The age of a target that was set before this node started is unknown.
         target_at = self._config_watcher.changed_at
         is_dated = self._config_watcher.is_change_dated
         self._merge_target(target.model, target.version, target_at, is_dated)
+        if previous and target_at is not None and not is_dated:
+            self._targets_read_after_gap[target.model, target.version] = ReadGap(
+                previous, target_at
+            )
         now = clock.now()
         _LOGGER.info(
             "Target weights are now version %d of %s",
--- a/tests/fleet/test_target_order.py
+++ b/tests/fleet/test_target_order.py
@@ -75,6 +75,19 @@
     assert node.router.outdated.begin_by("m", 1) == pytest.approx(now - 4.0 + 6.5)
 
 
+# Guards against VERSION: a node that was away while two targets were set learned the
+# time of the second from a peer that had not seen the first.
+def test_a_target_that_nobody_saw_set_is_not_dated_by_the_next_one(fleet):
+    (node,) = fleet.nodes
+    now = fleet.now
+    read_target(node, 2, now - 30.0)
+    read_target(node, 4, now - 9.0, is_dated=False)
+    node.state.apply_target_ages((TargetWeightsAge("m", 4, 1.0),), now)
+    assert node.state.superseded_s("m", 2, now) == pytest.approx(9.0)
+    # Version 3 has been superseded by 4 only.
+    assert node.state.superseded_s("m", 3, now) == pytest.approx(1.0)
+
+
 # Guards against refused requests: a target with the newest version counted as
 # superseded.
 def test_newest_weights_are_never_overdue(fleet):
