--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -585,13 +585,24 @@
         return 0.0
 
     def target_ages(self, now: float) -> tuple[TargetWeightsAge, ...]:
-        """Return the ages of target weights that this node knows."""
-        return tuple(
-            TargetWeightsAge(model, version, now - target_at)
-            for model, history in self.target_history.items()
-            for version, target_at in history[-TARGET_AGES_MAX:]
-            if target_at is not None and self.is_target_dated(model, version)
-        )
+        """Return the ages of target weights that this node knows.
+
+        Of a target that is not dated, that is the age which it has at most.
+        """
+        ages = []
+        for model, history in self.target_history.items():
+            earliest_at = -math.inf
+            for version, target_at in history[-TARGET_AGES_MAX:]:
+                if target_at is not None:
+                    earliest_at = max(earliest_at, target_at)
+                if earliest_at == -math.inf:
+                    continue
+                is_dated = target_at is not None and self.is_target_dated(
+                    model, version
+                )
+                at = target_at if is_dated else earliest_at
+                ages.append(TargetWeightsAge(model, version, now - at, is_dated))
+        return tuple(ages)
 
     def is_target_dated(self, model: str, version: int) -> bool:
         """Return whether a target was set at its known time, not at that or later."""
--- a/tests/fleet/test_target_order.py
+++ b/tests/fleet/test_target_order.py
@@ -88,6 +88,20 @@
     assert node.state.superseded_s("m", 3, now) == pytest.approx(1.0)
 
 
+# Guards against VERSION: a peer that started between two targets reported the time of
+# the second alone, and a node that knew neither took it for that of the first.
+def test_targets_that_were_set_before_a_start_are_reported_too(monkeypatch):
+    fleet = SimulatedFleet(2, monkeypatch)
+    first, second = fleet.nodes
+    now = fleet.now
+    read_target(first, 2, now - 30.0)
+    read_target(first, 3, None, is_dated=False)
+    read_target(first, 4, now - 1.0)
+    read_target(second, 2, now - 30.0)
+    second.state.apply_target_ages(first.state.target_ages(now), now)
+    assert second.router.outdated.begin_by("m", 2) <= now - 1.0 - 0.1
+
+
 # Guards against refused requests: a target with the newest version counted as
 # superseded.
 def test_newest_weights_are_never_overdue(fleet):
