--- a/arbutusyard/fleet/const.py
+++ b/arbutusyard/fleet/const.py
@@ -155,7 +155,9 @@
 # Minimum interval at which a peer is sent all remembered removals, in seconds.
 REMOVED_RESEND_S: Final = 1.0
 # Maximum number of a model's newest target versions that are reported with their ages.
-TARGET_AGES_MAX: Final = 4
+# Operators may set targets a second apart, and those of the last `version_ms`, 6 s on
+# the installation with the shortest one, still count.
+TARGET_AGES_MAX: Final = 8
 # Maximum pause granted to a saturated server, in seconds; the platform's specification
 # sets none.
 SATURATED_PAUSE_MAX_S: Final = 60.0
--- a/tests/fleet/test_target_order.py
+++ b/tests/fleet/test_target_order.py
@@ -6,7 +6,7 @@
 from arbutusyard.fleet.messages import TargetWeightsAge
 from arbutusyard.platform.models import Row
 from arbutusyard.platform.rows import TABLE_OPERATOR
-from tests.fleet.simulation import REQUEST, SimulatedFleet
+from tests.fleet.simulation import REQUEST, SimulatedFleet, SimulatedNode
 
 
 def set_target(fleet, version):
@@ -102,6 +102,23 @@
     assert second.router.outdated.begin_by("m", 2) <= now - 1.0 - 0.1
 
 
+# Guards against VERSION: nodes that restarted knew the times of the four newest targets
+# only, and allowed the weights before those until the bound of the oldest of them.
+def test_restarted_nodes_know_all_targets_that_may_still_count(monkeypatch):
+    fleet = SimulatedFleet(3, monkeypatch)
+    fleet.run(5.0)
+    set_at = {}
+    for version in range(2, 8):
+        set_target(fleet, version)
+        set_at[version] = fleet.now
+        fleet.run(1.0)
+    fleet.nodes = [SimulatedNode(fleet, n, 2) for n in range(3)]
+    fleet.run(2.0)
+    for node in fleet.nodes:
+        begin_by = node.router.outdated.begin_by("m", 1)
+        assert begin_by <= set_at[2] + 6.5 + 0.3
+
+
 # Guards against refused requests: a target with the newest version counted as
 # superseded.
 def test_newest_weights_are_never_overdue(fleet):
