Correct recorded times of targets once the store answers in time

A node that starts takes the ages of targets from the store's clock, measured by the answers so far. Nodes that all restart have nobody who knows better.

Evidence: fleet/test_target_order has three nodes start while answers come 1.5 s late for 0.5 s; before, they believe 4.75 s instead of 6.5 s three seconds later. Now the recorded times are kept and applied again with the newest measurement, in the same era of the store. A recorded earliest time of a target that is not dated is still taken too late by such a start.

--- a/arbutusyard/weights/target_times.py
+++ b/arbutusyard/weights/target_times.py
@@ -70,6 +70,8 @@
         "_peers",
         "_recorded",
         "_retry_at",
+        "_stored",
+        "_stored_era",
         "_supervisor",
         "_wake",
     )
@@ -83,6 +85,9 @@
         self._is_loaded = False
         # Models and versions whose times the store has, and whether they are dated.
         self._recorded: set[tuple[str, int, bool]] = set()
+        # Times as the store has them, by model, and the store's era in which they hold.
+        self._stored: dict[str, tuple[TargetTime, ...]] = {}
+        self._stored_era: int | None = None
         self._retry_at = float("-inf")
         self._supervisor: Supervisor | None = None
         self._wake = Event()
@@ -120,8 +125,12 @@
         try:
             if not self._is_loaded:
                 for row in self._client.scan(TABLE_TARGET_TIMES):
-                    self._apply(row.key, _decode(row))
+                    self._store(row.key, _decode(row))
                 self._is_loaded = True
+            # Answers that came late make recorded times look too young, until one comes
+            # that did not.
+            for model, times in self._stored.items():
+                self._apply(model, times)
             # Every node learns the times; a few are enough to record them.
             if self._peers.reads_for_others(now):
                 for model in self._unrecorded_models():
@@ -163,6 +172,7 @@
                 Put(TABLE_TARGET_TIMES, model, value, row.version)
             ):
                 continue
+            self._store(model, recorded)
             self._apply(model, recorded)
             self._recorded.update(
                 (model, item.version, item.is_dated) for item in known
@@ -187,8 +197,17 @@
             extra={"model": model},
         )
 
+    def _store(self, model: str, times: tuple[TargetTime, ...]) -> None:
+        """Keep what the store has; its clock may be another one in another era."""
+        if self._stored_era != self._client.era:
+            self._stored.clear()
+            self._stored_era = self._client.era
+        self._stored[model] = times
+
     def _apply(self, model: str, times: tuple[TargetTime, ...]) -> None:
-        """Adopt recorded times that this node does not know."""
+        """Adopt recorded times that are better than what this node knows."""
+        if self._stored_era != self._client.era:
+            return
         now = clock.now()
         store_s = self._client.store_time_s(now)
         ages = tuple(
--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -66,6 +66,8 @@
         self._node = node
         self._store = store
         self.era = 0
+        # How late all answers so far have come, in seconds.
+        self.clock_lag_s = 0.0
 
     def _check(self):
         if self._store.down or not self._node.reaches_store:
@@ -95,7 +97,7 @@
         return self._store.version
 
     def store_time_s(self, now):
-        return now + STORE_CLOCK_S
+        return now + STORE_CLOCK_S - self.clock_lag_s
 
     def follow(self, table, after, wait_s):
         self._check()
--- a/tests/fleet/test_target_order.py
+++ b/tests/fleet/test_target_order.py
@@ -119,6 +119,24 @@
         assert begin_by <= set_at[2] + 6.5 + 0.3
 
 
+# Guards against VERSION: nodes that started while the store's answers came late took
+# the recorded targets for younger than they were, and kept to that.
+def test_a_recorded_time_is_corrected_once_answers_come_in_time(monkeypatch):
+    fleet = SimulatedFleet(3, monkeypatch)
+    fleet.run(5.0)
+    set_target(fleet, 2)
+    fleet.run(3.0)
+    fleet.nodes = [SimulatedNode(fleet, n, 2) for n in range(3)]
+    for node in fleet.nodes:
+        node.state._client.clock_lag_s = 1.5
+    fleet.run(0.5)
+    for node in fleet.nodes:
+        node.state._client.clock_lag_s = 0.0
+    fleet.run(3.0)
+    for node in fleet.nodes:
+        assert node.state.superseded_s("m", 1, fleet.now) == pytest.approx(6.5, abs=0.5)
+
+
 # Guards against refused requests: a target with the newest version counted as
 # superseded.
 def test_newest_weights_are_never_overdue(fleet):
