Judge a waiting request by the weights that it names

A request names the weights on which it may begin, and was withdrawn by what the node believed of its server at each check. Servers that keep a request across a load are not seen; the cause is one of state read twice.

--- a/arbutusyard/gateway/begin_deadline.py
+++ b/arbutusyard/gateway/begin_deadline.py
@@ -13,7 +13,7 @@
 ) -> bool:
     """Tell whether a request must not begin any more where it was placed."""
     return placement.prompt is not None and outdated.is_overdue(
-        placement.server, model, now
+        model, _version(placement, model), now
     )
 
 
@@ -49,6 +49,15 @@
         )
 
 
+def _version(placement: Placement, model: str) -> int:
+    """Return the weights on which a request begins if its server accepts it.
+
+    The request names them, whatever this node has learned of the server since; without
+    a name it begins on those that the server has.
+    """
+    return placement.weights_version or placement.server.weights.get(model, 0)
+
+
 def _log_fields(
     outdated: OutdatedWeights,
     placement: Placement,
@@ -57,7 +66,7 @@
     now: float,
 ) -> dict[str, object]:
     server = placement.server
-    begin_by = outdated.begin_by(model, server.weights.get(model, 0))
+    begin_by = outdated.begin_by(model, _version(placement, model))
     return {
         "request_id": request_id,
         "server": server.entry.server_id,
--- a/arbutusyard/gateway/outdated_weights.py
+++ b/arbutusyard/gateway/outdated_weights.py
@@ -60,6 +60,6 @@
             or now + wait_s(server) <= until
         ]
 
-    def is_overdue(self, server: Server, model: str, now: float) -> bool:
-        """Tell whether no request may begin at a server's weights any more."""
-        return now > self.begin_by(model, server.weights.get(model, 0))
+    def is_overdue(self, model: str, version: int, now: float) -> bool:
+        """Tell whether no request may begin on a version of the weights any more."""
+        return now > self.begin_by(model, version)
--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -107,3 +107,42 @@
     gateway.router.is_listed = lambda service, version: version == "v1"
     assert gateway.call(**MODEL).status == 200
     assert (len(outdated.requests), len(newer.requests)) == (0, 1)
+
+
+# Guards against VERSION: a request that waits at a server under the name of superseded
+# weights was not withdrawn, as the server was taken to have newer ones by then.
+def test_a_waiting_request_is_judged_by_the_weights_that_it_names(run):
+    gateway, (engine,) = run(
+        mute, retry_policy=RetryPolicy.ONCE, streaming=True, timeout_s=5.0
+    )
+    overdue_at = clock.now() + 2.0
+    supersede(gateway, SETTINGS.weights_s - 2.0)
+    server = gateway.fleet_state.servers.get("s0")
+    server.weights["m"] = 1
+    call = gevent.spawn(gateway.call, Deadline_Ms="5000", **MODEL)
+    gevent.sleep(0.2)
+    server.weights["m"] = 2
+    call.join(overdue_at - clock.now())
+    assert engine.requests
+    assert engine.closed == 1
+    assert call.value.status == 502
+
+
+# Guards against refused requests: the refusal of another request made a node withdraw one
+# that waits under the name of the newest weights.
+def test_a_request_that_names_the_newest_weights_is_not_withdrawn(run):
+    def slow(request):
+        gevent.sleep(1.0)
+        yield from whole_stream(request)
+
+    gateway, (engine,) = run(
+        slow, retry_policy=RetryPolicy.ONCE, streaming=True, timeout_s=5.0
+    )
+    supersede(gateway, 60.0)
+    server = gateway.fleet_state.servers.get("s0")
+    server.weights["m"] = 2
+    call = gevent.spawn(gateway.call, Deadline_Ms="5000", **MODEL)
+    gevent.sleep(0.2)
+    server.weights["m"] = 1
+    call.join()
+    assert call.value.status == 200
