--- a/tests/gateway/test_outdated_weights.py
+++ b/tests/gateway/test_outdated_weights.py
@@ -128,8 +128,8 @@
     assert call.value.status == 502
 
 
-# Guards against refused requests: the refusal of another request made a node withdraw one
-# that waits under the name of the newest weights.
+# Guards against refused requests: the refusal of another request made a node withdraw
+# one that waits under the name of the newest weights.
 def test_a_request_that_names_the_newest_weights_is_not_withdrawn(run):
     def slow(request):
         gevent.sleep(1.0)
