Test that no node allows superseded weights beyond their bound

A state machine over a simulated store and four nodes: targets one second apart while nodes lose links, freeze with an answer of the store and datagrams waiting, or start alone and all at once with late answers.

--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -68,6 +68,8 @@
         self.era = 0
         # How late all answers so far have come, in seconds.
         self.clock_lag_s = 0.0
+        # Answers to reads that the store has given and the node has not read, by table.
+        self.held_answers = {}
 
     def _check(self):
         if self._store.down or not self._node.reaches_store:
@@ -101,6 +103,16 @@
 
     def follow(self, table, after, wait_s):
         self._check()
+        if table in self.held_answers:
+            return self.held_answers.pop(table)
+        return self._answer(table, after)
+
+    def hold_answer(self, table, after):
+        """Let the store answer a read now that the node will read later."""
+        if table not in self.held_answers:
+            self.held_answers[table] = self._answer(table, after)
+
+    def _answer(self, table, after):
         if after < self._store.history_start:
             raise HistoryUnavailable("simulated")
         newest = {
