Test targets that follow each other with real nodes

Real nodes are killed or paused while targets are set 1 to 3 s apart, servers carry out orders 2 to 12 s late and let requests wait up to 4 s; version_ms is 6,000.

--- /dev/null
+++ b/tests/soak/test_targets.py
@@ -0,0 +1,154 @@
+"""Set targets one after another while real nodes are killed or paused."""
+
+import json
+import random
+from types import MethodType
+
+import gevent
+import pytest
+from gevent.select import select
+
+from tests.soak.const import BOUNDS
+from tests.soak.world import World
+
+ROUNDS = 3
+# The shortest bound of an installation, in seconds.
+VERSION_S = 6.0
+# Ranges of the pauses between two targets and before a fault, of the time after which
+# an order is carried out, and of the time that a request waits in a server, in seconds.
+TARGET_PAUSE_S = (1.0, 3.0)
+FAULT_PAUSE_S = (0.0, 4.0)
+ORDER_DELAY_S = (2.0, 12.0)
+QUEUE_WAIT_S = (0.0, 4.0)
+# Fraction of the requests that wait.
+WAITING_FRACTION = 0.15
+PAUSE_S = (0.3, 2.5)
+
+
+class TargetCheck:
+    """Check that no request begins on weights that were superseded too long ago."""
+
+    def __init__(self, world, rng):
+        self._world = world
+        self._rng = rng
+        self._set_at = {}
+        self.begun_on_superseded = self.dropped = 0
+        self._work = {}
+        for backend in world.backends:
+            if backend.is_engine:
+                self._work[backend] = backend._work
+                backend._work = MethodType(self._check_work, backend)
+                backend._handle_order = MethodType(self._delay_order, backend)
+
+    def set_target(self):
+        """Set the next target weights."""
+        self._world.raise_target_weights()
+        self._set_at[self._world._target_version] = self._world.ledger.now()
+
+    def answer_orders(self):
+        """Let the engines carry out orders at once again."""
+        for backend in self._work:
+            del backend._handle_order
+
+    def _delay_order(self, backend, sock, request):
+        """Leave an order unanswered and carry it out later."""
+        order = request.body
+        gevent.spawn_later(
+            self._rng.uniform(*ORDER_DELAY_S), self._carry_out, backend, order
+        )
+        request.last = True
+
+    @staticmethod
+    def _carry_out(backend, order):
+        backend._apply_order(json.loads(order))
+
+    def _check_work(self, backend, sock, request, run, fault):
+        if self._rng.random() < WAITING_FRACTION:
+            readable, _, _ = select([sock], [], [], self._rng.uniform(*QUEUE_WAIT_S))
+            if readable:
+                # The node withdrew the request.
+                self.dropped += 1
+                request.last = True
+                return
+        self._check_beginning(backend, request)
+        self._work[backend](sock, request, run, fault)
+
+    def _check_beginning(self, backend, request):
+        ledger = self._world.ledger
+        now = ledger.now()
+        version = int(request.headers["expect-version"])
+        later = [at for target, at in self._set_at.items() if target > version]
+        if not later:
+            return
+        self.begun_on_superseded += 1
+        attempt = ledger.attempts[request.headers["request-id"]]
+        late_s = now - min(later) - VERSION_S
+        if late_s > 0 and ledger.is_undisturbed(attempt.node):
+            ledger.add_violation(
+                "VERSION",
+                f"{attempt.request_id} of {attempt.node} on {version} at "
+                f"{backend.server_id} {late_s:.3f} s too late",
+            )
+
+
+def kill_all(world, rng):
+    """Kill all nodes and start them again."""
+    for node in world.nodes:
+        world.ledger.mark_harmed(node.name)
+        node.kill()
+    gevent.sleep(rng.uniform(0.1, 0.5))
+    for node in world.nodes:
+        world.start(node)
+
+
+def kill_in_turn(world, rng):
+    """Kill the nodes one after another, each once the one before runs again."""
+    for node in world.nodes:
+        world.ledger.mark_harmed(node.name)
+        node.kill()
+        world.start(node)
+        gevent.sleep(rng.uniform(0.2, 1.0))
+
+
+def pause_some(world, rng):
+    """Suspend some nodes for different times."""
+
+    def pause(node):
+        with world.disturbed(node.name):
+            node.pause(rng.uniform(*PAUSE_S))
+
+    nodes = rng.sample(world.nodes, rng.randint(1, len(world.nodes)))
+    gevent.joinall([gevent.spawn(pause, node) for node in nodes], raise_error=True)
+
+
+def run_targets(seed, folder, rounds):
+    """Run targets and faults of a seed; return the ledger and the check."""
+    rng = random.Random(f"targets {seed}")
+    world = World(1, folder)
+    for node in world.nodes:
+        node._settings["bounds"] = {**BOUNDS, "version_ms": VERSION_S * 1000}
+    check = TargetCheck(world, rng)
+
+    def set_targets():
+        for _ in range(rounds):
+            fault = rng.choice([kill_all, kill_in_turn, pause_some])
+            world.ledger.log(f"targets with {fault.__name__}")
+            task = gevent.spawn_later(rng.uniform(*FAULT_PAUSE_S), fault, world, rng)
+            for _ in range(rng.randint(1, 3)):
+                check.set_target()
+                gevent.sleep(rng.uniform(*TARGET_PAUSE_S))
+            task.join()
+            gevent.sleep(VERSION_S)
+        check.answer_orders()
+
+    return world.run(timed=False, faults=set_targets), check
+
+
+# Guards against VERSION: real nodes are killed or paused while targets follow each
+# other, servers carry out orders late and let requests wait.
+@pytest.mark.parametrize("seed", [1])
+def test_no_request_begins_on_weights_superseded_too_long_ago(tmp_path, seed):
+    ledger, check = run_targets(seed, tmp_path, ROUNDS)
+    assert not ledger.violations, "\n".join(ledger.log_lines)
+    assert check.begun_on_superseded > 0
+    assert check.dropped > 0
