--- a/arbutusyard/fleet/state.py
+++ b/arbutusyard/fleet/state.py
@@ -1,11 +1,14 @@
 """Watch the store's tables and track how old the known state may be."""
 
 import logging
+import math
 from collections.abc import Callable
 from functools import partial
+from typing import Final
 
 import gevent
 from gevent.event import Event
+from msgspec import Struct
 from msgspec.structs import replace
 
 from arbutusyard import clock
@@ -58,6 +61,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# Difference from the known time of a target at which a reported one is logged, in
+# seconds. The ages in heartbeats differ by the time that datagrams take.
+TARGET_SHIFT_LOGGED_S: Final = 0.1
+
 
 class TableWatcher:
     """Keep a copy of one table up to date by long polls.
@@ -351,6 +358,13 @@
         self.unreachable = True
 
 
+class ReadGap(Struct, frozen=True):
+    """Hold the target that was known before a gap between reads, and its start."""
+
+    previous: int
+    since: float
+
+
 class FleetState:
     """Hold the configuration, the target weights and the backend servers."""
 
@@ -361,6 +375,7 @@
         "_config_watcher",
         "_malformed_rows",
         "_newest_version",
+        "_targets_read_after_gap",
         "_undated_targets",
         "_server_watcher",
         "_supervisor",
@@ -380,6 +395,8 @@
         self.target_history: dict[str, list[tuple[int, float | None]]] = {}
         # Targets of which only the earliest possible time is known: not dated ones.
         self._undated_targets: set[tuple[str, int]] = set()
+        # Targets that this node read after a time in which it did not read the table.
+        self._targets_read_after_gap: dict[tuple[str, int], ReadGap] = {}
         self.on_store_rollback: Callable[[], None] = lambda: None
         self.on_target_weights: Callable[[], None] = lambda: None
         self._malformed_rows: set[tuple[str, str]] = set()
@@ -526,6 +543,33 @@
         """Return the version of a model's target weights; 0 if there are none."""
         return self.weights.get(model, 0)
 
+    def superseded_at(self, model: str, version: int) -> float:
+        """Return the earliest time at which a version can have been superseded.
+
+        -inf if nothing is known of it, inf if no later target is known.
+        """
+        earliest_at = -math.inf
+        next_target: int | None = None
+        for target, target_at in self.target_history.get(model, ()):
+            is_dated = target_at is not None and self.is_target_dated(model, target)
+            if next_target is None:
+                if target > version:
+                    next_target = target
+                if is_dated and target > version:
+                    earliest_at = target_at
+                elif target_at is not None:
+                    # Later versions were set later, even if it is not known when.
+                    earliest_at = max(earliest_at, target_at)
+            elif is_dated:
+                earliest_at = min(earliest_at, target_at)
+        if next_target is None:
+            return math.inf
+        away = self._targets_read_after_gap.get((model, next_target))
+        if away is not None and away.previous <= version < next_target - 1:
+            # Another target may have come between, which no node has reported.
+            earliest_at = min(earliest_at, away.since)
+        return earliest_at
+
     def superseded_s(self, model: str, version: int, now: float) -> float | None:
         """Return how many seconds ago the next target version superseded a version.
 
@@ -533,46 +577,86 @@
         """
         for target, target_at in self.target_history.get(model, ()):
             if target > version:
-                return None if target_at is None else now - target_at
+                return (
+                    None
+                    if target_at is None
+                    else now - self.superseded_at(model, version)
+                )
         return 0.0
 
     def target_ages(self, now: float) -> tuple[TargetWeightsAge, ...]:
-        """Return the ages of target weights that this node knows."""
-        return tuple(
-            TargetWeightsAge(model, version, now - target_at)
-            for model, history in self.target_history.items()
-            for version, target_at in history[-TARGET_AGES_MAX:]
-            if target_at is not None and self.is_target_dated(model, version)
-        )
+        """Return the ages of target weights that this node knows.
+
+        Of a target that is not dated, that is the age which it has at most.
+        """
+        ages = []
+        for model, history in self.target_history.items():
+            earliest_at = -math.inf
+            for version, target_at in history[-TARGET_AGES_MAX:]:
+                if target_at is not None:
+                    earliest_at = max(earliest_at, target_at)
+                if earliest_at == -math.inf:
+                    continue
+                is_dated = target_at is not None and self.is_target_dated(
+                    model, version
+                )
+                at = target_at if is_dated else earliest_at
+                ages.append(TargetWeightsAge(model, version, now - at, is_dated))
+        return tuple(ages)
 
     def is_target_dated(self, model: str, version: int) -> bool:
         """Return whether a target was set at its known time, not at that or later."""
         return (model, version) not in self._undated_targets
 
     def apply_target_ages(
-        self, reported: tuple[TargetWeightsAge, ...], now: float
+        self, reported: tuple[TargetWeightsAge, ...], now: float, source: str = ""
     ) -> None:
-        """Adopt reported ages that are higher than this node's own, or unknown to it.
+        """Adopt reported ages that are better than this node's own.
 
         A node that has just started, or relied on the reads of others, does not know
-        when targets were set. Of two earliest times of a target, the later one counts.
+        when targets were set. `source` names the node that reported them, or the store.
         """
         for item in reported:
             known = dict(self.target_history.get(item.model, ()))
             known_at = known.get(item.version)
-            target = (item.model, item.version)
             target_at = now - item.age_s
-            is_undated = known_at is None or target in self._undated_targets
-            if item.is_dated:
-                if not is_undated and target_at >= known_at:
-                    continue
+            if not self._merge_target(
+                item.model, item.version, target_at, item.is_dated
+            ):
+                continue
+            if known_at is None or abs(known_at - target_at) >= TARGET_SHIFT_LOGGED_S:
+                _log_target_time(
+                    item, source, None if known_at is None else now - known_at
+                )
+
+    def _merge_target(
+        self, model: str, version: int, target_at: float | None, is_dated: bool
+    ) -> bool:
+        """Adopt a time of a target if it is better; return whether it is.
+
+        A dated time is better than an earliest one, the earlier one of two dated times,
+        and the later one of two earliest times, wherever they come from.
+        """
+        known = dict(self.target_history.get(model, ()))
+        known_at = known.get(version)
+        target = (model, version)
+        is_known_dated = known_at is not None and target not in self._undated_targets
+        match target_at:
+            case None:
+                if version in known:
+                    return False
+            case _ if is_dated:
+                if is_known_dated and target_at >= known_at:
+                    return False
                 self._undated_targets.discard(target)
-            else:
-                if not is_undated or (known_at is not None and target_at <= known_at):
-                    continue
+            case _:
+                if is_known_dated or (known_at is not None and target_at <= known_at):
+                    return False
                 self._undated_targets.add(target)
-            known[item.version] = target_at
-            self.target_history[item.model] = sorted(known.items())
+        known[version] = target_at
+        # Nodes learn of targets in any order.
+        self.target_history[model] = sorted(known.items())
+        return True
 
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
@@ -603,15 +687,16 @@
         target = read_weights(row.value)
         if target.version <= self.weights.get(target.model, 0):
             return
+        previous = self.weights.get(target.model, 0)
         self.weights[target.model] = target.version
         # The age of a target that was set before this node started is unknown.
         target_at = self._config_watcher.changed_at
-        history = self.target_history.setdefault(target.model, [])
-        # A peer may have reported it first.
-        if target.version not in dict(history):
-            history.append((target.version, target_at))
-            if not self._config_watcher.is_change_dated:
-                self._undated_targets.add((target.model, target.version))
+        is_dated = self._config_watcher.is_change_dated
+        self._merge_target(target.model, target.version, target_at, is_dated)
+        if previous and target_at is not None and not is_dated:
+            self._targets_read_after_gap[target.model, target.version] = ReadGap(
+                previous, target_at
+            )
         now = clock.now()
         _LOGGER.info(
             "Target weights are now version %d of %s",
@@ -621,6 +706,9 @@
                 "model": target.model,
                 "weights": target.version,
                 "age_s": None if target_at is None else round(now - target_at, 3),
+                "dated": is_dated,
+                "era": row.era,
+                "store_version": row.version,
             },
         )
         self.on_target_weights()
@@ -659,6 +747,23 @@
             _LOGGER.warning("Ignored malformed row %s of table %s: %s", key, table, exc)
 
 
+def _log_target_time(
+    item: TargetWeightsAge, source: str, age_before_s: float | None
+) -> None:
+    _LOGGER.info(
+        "Learned when target weights of %s were set",
+        item.model,
+        extra={
+            "model": item.model,
+            "weights": item.version,
+            "age_s": round(item.age_s, 3),
+            "age_before_s": None if age_before_s is None else round(age_before_s, 3),
+            "dated": item.is_dated,
+            "source": source,
+        },
+    )
+
+
 def _confirm_to_peers(
     watcher: TableWatcher,
     confirm: Callable[[str, bytes, list[Heartbeat]], None],
