--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -192,10 +192,8 @@
         self._quarantine = quarantine
         self.relay = AnswerRelay(admission)
         self.share = FleetShare()
-        self.can_forward: Callable[[Exchange, float], bool] = lambda exchange, now: (
-            False
-        )
         self.spend_retry: Callable[[str, float], bool] = lambda service, now: True
+        self.can_forward: Callable[[Exchange, float], bool] = lambda *_: False
         self._malformed_limit_ids: set[str] = set()
         self._malformed_pause_ids: set[str] = set()
 
@@ -382,21 +380,18 @@
             )
             if may_be_prefilling:
                 return False
-        if exchange.route.retry_policy is RetryPolicy.ONCE:
+        route = exchange.route
+        if route.retry_policy is RetryPolicy.ONCE or not exchange.can_continue():
             return False
         if exchange.attempts_left() <= 1:
             return False
-        if not exchange.can_continue():
-            return False
-        others = self._fleet_state.servers.of_service(exchange.service)
-        has_other = any(
+        has_other = self.can_forward(exchange, now) or any(
             other is not server
             and exchange.software_version in (None, other.entry.software_version)
             and self._router.accepts(other, now)
-            for other in others
+            for other in self._fleet_state.servers.of_service(exchange.service)
         )
         # Only an attempt that can follow is a reason not to wait any longer.
-        has_other = has_other or self.can_forward(exchange, now)
         exchange.retry_is_paid = has_other and self.spend_retry(exchange.service, now)
         return exchange.retry_is_paid
 
