--- a/tests/gateway/test_stream_breaks.py
+++ b/tests/gateway/test_stream_breaks.py
@@ -332,10 +332,11 @@
     def ask(self, number, request_id, **headers):
         """Send a request to a node; return what the client got of the answer."""
         raw = request_bytes(Request_Id=request_id, Deadline_Ms="4000", **headers)
+        raw = raw.replace(b"HTTP/1.1", f"HTTP/{self.case.http_version}".encode())
         silent = any(f.kind == "client" and f.how == "silence" for f in self.faults)
+        is_undisturbed = all(fault.fired for fault in self.faults)
         got = ask(self.address(number), raw, 0.5 if silent else 5.0)
-        got.request_id = request_id
-        got.is_undisturbed = all(fault.fired for fault in self.faults)
+        got.request_id, got.is_undisturbed = request_id, is_undisturbed
         return got
 
 
@@ -406,10 +407,13 @@
 def may_look_complete(case):
     """Tell whether the platform's protocol lets a part of an answer look complete.
 
-    A FIN ends an answer without length and chunks.
+    A FIN ends an answer without length and chunks, as older clients get it.
     """
-    return case.framing == "close" and any(
-        kind in ("own_server", "second_server")
+    kinds = {"own_server", "second_server"} if case.framing == "close" else set()
+    if case.http_version == "1.0":
+        kinds.add("client")
+    return any(
+        kind in kinds
         and how in ("fin", "exit")
         and position not in ("before_head", "in_head")
         for kind, position, how in case.faults
@@ -437,6 +441,8 @@
         and not case.fails_first
         and not kinds["client"]
         and not is_held_by_silent_server(case)
+        # A request that two servers crashed on is quarantined.
+        and sum("server" in k and how == "exit" for k, _, how in case.faults) < 2
         # Without events, the end of a connection may be that of a crashed server.
         and not (case.framing == "close" and "after_last" in positions)
         # Each fault and an extra attempt may be an execution.
@@ -496,8 +502,8 @@
         events += events_of(got.body)
         is_whole = got.complete and len(events) == EVENTS
         assert is_whole or not got.complete or may_look_complete(case), events
-        # Nothing breaks any more, and other servers could go on.
-        assert got.complete or not got.is_undisturbed or got is tries[0], events
+        # Nothing broke any more, and servers could go on.
+        assert got.complete or not got.is_undisturbed, events
     assert [number for number, _ in events] == list(range(1, len(events) + 1))
     assert len({version for _, version in events}) <= 1
 
@@ -536,6 +542,7 @@
         streaming=streaming,
         faults=[first, *others],
         framing=draw(st.sampled_from(FRAMINGS)),
+        http_version=draw(st.sampled_from(["1.1", "1.1", "1.0"])),
         size=draw(st.sampled_from([SMALL, SMALL, LARGE])),
         fails_first=draw(st.sampled_from([False] * 4 + [True])),
         max_attempts=draw(st.sampled_from([2, 4])),
@@ -549,7 +556,7 @@
 
 # Guards against answers that hold pieces twice, in another order or of two runs, that
 # look complete and are not, or that break off without need, and against second runs.
-@settings(max_examples=160, report_multiple_bugs=False)
+@settings(max_examples=200, report_multiple_bugs=False)
 @given(cases())
 def test_an_answer_holds_each_piece_once_whatever_breaks(case):
     play(case)
@@ -563,6 +570,7 @@
             "streaming": True,
             "faults": list(faults),
             "framing": "chunked",
+            "http_version": "1.1",
             "size": SMALL,
             "fails_first": False,
             "max_attempts": 4,
