--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -28,6 +28,8 @@
         self.ip = f"127.{100 + os.getpid() // 250 % 100}.{ip_byte}.{number + 1}"
         self.link = Link(store_address)
         self.start_count = 0
+        # The folder whose code the next process runs.
+        self.build = ROOT
         self._ledger = ledger
         self._terminated_pids = set()
         # Faults overlap; only one at a time may start or kill the process.
@@ -75,6 +77,7 @@
 
     def _start(self):
         self.start_count += 1
+        self._ledger.log(f"{self.name} starts, build {self.build.name}")
         self._write_settings()
         env_vars = {
             **os.environ,
@@ -84,7 +87,7 @@
         with self._log_path.open("a") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "arbutusyard.cli.node_start"],
-                cwd=ROOT,
+                cwd=self.build,
                 env=env_vars,
                 stdout=output,
                 stderr=subprocess.STDOUT,
