--- a/tests/gateway/test_stream_breaks.py
+++ b/tests/gateway/test_stream_breaks.py
@@ -55,8 +55,8 @@
     "after_last": rb"id: 4\ndata: \w+\n\n|<end>",
 }
 LINKS = ("own_server", "node", "second_server", "client")
-# "drain" stops a node with time to end its answers and "stop" without; for a server
-# they close its port.
+# "drain" stops a node with time to end its answers and "stop" without. At the links to
+# servers both break nothing.
 WAYS = ("fin", "rst", "exit", "drain", "stop", "silence")
 
 
@@ -420,18 +420,6 @@
     )
 
 
-def is_held_by_silent_server(case):
-    """Tell whether a node that is cut off waits for a silent server.
-
-    test_a_node_that_is_cut_off_does_not_wait_for_a_silent_server is about it.
-    """
-    return case.cut_off_after and any(
-        (kind, how) == ("own_server", "silence")
-        and position in ("before_head", "in_head")
-        for kind, position, how in case.faults
-    )
-
-
 def must_go_on(case):
     """Tell whether the stream of a client can go on after the faults."""
     kinds = Counter(kind for kind, _, _ in case.faults)
@@ -440,7 +428,6 @@
         case.policy is RetryPolicy.RESUME
         and not case.fails_first
         and not kinds["client"]
-        and not is_held_by_silent_server(case)
         # A request that two servers crashed on is quarantined.
         and sum("server" in k and how == "exit" for k, _, how in case.faults) < 2
         # Without events, the end of a connection may be that of a crashed server.
