Test that only nodes limit the attempts at a forwarded request

The test shows that such a header counts for nothing and reaches no server; it passes on the code as it is.

--- a/tests/gateway/test_other_builds.py
+++ b/tests/gateway/test_other_builds.py
@@ -153,7 +153,7 @@
     # The older build goes by the last of these headers alone.
     values = [value for name, value in headers if name == "connection"]
     assert ("close" in values[-1]) is is_draining
-    # A service and a version are named, so the test shows that they are dropped.
+    # There are such headers to drop.
     assert {"arbutusyard-stream-software"} <= dict(headers).keys()
 
 
@@ -296,3 +296,23 @@
     got = cut.call()
     assert not [name for name in got.headers if name.startswith("arbutusyard")]
     assert (got.complete, got.body) == (True, ALL_EVENTS)
+
+
+# Guards against a client of an older node that limits the attempts at its request: that
+# node passes on headers that it does not know, without listing them in Connection.
+def test_only_a_node_limits_the_attempts_at_a_request(make):
+    server = make(ScriptedServer, lambda request: [answer(request, "500 Error")])
+    other = make(Gateway, server, server)
+    for number, (field, attempts) in enumerate(
+        (
+            (b"arbutusyard-attempts: 1\r\n", 2),
+            (b"connection: arbutusyard-attempts\r\narbutusyard-attempts: 1\r\n", 1),
+        )
+    ):
+        raw = FORWARDED.replace(b"r1", b"r%d" % number) % (field, b"")
+        forward(other, raw)
+        requests = [
+            r for r in server.requests if r.headers["request-id"] == f"r{number}"
+        ]
+        assert len(requests) == attempts
+        assert not [r for r in requests if "arbutusyard-attempts" in r.headers]
