Keep an engine's limit while it answers no orders

Cause: the pause after an unanswered order kept the limit for one call, but order and reads of the report are three. The pause now is three intervals. After that the test passes.

--- a/arbutusyard/weights/const.py
+++ b/arbutusyard/weights/const.py
@@ -49,6 +49,9 @@
 STATUS_REPEAT_S: Final = 2.0
 # Delay before an engine is ordered again after a failed load or order, in seconds.
 RETRY_DELAY_S: Final = 0.5
+# Number of calls to an engine that an unanswered order takes: the order and two reads
+# of the report.
+UNANSWERED_CALLS: Final = 3
 # Maximum pause after reports of an engine that could not be read, in seconds; it starts
 # at RETRY_DELAY_S and doubles. The engine gets its weights in time once it can be read.
 REPORT_PAUSE_MAX_S: Final = 2.0
--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -42,6 +42,7 @@
     REPORT_POLL_S,
     RETRY_DELAY_S,
     STATUS_REPEAT_S,
+    UNANSWERED_CALLS,
     UPTIME_STEP_S,
 )
 from arbutusyard.weights.models import LoadOrder, OrderOutcome, ServerReport, SwitchMode
@@ -418,7 +419,8 @@
         if unanswered < 2:
             return 0.0
         delay_s = min(RETRY_DELAY_S, REPORT_POLL_S * 2 ** (unanswered - 2))
-        return max(delay_s, self._limits.poll_interval_s(server.incarnation))
+        interval_s = self._limits.poll_interval_s(server.incarnation)
+        return max(delay_s, UNANSWERED_CALLS * interval_s)
 
     def _order(self, model: str, version: int, server: Server) -> OrderOutcome | None:
         order = LoadOrder(
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -202,6 +202,20 @@
     wait_for(lambda: node.versions() == {2}, 2)
 
 
+# Guards against LIMIT: orders without an answer, and the reads of reports after them,
+# took twice the limit that an engine had named.
+def test_orders_without_an_answer_keep_the_limit_of_an_engine(make_nodes):
+    limit_s, window_s = 3.0, 4.0
+    engine = Engine()
+    engine.faults = ["lost"] * 10_000
+    (node,) = make_nodes([engine], "n1")
+    node.limits.observe(("e0", 5), limit_s, clock.now())
+    node.set_target(2)
+    wait_for(lambda: len(engine.faults) < 10_000, 8)
+    gevent.sleep(window_s)
+    assert len(engine.server.requests) <= 1.5 * limit_s * window_s
+
+
 def test_the_report_is_read_before_the_first_order_to_an_engine(make_nodes):
     engine = Engine()
     engine.orders = 4
