--- a/tests/soak/test_targets.py
+++ b/tests/soak/test_targets.py
@@ -25,7 +25,10 @@
 QUEUE_WAIT_S = (0.0, 4.0)
 # Fraction of the requests that wait.
 WAITING_FRACTION = 0.15
+# Ranges of the time for which a node is suspended, and of the time from its start until
+# it reads the store, in seconds.
 PAUSE_S = (0.3, 2.5)
+FIRST_READS_S = (0.2, 0.6)
 
 
 class TargetCheck:
@@ -108,6 +111,13 @@
         world.start(node)
 
 
+def kill_all_and_pause(world, rng):
+    """Kill all nodes, and suspend them while the store answers their first reads."""
+    kill_all(world, rng)
+    gevent.sleep(rng.uniform(*FIRST_READS_S))
+    pause_all(world, rng, world.nodes)
+
+
 def kill_in_turn(world, rng):
     """Kill the nodes one after another, each once the one before runs again."""
     for node in world.nodes:
@@ -119,15 +129,22 @@
 
 def pause_some(world, rng):
     """Suspend some nodes for different times."""
+    pause_all(world, rng, rng.sample(world.nodes, rng.randint(1, len(world.nodes))))
+
+
+def pause_all(world, rng, nodes):
+    """Suspend nodes for different times."""
 
     def pause(node):
         with world.disturbed(node.name):
             node.pause(rng.uniform(*PAUSE_S))
 
-    nodes = rng.sample(world.nodes, rng.randint(1, len(world.nodes)))
     gevent.joinall([gevent.spawn(pause, node) for node in nodes], raise_error=True)
 
 
+FAULTS = (kill_all, kill_all_and_pause, kill_in_turn, pause_some)
+
+
 def run_targets(seed, folder, rounds):
     """Run targets and faults of a seed; return the ledger and the check."""
     rng = random.Random(f"targets {seed}")
@@ -138,7 +155,7 @@
 
     def set_targets():
         for _ in range(rounds):
-            fault = rng.choice([kill_all, kill_in_turn, pause_some])
+            fault = rng.choice(FAULTS)
             world.ledger.log(f"targets with {fault.__name__}")
             task = gevent.spawn_later(rng.uniform(*FAULT_PAUSE_S), fault, world, rng)
             for _ in range(rng.randint(1, MAX_TARGETS)):
