--- a/arbutusyard/gateway/answer_relay.py
+++ b/arbutusyard/gateway/answer_relay.py
@@ -55,7 +55,7 @@
     def check_head(
         self, exchange: "Exchange", conn: ServerConnection, head: AnswerHead
     ) -> None:
-        """Raise AnswerBroken if an answer is malformed or follows another one badly."""
+        """Raise AnswerBroken if an answer is malformed or can't continue a stream."""
         if head.encoded:
             raise AnswerBroken(f"{conn.address} sent an encoded body")
         if exchange.conn.sent_head and head.status >= 300:
--- a/arbutusyard/platform/headers.py
+++ b/arbutusyard/platform/headers.py
@@ -256,7 +256,7 @@
 ) -> Headers:
     """Return the headers that tell another node where a stream began.
 
-    `server` is an id and a start in ms. None if headers cannot carry the names.
+    `server` is an id and a start in ms. Empty if headers cannot carry the names.
     """
     server_id, started_at_ms = server
     if not all(map(HEADER_TEXT.fullmatch, (service, software_version, server_id))):
