Count the wait for an answer in the delay between orders

Engines that leave orders unanswered got them less often than before, and new weights later: an order without an answer waits a second, and the delay for engines that close connections at once came on top. It now includes that wait.

--- a/arbutusyard/weights/coordinator.py
+++ b/arbutusyard/weights/coordinator.py
@@ -396,11 +396,13 @@
                 self._lease.refresh()
                 if not self._lease.valid(clock.now(), ORDER_DELIVERY_MAX_S):
                     return False
+            ordered_at = clock.now()
             outcome = self._order(model, version, server)
             if outcome in (OrderOutcome.FENCED, OrderOutcome.OTHER_SERVER):
                 return False
             unanswered = unanswered + 1 if outcome is None else 0
-            gevent.sleep(self._order_pause_s(server, unanswered))
+            took_s = clock.now() - ordered_at
+            gevent.sleep(self.order_pause_s(server, unanswered, took_s))
             if outcome is None and self._read_report(server) is None:
                 return False
             if outcome is OrderOutcome.REFUSED:
@@ -411,16 +413,17 @@
                 self._wait_loaded(model, version, server, outcome)
         return False
 
-    def _order_pause_s(self, server: Server, unanswered: int) -> float:
-        """Return the exponential delay, in seconds, after unanswered orders in a row.
+    def order_pause_s(self, server: Server, unanswered: int, took_s: float) -> float:
+        """Return the pause before the next order after unanswered ones in a row.
 
-        The first one is repeated at once unless the engine's report shows its outcome.
+        In seconds; the wait for the answer, `took_s`, counts in an exponential delay.
+        The first order is repeated at once unless the report shows its outcome.
         """
         if unanswered < 2:
             return 0.0
         delay_s = min(RETRY_DELAY_S, REPORT_POLL_S * 2 ** (unanswered - 2))
         interval_s = self._limits.poll_interval_s(server.incarnation)
-        return max(delay_s, UNANSWERED_CALLS * interval_s)
+        return max(0.0, max(delay_s, UNANSWERED_CALLS * interval_s) - took_s)
 
     def _order(self, model: str, version: int, server: Server) -> OrderOutcome | None:
         order = LoadOrder(
--- a/tests/weights/test_coordinator.py
+++ b/tests/weights/test_coordinator.py
@@ -216,6 +216,18 @@
     assert len(engine.server.requests) <= 1.5 * limit_s * window_s
 
 
+# Guards against engines that get new weights later, as the wait for an answer that does
+# not come was followed by the delay between two orders.
+def test_the_wait_for_an_answer_counts_in_the_delay_between_orders(make_nodes):
+    (node,) = make_nodes([Engine()], "n1")
+    server = node.fleet_state.servers.get("e0")
+    pause_s = node.weights.order_pause_s
+    assert [pause_s(server, n, 0.0) > 0 for n in (0, 1, 2, 3)] == [0, 0, 1, 1]
+    assert [pause_s(server, n, 1.0) for n in (2, 3, 9)] == [0, 0, 0]
+    node.limits.observe(server.incarnation, 1.0, clock.now())
+    assert pause_s(server, 2, 0.2) == pytest.approx(pause_s(server, 2, 0.0) - 0.2)
+
+
 def test_the_report_is_read_before_the_first_order_to_an_engine(make_nodes):
     engine = Engine()
     engine.orders = 4
