--- a/arbutusyard/gateway/events.py
+++ b/arbutusyard/gateway/events.py
@@ -1,6 +1,7 @@
 """Split a server-sent event stream into events."""
 
 import re
+import sys
 from typing import Final
 
 from msgspec import Struct
@@ -10,6 +11,10 @@
 
 # Blank line at the end of an event, after each of the line ends that streams may use.
 EVENT_END: Final = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+# Number of bytes of an end of an event that may come before its last one.
+EVENT_END_OVERLAP: Final = 3
+ID_LINE: Final = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
+DATA_LINE: Final = re.compile(rb"(?:^|[\r\n])data")
 # Maximum number of digits of an event id that is compared as a number; 64-bit integers
 # have up to 20.
 EVENT_ID_DIGITS_MAX: Final = 20
@@ -25,33 +30,44 @@
 
 
 class EventSplitter:
-    """Extract complete events incrementally from received bytes."""
+    """Extract complete events incrementally from received bytes.
 
-    __slots__ = ("_buffer",)
+    Each byte is searched once, however the bytes are split.
+    """
+
+    __slots__ = ("_buffer", "_searched")
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Number of buffered bytes that contain no end of an event.
+        self._searched = 0
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add received bytes; return the events that are now complete.
+    def feed(self, data: bytes, events_max: int = sys.maxsize) -> list[StreamEvent]:
+        """Add received bytes; return up to `events_max` events that are now complete.
 
         Raise AnswerBroken if an incomplete event exceeds EVENT_BYTES_MAX bytes.
         """
-        data = self._buffer + data
-        events = []
+        buffer = self._buffer
+        buffer += data
+        events: list[StreamEvent] = []
         start = 0
-        for match in EVENT_END.finditer(data):
-            raw = data[start : match.end()]
-            events.append(_read_event(raw))
-            start = match.end()
-        self._buffer = data[start:]
-        if len(self._buffer) > EVENT_BYTES_MAX:
+        while len(events) < events_max:
+            search_from = max(start, self._searched - EVENT_END_OVERLAP)
+            match = EVENT_END.search(buffer, search_from)
+            if match is None:
+                self._searched = len(buffer)
+                break
+            events.append(_read_event(bytes(buffer[start : match.end()])))
+            start = self._searched = match.end()
+        del buffer[:start]
+        self._searched -= start
+        if not events and len(buffer) > EVENT_BYTES_MAX:
             raise AnswerBroken("an event of the stream exceeds the size limit")
         return events
 
     def remaining(self) -> bytes:
-        """Return the buffered bytes after the last complete event."""
-        return self._buffer
+        """Return the buffered bytes after the last event that was returned."""
+        return bytes(self._buffer)
 
     def is_inside_event(self) -> bool:
         """Tell whether an event has begun that is not complete."""
@@ -105,9 +121,7 @@
 
 
 def _read_event(raw: bytes) -> StreamEvent:
-    has_data = False
-    for line in raw.splitlines():
-        if line.startswith(b"id:"):
-            return StreamEvent(raw, line[3:].strip().decode("latin-1"))
-        has_data = has_data or line.startswith(b"data")
-    return StreamEvent(raw, "", has_data)
+    match = ID_LINE.search(raw)
+    if match is not None:
+        return StreamEvent(raw, match[1].strip().decode("latin-1"))
+    return StreamEvent(raw, "", DATA_LINE.search(raw) is not None)
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -1,9 +1,12 @@
 """Test splitting of event streams."""
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from arbutusyard.gateway.const import EVENT_BYTES_MAX
 from arbutusyard.gateway.events import EventSequence, EventSplitter, StreamEvent
 
 
@@ -76,3 +79,37 @@
     sequence = EventSequence()
     sequence.accept(EventSplitter().feed(b"id: 1\ndata: x\n\n" + data))
     assert sequence.has_unnumbered is has_unnumbered
+
+
+@given(
+    st.lists(st.sampled_from([b"\n", b"\r", b"a", b"id:1", b"data"])).map(b"".join),
+    st.lists(st.integers(1, 6), min_size=1),
+    st.integers(1, 3),
+)
+def test_events_end_at_the_same_bytes_however_they_are_split(data, sizes, most):
+    whole = EventSplitter()
+    expected = whole.feed(data)
+    splitter, events, rest = EventSplitter(), [], data
+    while rest:
+        size = sizes[len(rest) % len(sizes)]
+        new = splitter.feed(rest[:size], most)
+        while new:
+            events += new
+            new = splitter.feed(b"", most)
+        rest = rest[size:]
+    assert events == expected
+    assert splitter.remaining() == whole.remaining()
+
+
+@pytest.mark.parametrize(
+    "line", [b"data: " + b"x" * 53 + b"\n", b"x" * 59 + b"\r", b"\n "]
+)
+def test_an_event_of_many_pieces_takes_time_proportional_to_its_bytes(line):
+    """Guards against a search of all buffered bytes with each piece."""
+    data = line * (EVENT_BYTES_MAX // len(line))
+    splitter, began = EventSplitter(), time.thread_time()
+    for start in range(0, len(data), 60):
+        splitter.feed(data[start : start + 60])
+    splitter.feed(b"\n\n")
+    # About 0.05 s; it took a minute when all bytes were searched again.
+    assert time.thread_time() - began < 1.0
