Let other tasks run between the small pieces of servers' answers

Reads of bytes that have arrived suspend no task, and a turn was bounded by 64 KiB only: 10,000 chunks or events.

A turn now ends after 64 pieces (chunks, events or reads below 512 bytes) or 64 KiB. A connection that carries more than 1,024 pieces at once and 2,000 a second, or a server more than 16,000, pauses after each turn for three times what the turn took, times the number of readers that pause, so that all such peers together get a quarter to a third of a core; clients with tiny chunks share that pause. Deadlines are checked after each pause, and an event that is incomplete after a second of pauses is given up, so that the request is retried elsewhere. Chunks that have arrived together are joined. Honest streams stay below the rate: 1,000 pieces a second at an event every 3 ms, and large answers have few pieces.

--- a/arbutusyard/fleet/servers.py
+++ b/arbutusyard/fleet/servers.py
@@ -24,6 +24,7 @@
 )
 from arbutusyard.fleet.messages import RemovedServer, ServerLoad
 from arbutusyard.gateway.models import ServerEntry, ServerState
+from arbutusyard.http1.pacing import PieceBudget, peer_budget
 from arbutusyard.routing.speed import PrefillSpeed
 
 _LOGGER = logging.getLogger(__name__)
@@ -88,6 +89,9 @@
     kept_entry: bool = False
     dead: bool = False
     speed: PrefillSpeed = field(default_factory=PrefillSpeed)
+    # Small pieces that came on all connections to it, and when a slow read was logged.
+    pieces: PieceBudget = field(default_factory=peer_budget)
+    slowed_log_at: float = float("-inf")
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/arbutusyard/gateway/answer_relay.py
+++ b/arbutusyard/gateway/answer_relay.py
@@ -15,6 +15,7 @@
 from arbutusyard.gateway.exceptions import AnswerBroken, AnswerLate
 from arbutusyard.gateway.models import AnswerHead, Framing, Route
 from arbutusyard.gateway.pool import ServerConnection
+from arbutusyard.http1.const import PIECES_PER_TURN, SLOWED_EVENT_S
 from arbutusyard.platform.headers import Headers, stream_headers
 
 if TYPE_CHECKING:
@@ -79,20 +80,27 @@
         caller = exchange.conn
         gap_limit_s = client_gap_s(exchange.route) + GAP_MARGIN_S
         event_at = clock.now()
+        slowed_s = conn.slowed_s
         has_events = False
         while True:
             data = _read_event_data(conn, exchange.deadline, event_at + gap_limit_s)
             if data is None:
                 break
-            events, gap = delivery.sequence.accept(splitter.feed(data))
-            if events:
-                event_at = clock.now()
-                if not has_events:
-                    has_events = True
-                    observer.begin(event_at)
-                self._relay_events(exchange, head, events, observer, event_at)
-            if gap:
-                raise AnswerBroken(f"{conn.address} sent {gap}")
+            while complete := splitter.feed(data, PIECES_PER_TURN):
+                data = b""
+                events, gap = delivery.sequence.accept(complete)
+                if events:
+                    event_at = clock.now()
+                    slowed_s = conn.slowed_s
+                    if not has_events:
+                        has_events = True
+                        observer.begin(event_at)
+                    self._relay_events(exchange, head, events, observer, event_at)
+                if gap:
+                    raise AnswerBroken(f"{conn.address} sent {gap}")
+                conn.count_events(complete, exchange.deadline)
+            if conn.slowed_s - slowed_s > SLOWED_EVENT_S:
+                raise AnswerBroken(f"{conn.address} sent an event in too many pieces")
         delivery.incomplete_bytes = len(splitter.remaining())
         if splitter.is_inside_event():
             raise AnswerBroken(f"{conn.address} ended its stream inside an event")
--- a/arbutusyard/gateway/caller.py
+++ b/arbutusyard/gateway/caller.py
@@ -18,13 +18,12 @@
     PIPELINED_PRESSED_BYTES,
     READ_BYTES,
     RETRY_AFTER_S,
-    TINY_CHUNK_BYTES,
-    TINY_CHUNKS_PAUSE_S,
-    TINY_CHUNKS_PER_TURN,
 )
 from arbutusyard.gateway.exceptions import BadRequest, CallerGone, Overloaded
 from arbutusyard.gateway.memory import EndReason, Holding, MemoryBudget, Phase
 from arbutusyard.gateway.models import CallerRequest, IngressLimits
+from arbutusyard.http1.const import PIECES_PER_TURN, SMALL_PIECE_BYTES
+from arbutusyard.http1.pacing import PACER
 from arbutusyard.http1.parser import Http1Parser
 
 _LOGGER = logging.getLogger(__name__)
@@ -282,7 +281,7 @@
 
     def _read_body(self) -> bytes:
         pieces = self._pieces
-        size = charged = tiny_chunks = 0
+        size = charged = pieces_in_turn = 0
         while True:
             if self._h11.they_are_waiting_for_100_continue:
                 self._send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -295,11 +294,12 @@
                     pieces[-1] += event.data
                 else:
                     pieces.append(bytearray(event.data))
-                tiny_chunks += len(event.data) < TINY_CHUNK_BYTES
-                if tiny_chunks < TINY_CHUNKS_PER_TURN:
+                pieces_in_turn += len(event.data) < SMALL_PIECE_BYTES
+                if pieces_in_turn < PIECES_PER_TURN:
                     continue
-                tiny_chunks = 0
-                self._pause_tiny_chunks()
+                pieces_in_turn = 0
+                # Clients have no rate of small pieces at which they are read at once.
+                PACER.pause()
             elif event is h11.NEED_DATA:
                 if not self._receive(self._limits.idle_timeout_s):
                     raise BadRequest(408, "timed out while reading the request's body")
@@ -327,14 +327,6 @@
             raise Overloaded(408, reason.value, None)
         raise Overloaded(503, reason.value, RETRY_AFTER_S)
 
-    def _pause_tiny_chunks(self) -> None:
-        """Let other tasks run, so that all tiny chunks get a part of a core only."""
-        self._memory.parsing_tiny += 1
-        try:
-            gevent.sleep(TINY_CHUNKS_PAUSE_S * self._memory.parsing_tiny)
-        finally:
-            self._memory.parsing_tiny -= 1
-
     def _next_event(self) -> object:
         try:
             return self._h11.next_event()
--- a/arbutusyard/gateway/const.py
+++ b/arbutusyard/gateway/const.py
@@ -5,9 +5,6 @@
 
 # Maximum number of bytes read from a socket at once.
 READ_BYTES: Final = 65_536
-# Number of bytes of an answer after which other tasks get a turn, even if more bytes
-# have arrived already.
-YIELD_BYTES: Final = 65_536
 # SO_LINGER value, enabled with 0 s: closing resets the connection.
 NO_LINGER: Final = struct.pack("ii", 1, 0)
 # Timeout of a write to a client, in seconds; after it the connection is closed.
@@ -43,12 +40,6 @@
 # Size of the pieces in which a body is kept until it is complete, in bytes. One object
 # for each chunk would cost 8 bytes and more for a chunk of one byte.
 BODY_PIECE_BYTES: Final = 65_536
-# Size below which a chunk counts as tiny, the number of tiny chunks that a connection
-# parses in one turn, and the pause after such a turn for each connection that sends
-# them, in seconds. A chunk costs about 15 us, so tiny chunks get a third of a core.
-TINY_CHUNK_BYTES: Final = 512
-TINY_CHUNKS_PER_TURN: Final = 64
-TINY_CHUNKS_PAUSE_S: Final = 0.002
 
 # Timeout of connecting to a backend server and of the first write to it, in seconds. A
 # healthy server accepts in milliseconds, and a lost packet costs a second anyway.
@@ -127,6 +118,8 @@
 GAP_OBJECTIVE_FACTOR: Final = 4.0
 GAP_TARGET_FACTOR: Final = 8.0
 GAP_MARGIN_S: Final = 0.3
+# Minimum interval between log lines about slow reads of one server, in seconds.
+SLOWED_LOG_INTERVAL_S: Final = 10.0
 # Retry-After of a refusal when no better value is known, in seconds.
 RETRY_AFTER_S: Final = 0.3
 # Retry-After of a refusal whose reason may not apply to other nodes, in seconds.
--- a/arbutusyard/gateway/memory.py
+++ b/arbutusyard/gateway/memory.py
@@ -127,7 +127,6 @@
         "_swept_at",
         "limits",
         "on_end",
-        "parsing_tiny",
         "used",
     )
 
@@ -138,8 +137,6 @@
         self._pressed = False
         self._swept_at = float("-inf")
         self.used = 0
-        # Number of connections that pause between turns of parsing tiny chunks.
-        self.parsing_tiny = 0
         self.on_end: Callable[[EndReason], None] = lambda reason: None
 
     @property
--- a/arbutusyard/gateway/node.py
+++ b/arbutusyard/gateway/node.py
@@ -122,6 +122,7 @@
             leaving=(incarnation,)
         )
         self._router.on_limit = lambda report: peers.broadcast_servers(limits=(report,))
+        self._pool.on_slowed = self._metrics.count_slowed_read
         self._router.has_connection = self._pool.has_idle_connection
         peers.on_engines = self._router.apply_engine_statuses
         peers.on_segment_update = lambda update, now: (
--- a/arbutusyard/gateway/pool.py
+++ b/arbutusyard/gateway/pool.py
@@ -38,11 +38,12 @@
     PROBES_OFF_S,
     READ_BYTES,
     SERVER_RECEIVE_BUFFER_BYTES,
+    SLOWED_LOG_INTERVAL_S,
     TCP_CLOSE_WAIT,
     TCP_USER_TIMEOUT_MS,
     UNRESPONSIVE_CHECK_INTERVAL_S,
-    YIELD_BYTES,
 )
+from arbutusyard.gateway.events import StreamEvent
 from arbutusyard.gateway.exceptions import (
     AnswerBroken,
     AnswerLate,
@@ -50,6 +51,8 @@
     Unreachable,
 )
 from arbutusyard.gateway.models import AnswerHead, Framing
+from arbutusyard.http1.const import SMALL_PIECE_BYTES
+from arbutusyard.http1.pacing import ConnectionPace
 from arbutusyard.http1.parser import Http1Parser
 from arbutusyard.platform.headers import read_answer
 
@@ -71,17 +74,19 @@
         "_h11",
         "_head_bytes",
         "_head_started_at",
+        "_pace",
+        "_pending",
         "_probed",
         "_reading_head",
         "_request",
         "_sent_at",
         "_server",
-        "_since_yield",
         "_sock",
         "_writer",
         "address",
         "ended",
         "idle_until",
+        "on_slowed",
         "should_abandon",
     )
 
@@ -101,13 +106,20 @@
         # Whether the kernel probes the link, and when the last byte was sent.
         self._probed = False
         self._sent_at = math.inf
-        # Bytes read since other tasks last got a turn.
-        self._since_yield = 0
+        self._pace = ConnectionPace(clock.now(), server.pieces)
+        # What followed the chunks that were read together.
+        self._pending: object = None
         self.address = server.entry.address
         # The server ended or reset the connection.
         self.ended = False
         self.idle_until = 0.0
         self.should_abandon: Callable[[], bool] = lambda: False
+        self.on_slowed: Callable[[], None] = lambda: None
+
+    @property
+    def slowed_s(self) -> float:
+        """Return for how long the connection was read more slowly, in seconds."""
+        return self._pace.slowed_s
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -237,16 +249,39 @@
             )
 
     def read_data(self, deadline: float) -> bytes | None:
-        """Read a chunk of the body; return None at its end."""
-        while True:
-            event = self._next_event(deadline)
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                if self.ended:
-                    self._check_end(deadline)
-                return None
+        """Read the next bytes of the body; return None at its end.
+
+        Small chunks that have arrived together are joined.
+        """
+        event = self._next_event(deadline)
+        if isinstance(event, h11.EndOfMessage):
+            if self.ended:
+                self._check_end(deadline)
+            return None
+        if not isinstance(event, h11.Data):
             raise AnswerBroken(f"{self.address} ended its answer early")
+        chunks = [bytes(event.data)]
+        while len(chunks[-1]) < SMALL_PIECE_BYTES and not self._pace.is_turn_over():
+            try:
+                event = self._parse()
+            except AnswerBroken as exc:
+                self._pending = exc
+                break
+            if not isinstance(event, h11.Data):
+                self._pending = event
+                break
+            chunks.append(bytes(event.data))
+        return b"".join(chunks)
+
+    def count_events(self, events: list[StreamEvent], deadline: float) -> None:
+        """Count events of the answer; let other tasks run after some.
+
+        Raise AnswerLate after the deadline.
+        """
+        for event in events:
+            self._pace.count_piece(len(event.data))
+        if self._pace.is_turn_over():
+            self._end_turn(deadline)
 
     def _check_end(self, deadline: float) -> None:
         """Raise AnswerBroken unless the server itself ended an answer without length.
@@ -302,6 +337,7 @@
         self._h11.start_next_cycle()
         # An idle connection must not keep the body of its last request.
         self._body = b""
+        self._pending = None
         self.should_abandon = lambda: False
         self._set_probed(False)
         keep_s = IDLE_KEEP_S if head.keep_s is None else head.keep_s
@@ -364,14 +400,30 @@
             # The next read or write reports the broken connection.
             _LOGGER.debug("Could not change probes of %s: %s", self.address, exc)
 
+    def _parse(self) -> object:
+        """Return what the received bytes contain next; raise AnswerBroken if needed."""
+        try:
+            event = self._h11.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise AnswerBroken(f"{self.address} sent an invalid answer: {exc}") from exc
+        if isinstance(event, h11.Data):
+            self._pace.count_piece(len(event.data))
+        return event
+
+    def _take_event(self) -> object:
+        """Return the next event of the answer; raise AnswerBroken if needed."""
+        if self._pending is None:
+            return self._parse()
+        event, self._pending = self._pending, None
+        if isinstance(event, AnswerBroken):
+            raise event
+        return event
+
     def _next_event(self, deadline: float) -> object:
         while True:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise AnswerBroken(
-                    f"{self.address} sent an invalid answer: {exc}"
-                ) from exc
+            if self._pace.is_turn_over():
+                self._end_turn(deadline)
+            event = self._take_event()
             if event is not h11.NEED_DATA:
                 return event
             remaining_s = deadline - clock.now()
@@ -386,11 +438,25 @@
             if self._head_started_at is None:
                 self._head_started_at = self._server.last_byte_at
             self._h11.receive_data(data)
-            self._since_yield += len(data)
-            if self._since_yield >= YIELD_BYTES:
-                # Reads of bytes that have arrived suspend no task.
-                self._since_yield = 0
-                gevent.sleep(0)
+            self._pace.count_read(len(data))
+
+    def _end_turn(self, deadline: float) -> None:
+        """Let other tasks run; raise AnswerLate if a slow read passed the deadline."""
+        was_slowed = self._pace.slowed_s > 0
+        if not self._pace.end_turn():
+            return
+        now = clock.now()
+        if not was_slowed:
+            self.on_slowed()
+        if now - self._server.slowed_log_at >= SLOWED_LOG_INTERVAL_S:
+            self._server.slowed_log_at = now
+            _LOGGER.warning(
+                "Server %s sends its answers in many small pieces; reading it slowly",
+                self._server.entry.server_id,
+                extra={"server": self._server.entry.server_id, "address": self.address},
+            )
+        if now >= deadline:
+            raise AnswerLate(f"{self.address} did not answer before the deadline")
 
     def _check_head(self, now: float) -> None:
         """Raise AnswerBroken if the head exceeds its size or time limit."""
@@ -444,13 +510,14 @@
     kernel chooses.
     """
 
-    __slots__ = ("_idle", "_open_counts", "_source_ip", "opened")
+    __slots__ = ("_idle", "_open_counts", "_source_ip", "on_slowed", "opened")
 
     def __init__(self, source_ip: str = "") -> None:
         self._source_ip = source_ip
         self._idle: dict[object, list[ServerConnection]] = {}
         self._open_counts: dict[object, int] = {}
         self.opened = 0
+        self.on_slowed: Callable[[], None] = lambda: None
 
     def acquire(
         self, server: Server, request_id: str, cap: int, now: float
@@ -568,6 +635,7 @@
         self._open_counts[incarnation] = self._open_counts.get(incarnation, 0) + 1
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         conn = ServerConnection(sock, server)
+        conn.on_slowed = self.on_slowed
         host, port = address.rsplit(":", 1)
         try:
             sock.settimeout(CONNECT_TIMEOUT_S)
--- a/arbutusyard/http1/const.py
+++ b/arbutusyard/http1/const.py
@@ -8,6 +8,8 @@
 # Number of small pieces that a reader handles before other tasks run. A piece takes
 # about 15 us to decode, and up to 50 us if it is relayed.
 PIECES_PER_TURN: Final = 64
+# Number of bytes that a reader takes from its socket before other tasks run.
+BYTES_PER_TURN: Final = 65_536
 # Small pieces per second that one connection, and all connections to one peer, may
 # carry before they are read more slowly, and how many may come at once. A stream with
 # an event every 3 ms carries 1,000: each comes as a read, a chunk and an event.
--- a/arbutusyard/http1/pacing.py
+++ b/arbutusyard/http1/pacing.py
@@ -11,6 +11,7 @@
 
 from arbutusyard import clock
 from arbutusyard.http1.const import (
+    BYTES_PER_TURN,
     CONNECTION_PIECES_BURST,
     CONNECTION_PIECES_S,
     PAUSE_FACTOR,
@@ -51,25 +52,18 @@
 class ReadPacer:
     """Share the time for peers beyond their rate among all readers of a process."""
 
-    __slots__ = ("pauses", "pausing")
+    __slots__ = ("pausing",)
 
     def __init__(self) -> None:
-        # Number of readers that pause now, and of all pauses.
+        # Number of readers that pause now.
         self.pausing = 0
-        self.pauses = 0
 
-    def pause_s(self, turn_s: float) -> float:
-        """Return how long to pause after a turn of `turn_s` seconds."""
+    def pause(self, turn_s: float = 0.0) -> None:
+        """Let other tasks run after a turn of `turn_s` seconds beyond a peer's rate."""
         share_s = min(PAUSE_MAX_S, max(PAUSE_MIN_S, PAUSE_FACTOR * turn_s))
-        return share_s * (self.pausing + 1)
-
-    def pause(self, turn_s: float) -> None:
-        """Let other tasks run after a turn of a peer beyond its rate."""
-        pause_s = self.pause_s(turn_s)
-        self.pauses += 1
         self.pausing += 1
         try:
-            gevent.sleep(pause_s)
+            gevent.sleep(share_s * self.pausing)
         finally:
             self.pausing -= 1
 
@@ -79,37 +73,43 @@
 
 
 class ConnectionPace:
-    """Let other tasks run between the small pieces that one connection carries."""
+    """Let other tasks run between the pieces that one connection carries."""
 
-    __slots__ = ("_budgets", "_pieces", "_turn_began_at", "slowed_s")
+    __slots__ = ("_budgets", "_bytes", "_pieces", "_turn_began_at", "slowed_s")
 
-    def __init__(self, *shared_budgets: PieceBudget) -> None:
+    def __init__(self, now: float, *shared_budgets: PieceBudget) -> None:
         own = PieceBudget(CONNECTION_PIECES_S, CONNECTION_PIECES_BURST)
         self._budgets = (own, *shared_budgets)
+        # Since other tasks could last run.
+        self._bytes = 0
         self._pieces = 0
-        self._turn_began_at = clock.now()
+        self._turn_began_at = now
         # Time for which the connection was read more slowly, in seconds.
         self.slowed_s = 0.0
 
-    def begin_turn(self, now: float) -> None:
-        """Record that the reader goes on after other tasks could run."""
-        self._turn_began_at = now
+    def count_read(self, size: int) -> None:
+        """Count a read from the socket, of `size` bytes."""
+        self._bytes += size
+        self._pieces += size < SMALL_PIECE_BYTES
 
-    def count(self, size: int) -> bool:
-        """Count a piece of this size in bytes; return whether the turn is over."""
+    def count_piece(self, size: int) -> None:
+        """Count a chunk or an event of `size` bytes."""
         self._pieces += size < SMALL_PIECE_BYTES
-        return self._pieces >= PIECES_PER_TURN
+
+    def is_turn_over(self) -> bool:
+        """Tell whether other tasks should run before more is read."""
+        return self._pieces >= PIECES_PER_TURN or self._bytes >= BYTES_PER_TURN
 
     def end_turn(self) -> bool:
         """Let other tasks run; return whether the peer is beyond its rate."""
         now = clock.now()
-        pieces, self._pieces = self._pieces, 0
         # A list, as each budget has to be charged.
-        is_slowed = not all([budget.take(pieces, now) for budget in self._budgets])
+        is_slowed = not all([b.take(self._pieces, now) for b in self._budgets])
         if is_slowed:
             PACER.pause(now - self._turn_began_at)
         else:
             gevent.sleep(0)
+        self._bytes = self._pieces = 0
         self._turn_began_at = clock.now()
         if is_slowed:
             self.slowed_s += self._turn_began_at - now
--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -90,6 +90,10 @@
         """Set from how many services this node is cut off."""
         self._record("set_cut_off", services)
 
+    def count_slowed_read(self) -> None:
+        """Count an answer that is read slowly, as it comes in small pieces."""
+        self._record("count_slowed_read")
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self._metrics is None:
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -59,6 +59,7 @@
         "_refusals",
         "_requests",
         "_retries",
+        "_slowed_reads",
         "_time_between_tokens",
         "_time_to_first_token",
         "_whole_answer_time",
@@ -96,6 +97,7 @@
         self._forwards = meter.create_counter("arbutusyard_forwards")
         self._hedges = meter.create_counter("arbutusyard_hedges")
         self._hedge_refusals = meter.create_counter("arbutusyard_hedge_refusals")
+        self._slowed_reads = meter.create_counter("arbutusyard_slowed_reads")
         self._quarantined = meter.create_gauge("arbutusyard_quarantined")
         self._quota_cost = meter.create_counter("arbutusyard_quota_cost")
         self._quota_votes = meter.create_gauge("arbutusyard_quota_votes")
@@ -170,6 +172,10 @@
         """Count a request that was sent to another node, by its result."""
         self._forwards.add(1, {ATTR_RESULT: result})
 
+    def count_slowed_read(self) -> None:
+        """Count an answer that is read slowly, as it comes in small pieces."""
+        self._slowed_reads.add(1)
+
     def set_cut_off(self, services: int) -> None:
         """Set from how many services this node is cut off."""
         self._cut_off.set(services)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 from hypothesis import HealthCheck, settings
 
 from standins.cluster import ROOT, Cluster
+from tests.turns import TurnWatch
 
 SEED = os.environ.get("ARBUTUSYARD_TEST_SEED")
 
@@ -113,3 +114,11 @@
     status = cluster.status(f"e{number}")
     live = list(status["backends"].values()).count("live")
     return status["revision"] >= 1 and live == backends
+
+
+@pytest.fixture
+def watch():
+    """Measure for how long one task holds the process during a test."""
+    watch = TurnWatch()
+    yield watch
+    watch.stop()
