Let other tasks run while the platform's answers are read

A call to the store or to a server's report decodes up to 64 KiB of chunks in one turn, and more while bytes keep coming: 0.50 s of processor time in the test process with chunks of one byte, in which a node answers nobody. The platform's client now ends its turns as the readers of servers' answers do, and collects the body in one buffer instead of one object a chunk. The test failed before for small_chunks and passes for all 15 kinds of endless answers.

--- a/arbutusyard/platform/http.py
+++ b/arbutusyard/platform/http.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from arbutusyard import clock
+from arbutusyard.http1.pacing import ConnectionPace
 from arbutusyard.http1.parser import Http1Parser
 from arbutusyard.platform.exceptions import (
     AnswerInvalid,
@@ -113,7 +114,7 @@
 class HttpConnection:
     """Carry calls over a connection, one at a time."""
 
-    __slots__ = ("_address", "_bytes_left", "_deadline", "_h11", "_sock")
+    __slots__ = ("_address", "_bytes_left", "_deadline", "_h11", "_pace", "_sock")
 
     def __init__(self, address: str, connect_timeout_s: float) -> None:
         """Connect to an address; raise ConnectFailed if that fails."""
@@ -121,6 +122,7 @@
         self._h11 = Http1Parser(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
         self._bytes_left = 0
         self._deadline = 0.0
+        self._pace = ConnectionPace(clock.now())
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             host, port = address.rsplit(":", 1)
@@ -156,15 +158,16 @@
         self._sock.settimeout(limits.read_timeout_s)
         self._sock.sendall(data)
         head = self._read_head(limits)
-        chunks = []
+        body_data = bytearray()
         while isinstance(event := self._next_event(limits), h11.Data):
-            chunks.append(bytes(event.data))
+            body_data += event.data
+            self._pace.count_piece(len(event.data))
         if not isinstance(event, h11.EndOfMessage):
             raise h11.RemoteProtocolError("the answer ended early")
         return HttpAnswer(
             head.status_code,
             {name.decode(): value.decode("latin-1") for name, value in head.headers},
-            b"".join(chunks),
+            bytes(body_data),
         )
 
     def is_usable(self) -> bool:
@@ -222,6 +225,8 @@
         raise h11.RemoteProtocolError("too many informational responses")
 
     def _next_event(self, limits: CallLimits) -> object:
+        if self._pace.is_turn_over():
+            self._pace.end_turn()
         # One read may contain thousands of chunks, which a busy VM decodes for longer
         # than the time left.
         if clock.now() > self._deadline:
@@ -238,4 +243,5 @@
             data = self._sock.recv(min(READ_BYTES, self._bytes_left))
             self._bytes_left -= len(data)
             self._h11.receive_data(data)
+            self._pace.count_read(len(data))
         return event
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -14,6 +14,7 @@
 from arbutusyard.platform.exceptions import PlatformOutcomeUnknown
 from arbutusyard.platform.servers import ServerClient
 from arbutusyard.weights.models import LoadOrder, SwitchMode
+from tests.turns import TURN_S
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -140,6 +141,14 @@
             gevent.sleep(0.01)
 
 
+# Guards against nodes that answer nobody while they read such an answer.
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_an_endless_answer_leaves_the_process_to_other_tasks(endless, watch, kind):
+    with pytest.raises(PlatformOutcomeUnknown):
+        PlatformClient(endless(kind).address).snapshot("t")
+    assert watch.longest_s() < TURN_S
+
+
 # Guards against memory that is reserved for bytes that were only announced.
 def test_an_announced_length_reserves_no_memory(endless):
     def announce():
