--- a/arbutusyard/backends/stream.py
+++ b/arbutusyard/backends/stream.py
@@ -14,6 +14,7 @@
     NewConnectionError,
 )
 
+from arbutusyard import clock
 from arbutusyard.backends.const import (
     CONNECT_TIMEOUT_S,
     READ_BYTES,
@@ -31,8 +32,9 @@
     HEADER_REQUEST_ID,
     HEADER_WEIGHTS_VERSION,
 )
+from arbutusyard.http1.events import split_events
+from arbutusyard.http1.pacing import ConnectionPace
 
-EVENT_END: Final = b"\n\n"
 ID_PREFIX: Final = b"id: "
 DONE_LINE: Final = b"data: [DONE]"
 USAGE_FIELD: Final = b'"usage":'
@@ -83,26 +85,31 @@
 
         Raise BackendAnswerLost on a gap, a malformed event or an interruption.
         """
-        buffer = b""
         expected = first_index
         try:
-            for data in self._resp.stream(READ_BYTES):
-                raw_events = (buffer + data).split(EVENT_END)
-                buffer = raw_events.pop()
-                for raw_event in raw_events:
-                    event = _parse_event(raw_event)
-                    if event.kind is not EventKind.KEEPALIVE:
-                        if event.index != expected:
-                            raise AnswerMismatched(
-                                f"received event {event.index} instead of {expected}"
-                            )
-                        expected += 1
-                    yield event
+            for raw_event in split_events(self._read_chunks()):
+                event = _parse_event(raw_event)
+                if event.kind is not EventKind.KEEPALIVE:
+                    if event.index != expected:
+                        raise AnswerMismatched(
+                            f"received event {event.index} instead of {expected}"
+                        )
+                    expected += 1
+                yield event
         except (HTTPError, OSError, ValueError) as exc:
             raise BackendAnswerLost(
                 f"answer of {self.backend!r} was interrupted: {exc}"
             ) from exc
 
+    def _read_chunks(self) -> Iterator[bytes]:
+        """Yield the chunks of the body; let other tasks run between small ones."""
+        pace = ConnectionPace(clock.now())
+        for data in self._resp.stream(READ_BYTES):
+            yield data
+            pace.count_read(len(data))
+            if pace.is_turn_over():
+                pace.end_turn()
+
     def finish(self, remaining: Iterator[StreamEvent]) -> None:
         """Read a completed answer to its end, so that its connection can be reused."""
         try:
--- a/arbutusyard/client/sse.py
+++ b/arbutusyard/client/sse.py
@@ -9,6 +9,7 @@
 from arbutusyard import clock
 from arbutusyard.client.exceptions import ClientError, StreamBroken
 from arbutusyard.client.models import Answer
+from arbutusyard.http1.events import EventTooLarge, split_events
 
 # Maximum size of one read from a stream, in bytes.
 READ_BYTES = 65_536
@@ -96,14 +97,12 @@
 
 def read_stream(resp: urllib3.BaseHTTPResponse, progress: Progress) -> None:
     """Read events to the end; raise StreamInterrupted if it ends early."""
-    buffer = b""
     try:
-        for data in resp.stream(READ_BYTES):
-            raw_events = (buffer + data).split(b"\n\n")
-            buffer = raw_events.pop()
-            for raw_event in raw_events:
-                if not raw_event.startswith(b":"):
-                    progress.apply_event(raw_event)
+        for raw_event in split_events(resp.stream(READ_BYTES)):
+            if not raw_event.startswith(b":"):
+                progress.apply_event(raw_event)
+    except EventTooLarge as exc:
+        raise StreamBroken(str(exc)) from exc
     except (HTTPError, OSError) as exc:
         raise StreamInterrupted(f"stream was interrupted: {exc}") from exc
     if not progress.done:
