Wall off the cache that an account made before it was isolated

The salt of all accounts that share was one constant, so the isolation changed only the salt of the isolated account.

The salt of the accounts that share now names all isolated accounts. A part is found only under the salt under which it was made, so whoever made it was not isolated by the configuration that a request uses now: it holds without a record of makers, after restarts, for nodes that lag and however configurations follow one another. Isolated accounts keep their salt, and while none is isolated the common salt is that of earlier builds. An account without a name no longer has the common salt if it is isolated, and one that the configuration dropped shares nothing of its last requests.

The account of a request was judged by the configuration at its arrival. Its group is now taken from the one in force: at each placement, again once its connection is open, and a request that has not begun 1 s after a change is sent again under the new salt if it may be repeated and the retry budget allows it.

--- a/arbutusyard/fleet/catalog.py
+++ b/arbutusyard/fleet/catalog.py
@@ -4,19 +4,21 @@
 import random
 from hashlib import blake2b
 
+from arbutusyard.gateway.cache_groups import CacheGroups
 from arbutusyard.gateway.models import Account, Configuration, Route
 
 
 class Catalog:
     """Index one version of the configuration."""
 
-    __slots__ = ("_accounts", "_hosts", "cfg")
+    __slots__ = ("_accounts", "_hosts", "cache_groups", "cfg")
 
     def __init__(self, cfg: Configuration) -> None:
         self.cfg = cfg
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in cfg.routes:
             self._hosts.setdefault(route.host, {})[route.path_prefix] = route
+        self.cache_groups = CacheGroups(cfg.accounts)
         self._accounts: dict[bytes, tuple[str, Account]] = {}
         for account in cfg.accounts:
             for key in account.keys:
--- a/arbutusyard/gateway/begin_deadline.py
+++ b/arbutusyard/gateway/begin_deadline.py
@@ -1,12 +1,17 @@
-"""Withdraw requests that wait too long at a server with superseded weights."""
+"""Withdraw requests that wait too long at a server under weights or salts of before."""
 
 import logging
+from typing import Final
 
 from arbutusyard.gateway.outdated_weights import OutdatedWeights
 from arbutusyard.gateway.router import Placement
 
 _LOGGER = logging.getLogger(__name__)
 
+# Time after a change of the accounts that share cached segments in which requests that
+# were sent before it may still begin, in seconds. Most of them are being prefilled.
+GROUP_CHANGE_GRACE_S: Final = 1.0
+
 
 def is_overdue(
     outdated: OutdatedWeights, placement: Placement, model: str, now: float
@@ -34,6 +39,15 @@
     return True
 
 
+def has_left_group(placement: Placement, has_changed: bool, now: float) -> bool:
+    """Tell whether a request has waited too long under another group's cache salt."""
+    prompt = placement.prompt
+    if prompt is None or not has_changed:
+        return False
+    prompt.group_changed_at = min(prompt.group_changed_at, now)
+    return now - prompt.group_changed_at > GROUP_CHANGE_GRACE_S
+
+
 def log_late_beginning(
     outdated: OutdatedWeights,
     placement: Placement,
--- a/arbutusyard/gateway/exchange.py
+++ b/arbutusyard/gateway/exchange.py
@@ -11,12 +11,14 @@
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
 from arbutusyard.gateway.admission import Admission
-from arbutusyard.gateway.answer_relay import AnswerRelay, StreamObserver
+from arbutusyard.gateway.answer_relay import AnswerRelay
 from arbutusyard.gateway.begin_deadline import (
+    has_left_group,
     is_overdue,
     log_late_beginning,
     should_withdraw,
 )
+from arbutusyard.gateway.cache_groups import has_changed
 from arbutusyard.gateway.caller import CallerConnection
 from arbutusyard.gateway.const import (
     MISMATCH_PAUSE_S,
@@ -45,6 +47,7 @@
 )
 from arbutusyard.gateway.pool import ServerConnection, ServerPool, connection_cap
 from arbutusyard.gateway.router import Placement, PlacementRouter
+from arbutusyard.gateway.server_stream import ServerStream
 from arbutusyard.limits.sharing import FleetShare
 from arbutusyard.origins.coordinator import OriginCoordinator
 from arbutusyard.origins.models import AMBIGUOUS
@@ -215,6 +218,8 @@
             outdated = self._router.outdated
             if is_overdue(outdated, placement, exchange.req.model, clock.now()):
                 raise NotSent(f"{conn.address} has weights that are overdue")
+            if self._has_other_group(exchange, placement):
+                raise NotSent("the accounts that share cached segments have changed")
             conn.should_abandon = lambda: self._should_abandon(exchange, placement)
             if exchange.conn.has_disconnected():
                 # On a busy node a client's request is read together with the end of
@@ -360,6 +365,18 @@
         ):
             placement.given_up = True
             return True
+        has_other_group = self._has_other_group(exchange, placement)
+        if (
+            not has_begun
+            and has_left_group(placement, has_other_group, now)
+            and self._can_retry(exchange, server, now)
+        ):
+            _LOGGER.info(
+                "Withdrew a request that waits under an earlier cache salt",
+                extra={"request_id": req.request_id, "server": server.entry.server_id},
+            )
+            placement.given_up = True
+            return True
         if not self._router.is_unresponsive(server, now):
             return False
         may_be_prefilling = self._router.may_be_prefilling(server, now)
@@ -380,6 +397,16 @@
             )
             if may_be_prefilling:
                 return False
+        return self._can_retry(exchange, server, now)
+
+    def _has_other_group(self, exchange: Exchange, placement: Placement) -> bool:
+        prompt, catalog = placement.prompt, self._fleet_state.catalog
+        return prompt is not None and has_changed(
+            prompt.group, catalog, exchange.account
+        )
+
+    def _can_retry(self, exchange: Exchange, server: Server, now: float) -> bool:
+        """Tell whether another attempt can follow now, and take it from the budget."""
         route = exchange.route
         if route.retry_policy is RetryPolicy.ONCE or not exchange.can_continue():
             return False
@@ -616,31 +643,3 @@
         return None
     override = account.priority if account is not None else None
     return max(0, min(URGENCY_MAX, route.priority if override is None else override))
-
-
-class ServerStream(StreamObserver):
-    """Observe the events of a server for its dispatcher."""
-
-    __slots__ = ("_dispatcher", "_exchange", "_is_current", "_placement")
-
-    def __init__(
-        self,
-        dispatcher: Dispatcher,
-        exchange: Exchange,
-        placement: Placement,
-        is_current: bool,
-    ) -> None:
-        self._is_current = is_current
-        self._dispatcher = dispatcher
-        self._exchange = exchange
-        self._placement = placement
-
-    def begin(self, now: float) -> None:
-        """Record the time of the first event, and its software version."""
-        self._dispatcher.begin_stream(
-            self._exchange, self._placement, self._is_current, now
-        )
-
-    def relay(self, events: list[StreamEvent], now: float) -> None:
-        """Record where the stream began, and the weights that its events name."""
-        self._dispatcher.record_events(self._exchange, self._placement, events, now)
--- a/arbutusyard/gateway/prompts.py
+++ b/arbutusyard/gateway/prompts.py
@@ -1,5 +1,6 @@
 """Describe prompts by the segments that engines and cache stores hold."""
 
+import math
 from hashlib import blake2b
 from itertools import accumulate
 
@@ -28,6 +29,10 @@
     store_depths: dict[str, int]
     # The places from which leading segments can be fetched, and their tokens.
     sources: list[tuple[Source, int]] = []
+    # The accounts that share the cached segments, as the salt has it, and when it was
+    # first seen that the account of the request has another group now.
+    group: str = ""
+    group_changed_at: float = math.inf
 
 
 def leading_tokens(req: CallerRequest) -> list[int]:
@@ -35,15 +40,18 @@
     return [0, *accumulate(segment.tokens for segment in req.segments)]
 
 
-def affinity_target(req: CallerRequest, group: str, server_ids: list[str]) -> str:
-    """Return the server on which all nodes place this first segment by preference."""
+def affinity_target(req: CallerRequest, owner: str, server_ids: list[str]) -> str:
+    """Return the server on which all nodes place this first segment by preference.
+
+    `owner` is the account if it shares nothing, and empty otherwise.
+    """
     if len(req.segments) < 2 or req.segments[0].tokens < AFFINITY_SEGMENT_TOKENS:
         return ""
-    return rank(f"{group}/{req.segments[0].segment_id}".encode(), server_ids)[0]
+    return rank(f"{owner}/{req.segments[0].segment_id}".encode(), server_ids)[0]
 
 
 def cache_salt(group: str, model: str, version: int) -> str:
-    """Return a cache salt that separates account groups, models and weights."""
+    """Return a cache salt that separates cache groups, models and weights."""
     text = f"{len(group)}:{group}{len(model)}:{model}{version}"
     return blake2b(text.encode(), digest_size=12).hexdigest()
 
--- a/arbutusyard/gateway/router.py
+++ b/arbutusyard/gateway/router.py
@@ -18,6 +18,7 @@
 from arbutusyard.fleet.peer_table import PeerTable
 from arbutusyard.fleet.servers import Server
 from arbutusyard.fleet.state import FleetState
+from arbutusyard.gateway.cache_groups import cache_groups
 from arbutusyard.gateway.const import LAST_SERVER_FRACTION
 from arbutusyard.gateway.models import Account, CallerRequest, EngineTraits
 from arbutusyard.gateway.outdated_weights import OutdatedWeights
@@ -307,11 +308,11 @@
         servers: list[Server],
         now: float,
     ) -> Placement | None:
-        group = account.name if account is not None and account.isolated else ""
+        groups = cache_groups(self._fleet_state.catalog)
         newest = max(server.weights.get(req.model, 0) for server in servers)
         newest_servers = [s for s in servers if s.weights.get(req.model, 0) == newest]
         newest_ids = [server.entry.server_id for server in newest_servers]
-        target_id = affinity_target(req, group, newest_ids)
+        target_id = affinity_target(req, groups.owner(account), newest_ids)
         # A server with a limit is a candidate only now and then.
         reserved = reserved_engines(
             [s.entry.server_id for s in newest_servers if not self._is_limited(s)]
@@ -333,6 +334,7 @@
         for server in servers:
             version = server.weights.get(req.model, 0)
             if version not in prompts:
+                group = groups.group(account)
                 prompts[version] = self._look_up_prompt(
                     req, service, group, version, now
                 )
@@ -407,15 +409,13 @@
             self.segments.sent_to_engines(keys, now),
             self.segments.cached_by_engines(keys, now),
             self.segments.cached_by_stores(keys, now),
+            group=group,
         )
-        catalog = self._fleet_state.catalog
         engine = self._engine_traits(service)
         if engine is not None:
             tokens = leading_tokens(req)
-            prompt.sources = [
-                (source, tokens[depth])
-                for source, depth in self._find_sources(catalog, engine, prompt)
-            ]
+            found = self._find_sources(self._fleet_state.catalog, engine, prompt)
+            prompt.sources = [(source, tokens[depth]) for source, depth in found]
         return prompt
 
     def _engine_traits(self, service: str) -> EngineTraits | None:
