--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,7 @@
 from tests.soak.limits import LimitCheck
 from tests.soak.quotas import QuotaCheck
 from tests.soak.reach import ReachCheck
+from tests.soak.walls import WallCheck
 
 # Kinds of requests whose answers are streams; clients resume those of a sequence.
 STREAMS = ("stream", "sequence")
@@ -87,6 +88,7 @@
     limits: LimitCheck = field(default_factory=LimitCheck)
     quotas: QuotaCheck = field(default_factory=QuotaCheck)
     reach: ReachCheck = field(default_factory=ReachCheck)
+    walls: WallCheck = field(default_factory=WallCheck)
     # Names of the nodes, by the IP address from which they reach servers.
     nodes_by_ip: dict[str, str] = field(default_factory=dict)
     # When weights were superseded by newer target weights, in runs that check it, and
@@ -176,6 +178,10 @@
         if weights is not None and self.superseded_at is not None:
             self._check_weights(attempt, run, weights)
         self._check_salt(request, attempt)
+        excused = not self.is_undisturbed(attempt.node, sender, "store")
+        breach = self.walls.record_run(request, attempt, excused)
+        if breach:
+            self.add_violation("WALL", breach)
         return run
 
     def record_deadly_crash(self, server_id):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -97,6 +97,11 @@
 # killed.
 FIRST_PARTITION_SEED = 8000
 PARTITION_KILL_ALL_FRACTION = 0.15
+# First seed in whose runs two accounts are isolated and shared again, and one of them
+# is removed and returns, and the maximum pause between two such changes, in seconds.
+FIRST_ISOLATION_SEED = 9000
+ISOLATION_INTERVAL_S = 6.0
+CHANGING_ACCOUNTS = ("changing-1", "changing-2")
 # Pauses between two such requests and between two such entries, in seconds.
 DEADLY_INTERVAL_S = 0.4
 FORGET_INTERVAL_S = 1.5
@@ -143,6 +148,12 @@
             "open": [f"open-{n}" for n in range(4)],
             "walled": [f"walled-{n}" for n in range(4)],
         }
+        self._changes_isolation = seed >= FIRST_ISOLATION_SEED
+        self._isolation_rng = random.Random(f"isolation {seed}")
+        if self._changes_isolation:
+            self._keys |= {name: [f"{name}-key"] for name in CHANGING_ACCOUNTS}
+        self._isolated = {"walled"}
+        self._removed = set()
         # Complete answers, by account.
         self._served = Counter()
         self.configure()
@@ -213,8 +224,13 @@
             "routes": routes + added_routes,
             "services": services,
             "tenants": [
-                {"name": name, "api_keys": keys, "share_nothing": name == "walled"}
+                {
+                    "name": name,
+                    "api_keys": keys,
+                    "share_nothing": name in self._isolated,
+                }
                 for name, keys in self._keys.items()
+                if name not in self._removed
             ]
             + (_quota_accounts() if self._has_overload else []),
         }
@@ -234,6 +250,26 @@
             self.configure()
             self.ledger.revoked_at[key] = self.ledger.now()
 
+    def change_isolation(self):
+        """Isolate an account, let it share again, remove it or bring it back."""
+        rng = self._isolation_rng
+        name = rng.choice(CHANGING_ACCOUNTS)
+        if name in self._removed:
+            self._removed.remove(name)
+        elif name == CHANGING_ACCOUNTS[-1] and rng.random() < 0.3:
+            self._removed.add(name)
+        self._isolated ^= {name}
+        self.configure()
+        self.ledger.walls.set_isolated(
+            self._isolated - self._removed, self.ledger.now()
+        )
+
+    def _change_isolation_repeatedly(self):
+        """Change isolation until the faults end."""
+        while self._changes_isolation:
+            gevent.sleep(self._isolation_rng.uniform(0.2, ISOLATION_INTERVAL_S))
+            self.change_isolation()
+
     def raise_target_weights(self):
         """Set the next version as target weights."""
         self._target_version += 1
@@ -306,6 +342,8 @@
                 disturbances.append(
                     gevent.spawn(self._update.replace_nodes, self, duration_s)
                 )
+            if self._changes_isolation:
+                disturbances.append(gevent.spawn(self._change_isolation_repeatedly))
             if self._has_removals:
                 disturbances.append(gevent.spawn(self._remove_servers))
             if self._has_software:
@@ -340,6 +378,7 @@
                 )
                 injector.run(duration_s, pause_s)
             self._has_removals = self._has_software = self._has_abuse = False
+            self._changes_isolation = False
             self._partitions.stop()
             self._are_servers_slow = False
             gevent.joinall(disturbances, raise_error=True)
