--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,9 +24,9 @@
 # in those from 7000 on accounts have quotas, servers reject requests when they are full
 # and slow down, and clients leave bodies unfinished and answers unread; in those from
 # 8000 on nodes are cut off from servers that other nodes reach, target weights follow
-# one another quickly, and clients resume streams; in those from 9000 on two accounts are
-# isolated and shared again, and one is removed and returns. Seed 8001 found LIMIT: an
-# engine that answered no order got it again at once. On 5a21dd2 seed 9000 broke WALL.
+# one another quickly, and clients resume streams; in those from 9000 on two accounts
+# are isolated and shared again, and one is removed and returns. Seed 8001 found LIMIT:
+# an engine that answered no order got it again at once. On 5a21dd2 9000 broke WALL.
 @pytest.mark.parametrize(
     "seed", [1, 1000, 2000, 3000, 3001, 6000, 7000, 8001, 8002, 9000, *REGRESSIONS]
 )
