--- a/arbutusyard/metrics/deferred.py
+++ b/arbutusyard/metrics/deferred.py
@@ -91,7 +91,7 @@
         self._record("set_cut_off", services)
 
     def count_slowed_read(self) -> None:
-        """Count an answer that is read slowly, as it comes in small pieces."""
+        """Count a server's connection that is read slowly for its small pieces."""
         self._record("count_slowed_read")
 
     def text(self) -> bytes:
--- a/arbutusyard/metrics/registry.py
+++ b/arbutusyard/metrics/registry.py
@@ -173,7 +173,7 @@
         self._forwards.add(1, {ATTR_RESULT: result})
 
     def count_slowed_read(self) -> None:
-        """Count an answer that is read slowly, as it comes in small pieces."""
+        """Count a server's connection that is read slowly for its small pieces."""
         self._slowed_reads.add(1)
 
     def set_cut_off(self, services: int) -> None:
